--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"archfront/choice"
+	"spurwinch/choice"
 )
 
 // A node's loop: hand over what happened, carry out what comes back.
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -10,7 +10,7 @@
 	"io"
 	"os"
 
-	"archfront/internal/wire"
+	"spurwinch/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,7 +8,7 @@
 	"math"
 	"time"
 
-	"archfront/choice"
+	"spurwinch/choice"
 )
 
 type setup struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"archfront/choice"
+	"spurwinch/choice"
 )
 
 type batch struct {
