--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,85 @@
+// Package config reads what a node is told: the GW_* variables and config.json, and the operator's file.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"spurwinch/internal/cluster"
+	"spurwinch/internal/wire"
+)
+
+// Node is the configuration of a node on the platform.
+type Node struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Sockets   int // descriptors that the process may hold; 0: not told
+	MemoryMB  int
+	Known     *cluster.List
+	Settings  wire.Settings
+}
+
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    *cluster.List   `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// FromEnvironment reads the GW_* variables and the file that GW_CONFIG names. A variable beats the file.
+func FromEnvironment(getenv func(string) string) (Node, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return Node{}, errors.New("GW_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Node{}, err
+	}
+	var f file
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Node{}, fmt.Errorf("%s: %w", path, err)
+	}
+	n := Node{Name: or(getenv("GW_NAME"), f.Name), Listen: or(getenv("GW_LISTEN"), f.Listen),
+		Discovery: or(getenv("GW_DISCOVERY"), f.Discovery), Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, Known: f.Known}
+	for _, a := range []struct{ what, addr string }{{"listen", n.Listen}, {"discovery", n.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return n, fmt.Errorf("%s: %s address %q is not IP:PORT", path, a.what, a.addr)
+		}
+	}
+	if n.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
+		return n, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	if f.Known != nil {
+		if _, err := f.Known.Hosts(); err != nil {
+			return n, fmt.Errorf("%s: known: %w", path, err)
+		}
+	}
+	if n.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		h := fnv.New64a() // any other text is a seed as well
+		h.Write([]byte(f.Seed + n.Name))
+		n.Seed = h.Sum64()
+	}
+	return n, nil
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,515 @@
+// Package edge is the core: requests, attempts, outcomes and their timers. It owns the decision module's balancer of
+// one cluster, tells it what happens and carries out what it decides, in order. It knows no wire and no socket:
+// fronts bring requests and carry attempts out.
+//
+// Everything here runs on one goroutine, the loop's.
+package edge
+
+import (
+	"fmt"
+	"log"
+	"time"
+
+	"spurwinch/choice"
+)
+
+// Clock is the loop's time and timers. A timer never fires before the call that sets it has returned.
+type Clock interface {
+	Now() time.Time
+	At(at time.Time, fn func()) (stop func())
+}
+
+// Client is a front's side of one request. Its methods are called by the core only, and never after it has told the
+// core that the client is gone.
+type Client interface {
+	// Attempt starts the upstream request a; its outcome is told through a's methods.
+	Attempt(a *Attempt) UpstreamRequest
+	// LocalReply gives the client the final answer of a request that no host serves.
+	LocalReply(r LocalReply)
+	// Move asks the client of an open connection to come again, and ends its connection on both sides.
+	Move()
+}
+
+// UpstreamRequest is a front's side of one attempt.
+type UpstreamRequest interface {
+	// GiveUp stops waiting: nothing of the attempt may reach the client any more, nor the host.
+	GiveUp()
+}
+
+// Prober is a front's way to ask a host for its load report by a time; done is called once.
+type Prober interface {
+	Probe(h UpstreamHost, by time.Time, done func(o choice.Outcome, report []float64))
+}
+
+// LocalReply is a final answer that the node gives by itself.
+type LocalReply struct {
+	Refused bool          // trying again does no harm; else the request failed
+	After   time.Duration // advice for when to come again; 0: none
+	Why     Why
+}
+
+// Why tells a front the reason of a local reply, for protocols that name it.
+type Why uint8
+
+const (
+	Busy         Why = iota // the module found no host that can take it
+	ShuttingDown            // this node goes away
+	Unreachable             // the host that the request is bound to can't be had
+)
+
+// UpstreamHost is one entry of the cluster.
+type UpstreamHost struct {
+	choice.Server
+	Addr string
+}
+
+// Spec is what a front knows of a new request.
+type Spec struct {
+	ID       choice.RequestID
+	Class    int
+	Tenant   int
+	Key      uint64
+	Group    uint64
+	Load     float64
+	Returned bool
+	Deadline time.Time       // absolute: by then it has its final answer
+	At       choice.ServerID // a connection that was open at this host before the node started; else empty
+}
+
+// Options are the core's surroundings.
+type Options struct {
+	Clock    Clock
+	Settings choice.Settings
+	Seed     uint64
+	Prober   Prober
+	Follow   func() // asks discovery for changes from now on
+}
+
+const (
+	probeTime   = time.Second            // for a probe's answer
+	retryPinned = 250 * time.Millisecond // between tries at the host of a connection open before the run
+	silentTime  = 4500 * time.Millisecond
+)
+
+// Core is the core of one cluster.
+type Core struct {
+	o        Options
+	balancer *choice.Balancer
+	start    time.Time
+	epoch    time.Duration // the module's clock at start: Unix time
+	events   []choice.Event
+	stepping bool
+	hosts    map[choice.ServerID]*host
+	requests map[choice.RequestID]*Request
+	draining bool
+	minAim   time.Duration
+}
+
+type host struct {
+	UpstreamHost
+	network  time.Duration // least time seen to connect: what a message takes on the way
+	noted    time.Time     // when the module was last told of slow messages here
+	slow     bool
+	draining bool
+}
+
+// New makes the core of one cluster. Its balancer acts first on the first Flush.
+func New(o Options) (*Core, error) {
+	c := &Core{o: o, start: o.Clock.Now(), hosts: map[choice.ServerID]*host{}, requests: map[choice.RequestID]*Request{}}
+	c.epoch = time.Duration(c.start.UnixNano())
+	b, err := choice.New(o.Settings, o.Seed, c.epoch)
+	if err != nil {
+		return nil, err
+	}
+	c.balancer = b
+	for _, k := range o.Settings.Classes {
+		if k.MessageAim > 0 && (c.minAim == 0 || k.MessageAim < c.minAim) {
+			c.minAim = k.MessageAim
+		}
+	}
+	return c, nil
+}
+
+// clock turns a time into the module's clock: Unix time that never goes back.
+func (c *Core) clock(t time.Time) time.Duration { return c.epoch + t.Sub(c.start) }
+
+func (c *Core) tell(e choice.Event) { c.events = append(c.events, e) }
+
+// Flush hands the module what has happened and carries out its answer, until nothing is left. The loop calls it
+// after each callback.
+func (c *Core) Flush() {
+	if c.stepping {
+		return
+	}
+	c.stepping = true
+	for len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		for _, a := range c.balancer.Step(c.clock(c.o.Clock.Now()), events) {
+			c.carryOut(a)
+		}
+	}
+	c.stepping = false
+}
+
+// Start hands the module the list that this node last held; the module's first actions follow.
+func (c *Core) Start(known []UpstreamHost) {
+	c.List(choice.ListCached, known)
+	c.Flush()
+}
+
+func (c *Core) carryOut(a choice.Action) {
+	now := c.o.Clock.Now()
+	switch a := a.(type) {
+	case choice.Send:
+		if r := c.requests[a.ID]; r != nil && r.attempt == nil && !r.over {
+			r.send(a.Server, earlier(now.Add(a.Cap), r.Deadline))
+		} else {
+			log.Printf("edge: no request %s to send", a.ID)
+		}
+	case choice.Refuse:
+		if r := c.requests[a.ID]; r != nil {
+			r.answer(LocalReply{Refused: true, After: a.After})
+		}
+	case choice.Fail:
+		if r := c.requests[a.ID]; r != nil {
+			r.answer(LocalReply{})
+		}
+	case choice.Cancel:
+		if r := c.requests[a.ID]; r != nil && r.attempt != nil && r.attempt.Number == a.Attempt && !r.open {
+			r.attempt.giveUp(choice.Cancelled)
+		}
+	case choice.Probe:
+		c.probe(a.Server, now)
+	case choice.Move:
+		if r := c.requests[a.ID]; r != nil {
+			r.move()
+		}
+	case choice.SetTimer:
+		c.o.Clock.At(now.Add(a.After), func() { c.tell(choice.TimerFired{Token: a.Token}) })
+	case choice.Follow:
+		if c.o.Follow != nil {
+			c.o.Follow()
+		}
+	}
+}
+
+func (c *Core) probe(id choice.ServerID, now time.Time) {
+	h := c.hosts[id]
+	done := false
+	tell := func(o choice.Outcome, report []float64) {
+		if done {
+			return
+		}
+		done = true
+		c.tell(choice.ProbeResult{Server: id, Outcome: o, Took: c.o.Clock.Now().Sub(now), Report: report})
+	}
+	if h == nil || c.o.Prober == nil {
+		tell(choice.ConnectFailed, nil)
+		return
+	}
+	c.o.Prober.Probe(h.UpstreamHost, now.Add(probeTime), tell)
+}
+
+// List takes in news of the cluster.
+func (c *Core) List(kind choice.ListKind, hosts []UpstreamHost) {
+	l := choice.ServerList{Kind: kind}
+	for _, h := range hosts {
+		if h.Started > 0 { // a start before the module's clock, which is Unix time as well
+			h.Started = max(h.Started, 1)
+		}
+		l.Servers = append(l.Servers, h.Server)
+		if k := c.hosts[h.ID]; k == nil {
+			c.hosts[h.ID] = &host{UpstreamHost: h}
+		} else {
+			if k.Started != h.Started {
+				k.slow, k.network = false, 0
+			}
+			k.UpstreamHost = h
+		}
+	}
+	c.tell(l)
+}
+
+// Request is one request of a client, from its taking until its connection has ended.
+type Request struct {
+	Spec
+	core     *Core
+	client   Client
+	attempt  *Attempt
+	attempts int
+	open     bool // established: the connection stands
+	over     bool // has its final answer, or nobody waits for it
+	stop     func()
+}
+
+// Open takes a new request. The client hears of it through c's methods, at the earliest when this has returned.
+func (c *Core) Open(s Spec, client Client) *Request {
+	r := &Request{Spec: s, core: c, client: client}
+	switch {
+	case c.requests[s.ID] != nil:
+		// Guards against two requests under one id, of which the module would know only the first.
+		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(LocalReply{}) })
+		return r
+	case c.draining:
+		c.requests[s.ID] = r
+		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(c.leaving()) })
+		return r
+	}
+	c.requests[s.ID] = r
+	// The module owns the deadline; this guards against a request that it has lost.
+	r.stop = c.o.Clock.At(s.Deadline, r.expired)
+	if s.At != "" {
+		c.o.Clock.At(c.o.Clock.Now(), r.sendPinned)
+		return r
+	}
+	c.tell(r.event())
+	return r
+}
+
+func (r *Request) event() choice.Request {
+	return choice.Request{ID: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Group: r.Group, Load: r.Load,
+		Returned: r.Returned, Left: r.Deadline.Sub(r.core.o.Clock.Now())}
+}
+
+func (r *Request) expired() {
+	if r.over || r.open {
+		return
+	}
+	log.Printf("edge: request %s reached its deadline unanswered", r.ID)
+	r.refuse(LocalReply{Refused: true})
+}
+
+// refuse answers a request over the module's head and calls off what it has out.
+func (r *Request) refuse(l LocalReply) {
+	if r.over || r.open {
+		return
+	}
+	r.core.tell(choice.ClientGone{ID: r.ID})
+	r.answer(l)
+	if r.attempt != nil {
+		r.attempt.giveUp(choice.Cancelled)
+	}
+}
+
+func (r *Request) sendPinned() {
+	if !r.over {
+		r.send(r.At, r.Deadline)
+	}
+}
+
+func (r *Request) send(id choice.ServerID, until time.Time) {
+	a := &Attempt{request: r, Number: r.attempts, Until: until, started: r.core.o.Clock.Now()}
+	r.attempts++
+	r.attempt = a
+	h := r.core.hosts[id]
+	if h == nil {
+		a.host = &host{UpstreamHost: UpstreamHost{Server: choice.Server{ID: id}}}
+		a.Ended(choice.ConnectFailed, nil)
+		return
+	}
+	a.host, a.Host = h, h.UpstreamHost
+	a.stop = r.core.o.Clock.At(until, func() { a.giveUp(choice.TimedOut) })
+	if u := r.client.Attempt(a); !a.ended {
+		a.upstream = u
+	}
+}
+
+// answer gives the final answer, unless there is one already.
+func (r *Request) answer(l LocalReply) {
+	if r.over || r.open {
+		return
+	}
+	r.over = true
+	r.client.LocalReply(l)
+	r.settle()
+}
+
+// settle forgets a request of which nothing is left.
+func (r *Request) settle() {
+	if r.over && r.attempt == nil && r.core.requests[r.ID] == r {
+		delete(r.core.requests, r.ID)
+	}
+	if r.over && r.stop != nil {
+		r.stop()
+		r.stop = nil
+	}
+}
+
+// Gone says that the client left, before its answer or on an open connection.
+func (r *Request) Gone() {
+	if r.over {
+		return
+	}
+	r.over = true
+	if !r.open {
+		r.core.tell(choice.ClientGone{ID: r.ID})
+	}
+	if r.attempt != nil {
+		r.attempt.giveUp(choice.Cancelled)
+	}
+	r.settle()
+}
+
+// move sends the client of an open connection away.
+func (r *Request) move() {
+	if !r.open || r.over {
+		return
+	}
+	r.over = true
+	r.client.Move()
+	r.attempt.Ended(choice.Cancelled, nil)
+	r.settle()
+}
+
+// Attempt is one upstream request.
+type Attempt struct {
+	request  *Request
+	host     *host
+	upstream UpstreamRequest
+	stop     func()
+	started  time.Time
+	ended    bool
+
+	Number int
+	Host   UpstreamHost
+	Until  time.Time // absolute: given up then
+}
+
+// ConnectBy is when the attempt's connection must be up.
+func (a *Attempt) ConnectBy() time.Time {
+	by := a.Until
+	if t := a.request.core.o.Settings.Limits.ConnectTimeout; t > 0 {
+		by = earlier(by, a.started.Add(t))
+	}
+	return by
+}
+
+// Connected tells what the way to the host takes, so that it isn't held against the host.
+func (a *Attempt) Connected() {
+	took := a.request.core.o.Clock.Now().Sub(a.started)
+	if h := a.host; h.network == 0 || took < h.network {
+		h.network = took
+	}
+}
+
+// Established says that the host took the connection.
+func (a *Attempt) Established() {
+	r := a.request
+	if a.ended || r.over || r.open {
+		return
+	}
+	r.open = true
+	if a.stop != nil {
+		a.stop()
+	}
+	if r.stop != nil {
+		r.stop()
+		r.stop = nil
+	}
+	if r.At != "" {
+		a.Number = 0
+		r.core.tell(choice.OpenConnection{Request: r.event(), Server: r.At})
+	} else {
+		r.core.tell(choice.Established{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Took: r.core.o.Clock.Now().Sub(a.started)})
+	}
+	if r.core.draining {
+		r.core.o.Clock.At(r.core.o.Clock.Now(), r.move)
+	}
+}
+
+// Ended gives the attempt's one outcome. What is told after it, or after GiveUp, doesn't count.
+func (a *Attempt) Ended(o choice.Outcome, report []float64) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.stop != nil {
+		a.stop()
+	}
+	r := a.request
+	r.attempt = nil
+	final := r.over || r.open || o == choice.Served
+	if r.At == "" || r.open {
+		r.core.tell(choice.AttemptEnded{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Outcome: o,
+			Took: r.core.o.Clock.Now().Sub(a.started), Final: final, Report: report})
+	}
+	if final {
+		r.over = true
+	} else if r.At != "" { // the host of a connection open before the run is no choice: only ever this one
+		now := r.core.o.Clock.Now()
+		if now.Add(retryPinned).Before(r.Deadline) {
+			r.core.o.Clock.At(now.Add(retryPinned), r.sendPinned)
+		} else {
+			r.answer(LocalReply{Refused: true, Why: Unreachable})
+		}
+	}
+	r.settle()
+}
+
+func (a *Attempt) giveUp(o choice.Outcome) {
+	if a.ended {
+		return
+	}
+	if a.upstream != nil {
+		a.upstream.GiveUp()
+	}
+	a.Ended(o, nil)
+}
+
+// Load tells the connection's present load.
+func (a *Attempt) Load(x float64) {
+	if !a.ended && a.request.open {
+		a.request.core.tell(choice.LoadNote{ID: a.request.ID, Attempt: a.Number, Load: x})
+	}
+}
+
+// Delay tells how long a message took on the connection, or has taken so far.
+func (a *Attempt) Delay(took time.Duration) {
+	r := a.request
+	c := r.core
+	if a.ended || !r.open || r.over {
+		return
+	}
+	took = max(took-a.host.network, time.Microsecond)
+	now := c.o.Clock.Now()
+	slow := took > c.minAim/3
+	if slow && now.Sub(a.host.noted) >= time.Second || !slow && a.host.slow {
+		a.host.noted, a.host.slow = now, slow
+		c.tell(choice.DelayNote{ID: r.ID, Server: a.host.ID, Took: took})
+	}
+}
+
+// SilentAfter is how long a connection may return nothing to a message before its client is moved: its host is
+// lost although the connection stands.
+func (a *Attempt) SilentAfter() time.Duration { return silentTime }
+
+// Silent moves the client of a connection that returns nothing.
+func (a *Attempt) Silent() {
+	if !a.ended {
+		log.Printf("edge: host %s says nothing on an open connection: its client is moved", a.host.ID)
+		a.request.move()
+	}
+}
+
+func (c *Core) leaving() LocalReply {
+	l := LocalReply{Refused: true, Why: ShuttingDown}
+	if c.o.Settings.Limits.RetryAdvice {
+		l.After = min(leaveAdvice, c.o.Settings.Limits.MaxRetryAdvice)
+	}
+	return l
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Held counts the requests and connections that the core holds.
+func (c *Core) Held() int { return len(c.requests) }
+
+func (c *Core) String() string {
+	return fmt.Sprintf("%d hosts, %d requests", len(c.hosts), len(c.requests))
+}
--- /dev/null
+++ b/internal/loop/conn.go
@@ -0,0 +1,331 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/panjf2000/gnet/v2/pkg/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// HighWater is how much may wait to be written to a connection before its source should be paused.
+	HighWater = 64 << 10
+	// mostWaiting guards memory against a source that ignores HighWater: such a connection is cut off.
+	mostWaiting = 1 << 20
+	flushTime   = 5 * time.Second // for what still waits when a connection ends
+	lingerTime  = time.Second     // for the other side's end, once ours is sent
+)
+
+// ErrTimeout says that a connection was not made in time.
+var ErrTimeout = errors.New("not connected in time")
+
+// Handler takes what happens on a connection. After OnEnd with an error other than io.EOF the connection is closed;
+// after io.EOF the other side sends no more, but can still be written to. After End or Abort nothing is called.
+type Handler interface {
+	OnConnect()      // a dialled connection is up
+	OnData(p []byte) // p is the loop's: keep no reference to it
+	OnEnd(err error)
+	OnDrained() // all that waited to be written is with the kernel
+}
+
+// Conn is one TCP connection.
+type Conn struct {
+	l         *Loop
+	fd        int
+	h         Handler
+	out       []byte
+	connected bool
+	eof       bool
+	paused    bool
+	ending    bool
+	shut      bool // our end is sent
+	closed    bool
+	events    int // what the poller watches: a sum of watchRead and watchWrite
+	stopTimer func()
+}
+
+const (
+	watchRead  = 1
+	watchWrite = 2
+)
+
+// Dial starts a connection that must be up by the given time. The handler hears of a failure through OnEnd, never
+// before Dial has returned.
+func (l *Loop) Dial(addr string, until time.Time, h Handler) *Conn {
+	c := &Conn{l: l, fd: -1, h: h}
+	fail := func(err error) *Conn {
+		c.stopTimer = l.At(l.Now(), func() { c.broke(err) })
+		return c
+	}
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return fail(fmt.Errorf("address %q: %w", addr, err))
+	}
+	sa, family := sockaddr(ap)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fail(os.NewSyscallError("socket", err))
+	}
+	c.fd = fd
+	l.open++
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
+		return fail(os.NewSyscallError("connect", err))
+	}
+	l.fds[fd] = c.ready
+	c.register()
+	c.stopTimer = l.At(until, func() { c.broke(ErrTimeout) })
+	return c
+}
+
+// SetHandler hands the connection's callbacks to another handler.
+func (c *Conn) SetHandler(h Handler) { c.h = h }
+
+// Buffered is how much waits to be written.
+func (c *Conn) Buffered() int { return len(c.out) }
+
+// Write sends p, or keeps what the kernel does not take yet.
+func (c *Conn) Write(p []byte) {
+	if c.closed || c.shut || c.ending || len(p) == 0 {
+		return
+	}
+	if c.connected && len(c.out) == 0 {
+		n, err := unix.Write(c.fd, p)
+		if n > 0 {
+			p = p[n:]
+		}
+		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+			c.later(os.NewSyscallError("write", err))
+			return
+		}
+		if len(p) == 0 {
+			return
+		}
+	}
+	if len(c.out)+len(p) > mostWaiting {
+		c.later(errors.New("too much waits to be written"))
+		return
+	}
+	c.out = append(c.out, p...)
+	c.register()
+}
+
+// later reports a break found while writing, once the present callback has returned.
+func (c *Conn) later(err error) {
+	c.l.At(c.l.Now(), func() { c.broke(err) })
+}
+
+// Pause stops reading; Resume goes on.
+func (c *Conn) Pause() {
+	c.paused = true
+	c.register()
+}
+
+// Resume goes on reading after Pause.
+func (c *Conn) Resume() {
+	c.paused = false
+	c.register()
+}
+
+// End sends what waits and then the end of the connection (FIN). What still comes from the other side is read and
+// dropped for a moment, since closing over unread bytes would turn the end into a reset.
+func (c *Conn) End() {
+	if c.closed || c.ending {
+		return
+	}
+	if !c.connected {
+		c.close()
+		return
+	}
+	c.ending, c.paused = true, false
+	c.cancelTimer()
+	if len(c.out) > 0 {
+		c.stopTimer = c.l.At(c.l.Now().Add(flushTime), c.close)
+		c.register()
+		return
+	}
+	c.shutdown()
+}
+
+func (c *Conn) shutdown() {
+	if c.eof {
+		c.close()
+		return
+	}
+	c.shut = true
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+	c.cancelTimer()
+	c.stopTimer = c.l.At(c.l.Now().Add(lingerTime), c.close)
+	c.register()
+}
+
+// Abort cuts the connection off (RST); what waits is dropped.
+func (c *Conn) Abort() {
+	if c.closed {
+		return
+	}
+	if c.fd >= 0 {
+		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	c.close()
+}
+
+func (c *Conn) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.cancelTimer()
+	if c.fd < 0 {
+		return
+	}
+	if c.events != 0 {
+		c.l.poller.Delete(c.fd)
+	}
+	delete(c.l.fds, c.fd)
+	unix.Close(c.fd)
+	c.l.open--
+}
+
+func (c *Conn) cancelTimer() {
+	if c.stopTimer != nil {
+		c.stopTimer()
+		c.stopTimer = nil
+	}
+}
+
+// broke closes a connection that failed and tells the handler.
+func (c *Conn) broke(err error) {
+	if c.closed {
+		return
+	}
+	c.close()
+	if !c.ending {
+		c.h.OnEnd(err)
+	}
+}
+
+// register has the poller watch for what is wanted now.
+func (c *Conn) register() {
+	if c.closed || c.fd < 0 {
+		return
+	}
+	want := 0
+	if c.connected && !c.paused && !c.eof {
+		want |= watchRead
+	}
+	if !c.connected || len(c.out) > 0 && !c.shut {
+		want |= watchWrite
+	}
+	if want == c.events {
+		return
+	}
+	p, pa := c.l.poller, &netpoll.PollAttachment{FD: c.fd}
+	var err error
+	switch {
+	case want == 0:
+		err = p.Delete(c.fd)
+	case want == watchRead && c.events != 0:
+		err = p.ModRead(pa, false)
+	case want == watchRead:
+		err = p.AddRead(pa, false)
+	case want == watchWrite:
+		if c.events != 0 {
+			err = p.Delete(c.fd)
+		}
+		if err == nil {
+			err = p.AddWrite(pa, false)
+		}
+	case c.events != 0:
+		err = p.ModReadWrite(pa, false)
+	default:
+		err = p.AddReadWrite(pa, false)
+	}
+	c.events = want
+	if err != nil {
+		c.later(err)
+	}
+}
+
+func (c *Conn) ready(events uint32) {
+	if !c.connected {
+		c.dialled()
+		return
+	}
+	if events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) != 0 && len(c.out) > 0 {
+		c.flush()
+	}
+	if !c.closed && (c.events&watchRead != 0 || c.ending || events&(unix.EPOLLERR|unix.EPOLLHUP) != 0) {
+		c.read()
+	}
+}
+
+// dialled is called when a connect may have ended. An event can be left over from an earlier connection of the same
+// descriptor, so the socket itself is asked.
+func (c *Conn) dialled() {
+	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = os.NewSyscallError("connect", unix.Errno(code))
+	}
+	if err != nil {
+		c.broke(err)
+		return
+	}
+	if _, err := unix.Getpeername(c.fd); err != nil {
+		return
+	}
+	c.cancelTimer()
+	c.connected = true
+	c.h.OnConnect()
+	if len(c.out) > 0 && !c.closed {
+		c.flush()
+	}
+	c.register()
+}
+
+func (c *Conn) flush() {
+	n, err := unix.Write(c.fd, c.out)
+	if n > 0 {
+		c.out = c.out[n:]
+	}
+	if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+		c.broke(os.NewSyscallError("write", err))
+		return
+	}
+	if len(c.out) == 0 {
+		c.out = nil
+		if c.ending {
+			c.shutdown()
+		} else {
+			c.h.OnDrained()
+		}
+	}
+	c.register()
+}
+
+func (c *Conn) read() {
+	n, err := unix.Read(c.fd, c.l.buf[:])
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+	case err != nil:
+		c.broke(os.NewSyscallError("read", err))
+	case n == 0:
+		c.eof = true
+		c.register()
+		if !c.ending {
+			c.h.OnEnd(io.EOF)
+		} else if len(c.out) == 0 {
+			c.close()
+		}
+	case !c.ending:
+		c.h.OnData(c.l.buf[:n])
+	}
+}
+
+// Sent reports whether all that was to be written is with the kernel. It stays true to the end of the connection.
+func (c *Conn) Sent() bool { return c.connected && len(c.out) == 0 }
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,295 @@
+// Package loop is the one event loop of the program: gnet's poller under connections that are objects with
+// callbacks, with non-blocking dialling, accepting and timers. All callbacks run on the loop's goroutine, which owns
+// the state of the whole program; nothing is started for a single connection.
+//
+// It stands on gnet's poller (pkg/netpoll) and not on gnet's engine. The engine was probed and lacks three things
+// that the node can't do without: a connect that doesn't block, a pause in reading (back-pressure), and outliving
+// an accept that fails for want of descriptors.
+package loop
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/panjf2000/gnet/v2/pkg/netpoll"
+	"github.com/panjf2000/gnet/v2/pkg/queue"
+	"golang.org/x/sys/unix"
+
+	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
+)
+
+const (
+	readSize    = 16 << 10 // most that one read takes
+	acceptBurst = 64       // connections taken in one go; the rest wait for the next round
+	backlog     = 1024
+)
+
+// Loop runs callbacks. All methods but Post belong to the loop's goroutine, or to the time before Run.
+type Loop struct {
+	poller    *netpoll.Poller
+	fds       map[int]func(events uint32)
+	timers    timers
+	timerFD   int
+	armed     time.Time
+	after     []func()
+	buf       [readSize]byte
+	spare     int // a descriptor kept back, to turn a client away when there is no other left
+	stopping  bool
+	listeners []int
+	open      int
+}
+
+// New makes a loop that is not running yet.
+func New() (*Loop, error) {
+	p, err := netpoll.OpenPoller()
+	if err != nil {
+		return nil, fmt.Errorf("loop: %w", err)
+	}
+	l := &Loop{poller: p, fds: map[int]func(uint32){}, spare: -1}
+	l.timerFD, err = unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("loop: timerfd: %w", err)
+	}
+	l.fds[l.timerFD] = l.timerReady
+	if err := p.AddRead(&netpoll.PollAttachment{FD: l.timerFD}, false); err != nil {
+		return nil, fmt.Errorf("loop: %w", err)
+	}
+	l.holdSpare()
+	return l, nil
+}
+
+// Now is the time, from the system's clocks.
+func (l *Loop) Now() time.Time { return time.Now() }
+
+// Open counts the connections, both sides.
+func (l *Loop) Open() int { return l.open }
+
+// After adds a function that runs whenever a callback has returned.
+func (l *Loop) After(fn func()) { l.after = append(l.after, fn) }
+
+// Post runs fn on the loop; any goroutine may call it.
+func (l *Loop) Post(fn func()) {
+	err := l.poller.Trigger(queue.HighPriority, func(any) error {
+		fn()
+		l.settle()
+		if l.stopping {
+			return gneterrors.ErrEngineShutdown
+		}
+		return nil
+	}, nil)
+	if err != nil {
+		log.Printf("loop: wake: %v", err)
+	}
+}
+
+// Stop ends Run.
+func (l *Loop) Stop() { l.stopping = true }
+
+// Run runs until Stop.
+func (l *Loop) Run() error {
+	l.settle()
+	err := l.poller.Polling(func(fd int, ev netpoll.IOEvent, _ netpoll.IOFlags) error {
+		if fn := l.fds[fd]; fn != nil {
+			fn(uint32(ev))
+		}
+		l.settle()
+		if l.stopping {
+			return gneterrors.ErrEngineShutdown
+		}
+		return nil
+	})
+	if errors.Is(err, gneterrors.ErrEngineShutdown) {
+		return nil
+	}
+	return err
+}
+
+func (l *Loop) settle() {
+	for _, fn := range l.after {
+		fn()
+	}
+	l.arm()
+}
+
+// Timers.
+
+type timer struct {
+	at  time.Time
+	seq uint64
+	fn  func()
+	pos int
+}
+
+type timers struct {
+	heap []*timer
+	seq  uint64
+}
+
+func (t *timers) Len() int { return len(t.heap) }
+func (t *timers) Less(i, j int) bool {
+	a, b := t.heap[i], t.heap[j]
+	return a.at.Before(b.at) || a.at.Equal(b.at) && a.seq < b.seq
+}
+func (t *timers) Swap(i, j int) {
+	t.heap[i], t.heap[j] = t.heap[j], t.heap[i]
+	t.heap[i].pos, t.heap[j].pos = i, j
+}
+func (t *timers) Push(x any) {
+	n := x.(*timer)
+	n.pos = len(t.heap)
+	t.heap = append(t.heap, n)
+}
+func (t *timers) Pop() any {
+	n := t.heap[len(t.heap)-1]
+	t.heap[len(t.heap)-1] = nil
+	t.heap = t.heap[:len(t.heap)-1]
+	n.pos = -1
+	return n
+}
+
+// At runs fn at a time, never before the present callback has returned. The function that it returns takes it back.
+func (l *Loop) At(at time.Time, fn func()) (stop func()) {
+	l.timers.seq++
+	t := &timer{at: at, seq: l.timers.seq, fn: fn}
+	heap.Push(&l.timers, t)
+	return func() {
+		if t.pos >= 0 {
+			heap.Remove(&l.timers, t.pos)
+		}
+	}
+}
+
+func (l *Loop) timerReady(uint32) {
+	var b [8]byte
+	unix.Read(l.timerFD, b[:])
+	l.armed = time.Time{}
+	now := time.Now()
+	last := l.timers.seq // what these callbacks set waits for the next round, so that none can hold the loop
+	var later []*timer
+	for len(l.timers.heap) > 0 && !l.timers.heap[0].at.After(now) {
+		t := heap.Pop(&l.timers).(*timer)
+		if t.seq > last {
+			later = append(later, t)
+			continue
+		}
+		t.fn()
+		for _, fn := range l.after {
+			fn()
+		}
+	}
+	for _, t := range later {
+		heap.Push(&l.timers, t)
+	}
+}
+
+func (l *Loop) arm() {
+	if len(l.timers.heap) == 0 {
+		return
+	}
+	at := l.timers.heap[0].at
+	if at.Equal(l.armed) {
+		return
+	}
+	l.armed = at
+	in := max(time.Until(at), time.Microsecond)
+	spec := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(in))}
+	if err := unix.TimerfdSettime(l.timerFD, 0, &spec, nil); err != nil {
+		log.Printf("loop: timer: %v", err)
+	}
+}
+
+// Listening.
+
+// Listen accepts connections at addr from now on; accept gives each its handler. A nil handler closes it.
+func (l *Loop) Listen(addr string, accept func(*Conn) Handler) (netip.AddrPort, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return ap, fmt.Errorf("listen address %q: %w", addr, err)
+	}
+	sa, family := sockaddr(ap)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return ap, fmt.Errorf("listen %s: %w", addr, err)
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err = unix.Bind(fd, sa); err == nil {
+		err = unix.Listen(fd, backlog)
+	}
+	if err == nil {
+		err = l.poller.AddRead(&netpoll.PollAttachment{FD: fd}, false)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return ap, fmt.Errorf("listen %s: %w", addr, err)
+	}
+	if sa, err := unix.Getsockname(fd); err == nil {
+		ap = addrPort(sa)
+	}
+	l.listeners = append(l.listeners, fd)
+	l.fds[fd] = func(uint32) { l.accept(fd, accept) }
+	return ap, nil
+}
+
+func (l *Loop) accept(lfd int, accept func(*Conn) Handler) {
+	for range acceptBurst {
+		fd, _, err := unix.Accept4(lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == unix.EMFILE || err == unix.ENFILE:
+			// Guards against a listener that spins, and clients that hang, when descriptors run out: the spare one
+			// serves to take the client off the queue and close on it.
+			if l.spare < 0 {
+				l.holdSpare()
+				return
+			}
+			unix.Close(l.spare)
+			if fd, _, err := unix.Accept4(lfd, unix.SOCK_CLOEXEC); err == nil {
+				unix.Close(fd)
+			}
+			l.holdSpare()
+			log.Print("loop: no descriptor left: turned a connection away")
+			continue
+		case err != nil:
+			return
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c := &Conn{l: l, fd: fd, connected: true}
+		l.open++
+		c.h = accept(c)
+		if c.h == nil {
+			c.Abort()
+			continue
+		}
+		l.fds[fd] = c.ready
+		c.register()
+	}
+}
+
+func (l *Loop) holdSpare() {
+	f, err := unix.Open(os.DevNull, unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		f = -1
+	}
+	l.spare = f
+}
+
+func sockaddr(ap netip.AddrPort) (unix.Sockaddr, int) {
+	if ap.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}, unix.AF_INET
+	}
+	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6
+}
+
+func addrPort(sa unix.Sockaddr) netip.AddrPort {
+	switch sa := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port))
+	}
+	return netip.AddrPort{}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -108,6 +108,24 @@
 	return time.Duration(math.Round(s*1e6)) * time.Microsecond
 }
 
+// Settings is a setup object: what the module is told, and the names under which others speak of it.
+type Settings struct {
+	choice.Settings
+	ClassByName, TenantByName map[string]int
+	ReportFields              []string // the names of a load report's values, in order
+}
+
+// DecodeSettings reads a setup object, as the simulator and the configuration of a real node hold it.
+func DecodeSettings(raw json.RawMessage) (Settings, error) {
+	s, classes, tenants, err := settings(raw)
+	if err != nil {
+		return Settings{}, err
+	}
+	var in setup
+	err = json.Unmarshal(raw, &in)
+	return Settings{s, classes, tenants, in.LoadReport.Fields}, err
+}
+
 // settings reads a setup object.
 func settings(raw json.RawMessage) (choice.Settings, map[string]int, map[string]int, error) {
 	var in setup
