--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -20,7 +20,7 @@
 	firstLineTime = 10 * time.Second // for the first line of a connection
 	pinnedTime    = 39 * time.Second // for a connection open before the run; it counts as lost after 40 s
 	mostEarly     = 32 << 10         // bytes that a client may send before its connection is up
-	mostPatience  = time.Hour        // a longer d is a mistake
+	mostPatience  = time.Hour        // a longer d counts as this
 )
 
 // Front serves the platform's clients.
@@ -208,11 +208,12 @@
 	}
 	patience := f.patience[class]
 	if v, ok := get("d"); ok {
-		ms, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || ms < 0 || ms > mostPatience.Milliseconds() {
-			return spec, "an OPEN whose d is no time"
+		ms, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(ms >= 0) {
+			return spec, "an OPEN whose d is no time: " + strconv.QuoteToASCII(v[:min(len(v), 24)])
 		}
-		patience = time.Duration(ms) * time.Millisecond
+		// Connections open before the run come with a d far beyond any real patience.
+		patience = time.Duration(min(ms, float64(mostPatience.Milliseconds())) * float64(time.Millisecond))
 	}
 	if v, ok := get("at"); ok && v != "" {
 		spec.At, patience = choice.ServerID(v), pinnedTime
