--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"spurwinch/choice"
 )
 
 const (
@@ -45,6 +47,34 @@
 	}
 }
 
+// leave empties a draining host: what is half open goes elsewhere, or gets its answer, before the rule of drains
+// would forbid it; open connections are told to move one by one, before the host cuts them off.
+func (c *Core) leave(h *host) {
+	now := c.o.Clock.Now()
+	var open []*Request
+	for _, r := range c.ordered() {
+		switch {
+		case r.attempt == nil || r.attempt.host != h:
+		case r.open:
+			open = append(open, r)
+		default:
+			a := r.attempt
+			c.o.Clock.At(now.Add(c.o.Settings.Rules.DrainGrace*8/10), func() {
+				switch {
+				case a.ended || r.open:
+				case r.committed:
+					r.refuse(c.leaving())
+				default:
+					a.giveUp(choice.Cancelled)
+				}
+			})
+		}
+	}
+	for i, r := range open {
+		c.o.Clock.At(now.Add(c.o.Leave*time.Duration(i)/time.Duration(len(open))), r.move)
+	}
+}
+
 // ordered is the requests in the order of their ids, which says nothing of their age, hosts or classes.
 func (c *Core) ordered() []*Request {
 	var all []*Request
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,8 @@
 	Busy         Why = iota // the module found no host that can take it
 	ShuttingDown            // this node goes away
 	Unreachable             // the host that the request is bound to can't be had
+	HostLost                // the host failed after its first bytes had reached the client
+	Late                    // the deadline came first
 )
 
 // UpstreamHost is one entry of the cluster.
@@ -83,6 +85,9 @@
 	Seed     uint64
 	Prober   Prober
 	Follow   func() // asks discovery for changes from now on
+	// Leave is how long the clients of a draining host have to leave it; they are moved one by one over that time.
+	// 0: hosts send their clients away themselves.
+	Leave time.Duration
 }
 
 const (
@@ -107,10 +112,10 @@
 
 type host struct {
 	UpstreamHost
-	network  time.Duration // least time seen to connect: what a message takes on the way
-	noted    time.Time     // when the module was last told of slow messages here
-	slow     bool
-	draining bool
+	network time.Duration // least time seen to connect: what a message takes on the way
+	noted   time.Time     // when the module was last told of slow messages here
+	slow    bool
+	held    int // attempts and connections there now
 }
 
 // New makes the core of one cluster. Its balancer acts first on the first Flush.
@@ -169,7 +174,11 @@
 		}
 	case choice.Refuse:
 		if r := c.requests[a.ID]; r != nil {
-			r.answer(LocalReply{Refused: true, After: a.After})
+			l := LocalReply{Refused: true, After: a.After}
+			if r.committed {
+				l.Why = Late
+			}
+			r.answer(l)
 		}
 	case choice.Fail:
 		if r := c.requests[a.ID]; r != nil {
@@ -225,7 +234,11 @@
 			if k.Started != h.Started {
 				k.slow, k.network = false, 0
 			}
+			left := k.State == choice.Ready && h.State != choice.Ready
 			k.UpstreamHost = h
+			if left && c.o.Leave > 0 {
+				c.leave(k)
+			}
 		}
 	}
 	c.tell(l)
@@ -241,6 +254,8 @@
 	open     bool // established: the connection stands
 	over     bool // has its final answer, or nobody waits for it
 	stop     func()
+
+	committed bool // bytes of a host have reached the client: no other host can take over
 }
 
 // Open takes a new request. The client hears of it through c's methods, at the earliest when this has returned.
@@ -304,11 +319,12 @@
 	r.attempt = a
 	h := r.core.hosts[id]
 	if h == nil {
-		a.host = &host{UpstreamHost: UpstreamHost{Server: choice.Server{ID: id}}}
+		a.host = &host{UpstreamHost: UpstreamHost{Server: choice.Server{ID: id}}, held: 1}
 		a.Ended(choice.ConnectFailed, nil)
 		return
 	}
 	a.host, a.Host = h, h.UpstreamHost
+	h.held++
 	a.stop = r.core.o.Clock.At(until, func() { a.giveUp(choice.TimedOut) })
 	if u := r.client.Attempt(a); !a.ended {
 		a.upstream = u
@@ -413,9 +429,26 @@
 	} else {
 		r.core.tell(choice.Established{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Took: r.core.o.Clock.Now().Sub(a.started)})
 	}
-	if r.core.draining {
-		r.core.o.Clock.At(r.core.o.Clock.Now(), r.move)
+	now := r.core.o.Clock.Now()
+	switch {
+	case r.core.draining:
+		r.core.o.Clock.At(now, r.move)
+	case a.host.State != choice.Ready && r.core.o.Leave > 0: // its host began to drain while it was set up
+		r.core.o.Clock.At(now.Add(r.core.o.Leave/4), r.move)
+	}
+}
+
+// Commit says that bytes of the host are about to reach the client: no other host can take over from here, and so
+// the attempt may use all the time that the client has.
+func (a *Attempt) Commit() {
+	r := a.request
+	if a.ended || r.open || r.committed {
+		return
 	}
+	r.committed = true
+	a.Until = r.Deadline
+	a.stop()
+	a.stop = r.core.o.Clock.At(a.Until, func() { a.giveUp(choice.TimedOut) })
 }
 
 // Ended gives the attempt's one outcome. What is told after it, or after GiveUp, doesn't count.
@@ -424,19 +457,26 @@
 		return
 	}
 	a.ended = true
+	a.host.held--
 	if a.stop != nil {
 		a.stop()
 	}
 	r := a.request
 	r.attempt = nil
-	final := r.over || r.open || o == choice.Served
+	final := r.over || r.open || r.committed || o == choice.Served
 	if r.At == "" || r.open {
 		r.core.tell(choice.AttemptEnded{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Outcome: o,
 			Took: r.core.o.Clock.Now().Sub(a.started), Final: final, Report: report})
 	}
-	if final {
+	switch {
+	case r.over || r.open || o == choice.Served:
 		r.over = true
-	} else if r.At != "" { // the host of a connection open before the run is no choice: only ever this one
+	case r.committed && o == choice.TimedOut:
+		r.answer(LocalReply{Refused: true, Why: Late})
+	case r.committed:
+		r.answer(LocalReply{Refused: true, Why: HostLost})
+	case r.At != "":
+		// The host of a connection open before the run is no choice: only ever this one.
 		now := r.core.o.Clock.Now()
 		if now.Add(retryPinned).Before(r.Deadline) {
 			r.core.o.Clock.At(now.Add(retryPinned), r.sendPinned)
@@ -507,6 +547,14 @@
 	return b
 }
 
+// On counts the requests and connections that the core has at a host.
+func (c *Core) On(id choice.ServerID) int {
+	if h := c.hosts[id]; h != nil {
+		return h.held
+	}
+	return 0
+}
+
 // Held counts the requests and connections that the core holds.
 func (c *Core) Held() int { return len(c.requests) }
 
