XMPP front: one whole path with deadlines, refusals, errors, drains and exchanges

The stream header's 'to' picks the cluster, the core places the session, raw tokens go on. Host bytes are held to the end of each child of the root until the binding's result, so the one answer always stands between two of them.

--- /dev/null
+++ b/cmd/spurwinch/exchange_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"spurwinch/internal/cluster"
+	"spurwinch/internal/config"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/exchange"
+	"spurwinch/internal/loop"
+	"spurwinch/internal/wire"
+)
+
+// settings of a small node; REPORTS and TRIES are set by the exchange.
+const settings = `{"groupSize":1,"index":0,"az":"a","membershipMode":"on_request","roundS":0.005,
+ "customers":[{"name":"acme","quotaRps":10,"fraction":1}],"domain":{"mode":"proxy","messageAimS":[0.06]},
+ "invariants":{"answerSlackS":0.02,"askWithinS":10,"coldShare":0.14,"fallMultiple":4,"fallS":2,"rampTimeS":24,"stopSendingWithinS":3},
+ "loadReport":{"via":"REPORTS","fields":["recent_ms","utilization","x0"]},
+ "policyLimits":{"connectTimeoutS":1,"mayCancel":true,"mayProbe":true,"retryAfter":true,"maxRetryAfterS":2,"sendCap":4},
+ "profiles":[{"name":"chat","aimS":0.8,"giveUpS":4,"idempotency":"safe","value":1}],"tariffs":{"probe":0.002}}`
+
+// start runs a loop until the test ends.
+func start(t *testing.T, l *loop.Loop) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := l.Run(); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		l.Post(l.Stop)
+		<-done
+	})
+}
+
+// hosts opens the listeners that the exchange names in its first line, "hosts: h1 h2".
+func hosts(t *testing.T, p *exchange.Player, text string) (names []string) {
+	first, _, _ := strings.Cut(text, "\n")
+	list, ok := strings.CutPrefix(first, "# hosts:")
+	if !ok {
+		t.Fatal("the first line is not '# hosts: ...'")
+	}
+	for _, n := range strings.Fields(list) {
+		if n == "reports" || n == "notready" {
+			continue
+		}
+		names = append(names, n)
+		p.Values[n] = p.Listen(t, n)
+	}
+	return names
+}
+
+func each(t *testing.T, dir string, fn func(t *testing.T, text string)) {
+	files, err := filepath.Glob(filepath.Join("testdata", dir, "*.txt"))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no exchanges", err)
+	}
+	for _, f := range files {
+		raw, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			fn(t, string(raw))
+		})
+	}
+}
+
+// TestPlatform plays the exchanges of the platform's protocol: clients, hosts and discovery.
+func TestPlatform(t *testing.T) {
+	each(t, "platform", func(t *testing.T, text string) {
+		p := &exchange.Player{Values: map[string]string{}}
+		l, err := loop.New()
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, _, _ := strings.Cut(text, "\n")
+		via := "off"
+		if strings.Contains(first, " reports") {
+			via = "on_probe"
+		}
+		n := config.Node{Listen: "127.0.0.1:0", Seed: 1, Known: &cluster.List{}}
+		if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", via, 1))); err != nil {
+			t.Fatal(err)
+		}
+		var entries []string
+		for _, h := range hosts(t, p, text) {
+			e := fmt.Sprintf(`{"id":"s-%s","addr":"%s","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}`, h, p.Values[h])
+			p.Values["entry-"+h] = e
+			entries = append(entries, e)
+		}
+		n.Discovery = p.Listen(t, "d")
+		p.Values["d"] = n.Discovery
+		if !strings.Contains(first, " notready") {
+			if n.Known, err = cluster.Parse([]byte(`{"version":7,"full":true,"servers":[` + strings.Join(entries, ",") + `]}`)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		core, at, err := serve(l, n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Addr = at.String()
+		p.Do = map[string]func(){
+			"wait":    func() { time.Sleep(400 * time.Millisecond) },
+			"sigterm": func() { l.Post(func() { core.Drain(l.Now().Add(drainTime), func() {}) }) },
+		}
+		start(t, l)
+		p.Play(t, text)
+	})
+}
+
+// TestXMPP plays the exchanges of XMPP clients and servers.
+func TestXMPP(t *testing.T) {
+	each(t, "xmpp", func(t *testing.T, text string) {
+		p := &exchange.Player{Values: map[string]string{"ns": "xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'", "big": strings.Repeat("x", 10001)}}
+		path := filepath.Join(t.TempDir(), "operator.toml")
+		names := hosts(t, p, text)
+		write := func(state func(string) string) {
+			var b strings.Builder
+			b.WriteString("[limits]\nstanza_bytes = 10000\nheader_time = \"1s\"\n[[listener]]\naddr = \"127.0.0.1:0\"\nprotocol = \"xmpp\"\n" +
+				"[[class]]\nname = \"c\"\npatience = \"3s\"\n[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n" +
+				"[[cluster]]\nname = \"k\"\nleave = \"400ms\"\ndrain_grace = \"1s\"\n")
+			for _, h := range names {
+				fmt.Fprintf(&b, "[[cluster.host]]\nid = %q\naddr = %q\nstate = %q\n", h, p.Values[h], state(h))
+			}
+			if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		write(func(string) string { return "serving" })
+		l, err := loop.New()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cores, op, err := serveOperator(l, path, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Addr = op.at[0].String()
+		p.Do = map[string]func(){
+			"sigterm": func() {
+				l.Post(func() { all(cores, func(c *edge.Core) { c.Drain(l.Now().Add(drainTime), func() {}) }) })
+			},
+			"drain": func() {
+				write(func(string) string { return "draining" })
+				l.Post(op.reread)
+			},
+			"wait": func() { time.Sleep(1200 * time.Millisecond) },
+		}
+		start(t, l)
+		p.Play(t, text)
+		// Each session has one final answer, or its client left.
+		checked := make(chan string, 1)
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			l.Post(func() {
+				a := op.front.Answers
+				if a.Sessions != a.Established+a.Errors+a.Left {
+					checked <- fmt.Sprintf("%+v", a)
+					return
+				}
+				checked <- ""
+			})
+			bad := <-checked
+			if bad == "" {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatal("not one answer a session: ", bad)
+			}
+		}
+	})
+}
+
+func all(cores []*edge.Core, fn func(*edge.Core)) {
+	for _, c := range cores {
+		fn(c)
+	}
+}
--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -4,8 +4,11 @@
 package main
 
 import (
+	"flag"
 	"fmt"
+	"io"
 	"log"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -31,38 +34,79 @@
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(); err != nil {
+	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "spurwinch:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	n, err := config.FromEnvironment(os.Getenv)
-	if err != nil {
-		return err
+func run(args []string) error {
+	flags := flag.NewFlagSet("spurwinch", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	operator := flags.String("operator", "", "the operator's `FILE`: fronts and clusters beside the platform's")
+	if err := flags.Parse(args); err != nil {
+		return fmt.Errorf("%w (usage: spurwinch [-operator FILE] | spurwinch import-nginx FILE)", err)
 	}
-	if n.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(n.MemoryMB) << 20 * 6 / 10)
+	if flags.NArg() > 0 {
+		return fmt.Errorf("unknown command %q (usage: spurwinch [-operator FILE] | spurwinch import-nginx FILE)", flags.Arg(0))
 	}
 	l, err := loop.New()
 	if err != nil {
 		return err
 	}
-	if err := serve(l, n); err != nil {
-		return err
+	var cores []*edge.Core
+	seed := uint64(time.Now().UnixNano())
+	if os.Getenv("GW_CONFIG") != "" || *operator == "" {
+		n, err := config.FromEnvironment(os.Getenv)
+		if err != nil {
+			return err
+		}
+		if n.MemoryMB > 0 { // the collector works harder well before the node would be killed
+			debug.SetMemoryLimit(int64(n.MemoryMB) << 20 * 6 / 10)
+		}
+		core, _, err := serve(l, n)
+		if err != nil {
+			return err
+		}
+		cores, seed = append(cores, core), n.Seed
+	}
+	if *operator != "" {
+		more, _, err := serveOperator(l, *operator, seed)
+		if err != nil {
+			return err
+		}
+		cores = append(cores, more...)
 	}
+	leaveOnSignal(l, cores)
 	return l.Run()
 }
 
+// leaveOnSignal begins the planned stop at SIGTERM or SIGINT.
+func leaveOnSignal(l *loop.Loop, cores []*edge.Core) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		l.Post(func() {
+			now := l.Now()
+			for _, core := range cores {
+				log.Printf("leaving: %v", core)
+				core.Drain(now.Add(drainTime), func() { log.Printf("left: %v", core) })
+			}
+			l.At(now.Add(exitTime), l.Stop)
+		})
+	}()
+}
+
 // serve puts a node together on a loop that is not running yet.
-func serve(l *loop.Loop, n config.Node) error {
+func serve(l *loop.Loop, n config.Node) (*edge.Core, netip.AddrPort, error) {
+	var at netip.AddrPort
 	hosts := upstream.New(l, n.Settings.ReportFields)
 	var watch *cluster.Watch
 	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
 		Follow: func() { watch.Follow() }})
 	if err != nil {
-		return err
+		return nil, at, err
 	}
 	sockets := n.Sockets
 	if sockets <= 0 {
@@ -81,8 +125,8 @@
 			front.Ready()
 		}
 	})
-	if _, err := l.Listen(n.Listen, front.Accept); err != nil {
-		return err
+	if at, err = l.Listen(n.Listen, front.Accept); err != nil {
+		return nil, at, err
 	}
 	l.After(core.Flush)
 	var known []edge.UpstreamHost
@@ -93,16 +137,5 @@
 	if len(known) > 0 {
 		front.Ready()
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-stop
-		l.Post(func() {
-			log.Printf("leaving: %v", core)
-			now := l.Now()
-			core.Drain(now.Add(drainTime), func() { log.Printf("left: %v", core) })
-			l.At(now.Add(exitTime), l.Stop)
-		})
-	}()
-	return nil
+	return core, at, nil
 }
--- /dev/null
+++ b/cmd/spurwinch/operator.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"fmt"
+	"log"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/cluster"
+	"spurwinch/internal/config"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/loop"
+	"spurwinch/internal/xmpp"
+)
+
+// sessions reports a host's load as the operator's file sees it: the sessions held there over those it bears.
+type sessions struct {
+	core func() *edge.Core
+	most float64 // all nodes' sessions on a host of weight 1
+}
+
+// Probe answers at once, from the core's own count.
+func (p sessions) Probe(h edge.UpstreamHost, _ time.Time, done func(choice.Outcome, []float64)) {
+	done(choice.Served, []float64{float64(p.core().On(h.ID)) / (p.most * h.Size)})
+}
+
+// operated is what the operator's file set up.
+type operated struct {
+	path  string
+	loop  *loop.Loop
+	front *xmpp.Front
+	at    []netip.AddrPort
+	cores map[string]*edge.Core
+	seen  map[string]time.Time // when a static host came in, by cluster and id; zero: with the start
+}
+
+// serveOperator sets up the fronts and clusters of an operator's file.
+func serveOperator(l *loop.Loop, path string, seed uint64) ([]*edge.Core, *operated, error) {
+	o, err := config.ReadOperator(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	op := &operated{path: path, loop: l, cores: map[string]*edge.Core{}, seen: map[string]time.Time{}}
+	var all []*edge.Core
+	for i, c := range o.Clusters {
+		var core *edge.Core
+		var watch *cluster.Watch
+		core, err = edge.New(edge.Options{Clock: l, Settings: o.Settings(c), Seed: seed + uint64(i),
+			Prober: sessions{func() *edge.Core { return core }, c.Sessions / float64(c.Nodes)},
+			Follow: func() { watch.Follow() }, Leave: time.Duration(c.Leave)})
+		if err != nil {
+			return nil, nil, fmt.Errorf("%s: cluster %q: %w", path, c.Name, err)
+		}
+		if c.Discovery != "" {
+			watch = cluster.New(l, c.Discovery, nil, core.List)
+		}
+		op.cores[c.Name] = core
+		all = append(all, core)
+		l.After(core.Flush)
+		core.Start(c.StaticHosts(op.first(c.Name, time.Time{})))
+	}
+	domains := map[string]xmpp.Domain{}
+	for _, d := range o.Domains {
+		i, class := o.Class(d.Class)
+		domains[d.Name] = xmpp.Domain{Core: op.cores[d.Cluster], Class: i, Patience: time.Duration(class.Patience)}
+	}
+	front := xmpp.New(l, domains, xmpp.Limits{Stanza: o.Limits.StanzaBytes, Early: o.Limits.EarlyBytes,
+		HeaderTime: time.Duration(o.Limits.HeaderTime), MostOpen: o.Limits.Connections}, seed)
+	op.front = front
+	for _, ls := range o.Listeners {
+		ap, err := l.Listen(ls.Addr, front.Accept)
+		if err != nil {
+			return nil, nil, err
+		}
+		op.at = append(op.at, ap)
+		log.Printf("listening for %s at %s", ls.Protocol, ap)
+	}
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	go func() {
+		for range again {
+			l.Post(op.reread)
+		}
+	}()
+	return all, op, nil
+}
+
+// first tells when a host came in; one not seen yet comes in now.
+func (op *operated) first(cluster string, now time.Time) func(string) time.Time {
+	return func(id string) time.Time {
+		key := cluster + " " + id
+		at, ok := op.seen[key]
+		if !ok {
+			at = now
+			op.seen[key] = at
+		}
+		return at
+	}
+}
+
+// reread takes in the static hosts of the file as it is now. A file that can't be read changes nothing.
+func (op *operated) reread() {
+	o, err := config.ReadOperator(op.path)
+	if err != nil {
+		log.Printf("kept the hosts as they were: %v", err)
+		return
+	}
+	for _, c := range o.Clusters {
+		core := op.cores[c.Name]
+		if core == nil || c.Discovery != "" {
+			log.Printf("cluster %q: a new cluster, or a discovery, needs a restart", c.Name)
+			continue
+		}
+		hosts := c.StaticHosts(op.first(c.Name, op.loop.Now()))
+		in := map[string]bool{}
+		for _, h := range hosts {
+			in[c.Name+" "+string(h.ID)] = true
+		}
+		for key := range op.seen { // a host that is out and comes in again is a new one
+			if len(key) > len(c.Name) && key[:len(c.Name)+1] == c.Name+" " && !in[key] {
+				delete(op.seen, key)
+			}
+		}
+		core.List(choice.ListWhole, hosts)
+		log.Printf("cluster %q: %d hosts", c.Name, len(hosts))
+	}
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -28,6 +28,13 @@
 	Servers []entry `json:"servers"`
 }
 
+// Parse reads a list.
+func Parse(raw []byte) (*List, error) {
+	l := &List{}
+	err := json.Unmarshal(raw, l)
+	return l, err
+}
+
 type entry struct {
 	ID        string   `json:"id"`
 	Addr      string   `json:"addr"`
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -241,6 +241,20 @@
 			}
 		}
 	}
+	if kind == choice.ListWhole { // a host that a whole list doesn't name is gone
+		named := map[choice.ServerID]bool{}
+		for _, h := range hosts {
+			named[h.ID] = true
+		}
+		for id, h := range c.hosts {
+			if !named[id] && h.State != choice.Gone {
+				ready := h.State == choice.Ready
+				if h.State = choice.Gone; ready && c.o.Leave > 0 {
+					c.leave(h)
+				}
+			}
+		}
+	}
 	c.tell(l)
 }
 
--- /dev/null
+++ b/internal/xmpp/front.go
@@ -0,0 +1,333 @@
+// Package xmpp is the front for XMPP clients (RFC 6120): the address in a stream's header picks the cluster, the core
+// places the session, and the raw bytes go on to the host. A session has one final answer: it's established with the
+// host's result of the resource binding, or it ends with a stream error.
+package xmpp
+
+import (
+	"io"
+	"log"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/loop"
+)
+
+// Domain is an address that clients may name in the stream header.
+type Domain struct {
+	Core     *edge.Core
+	Class    int
+	Patience time.Duration // for the whole set-up, from the header on
+}
+
+// Limits bound what one connection may take.
+type Limits struct {
+	Stanza     int           // bytes of one stanza
+	Early      int           // bytes of a client that are kept for a replay on another host
+	HeaderTime time.Duration // for the stream header, from the connection on
+	MostOpen   int           // connections, both sides, from which on new sessions are refused
+}
+
+// Front serves XMPP clients.
+type Front struct {
+	loop    *loop.Loop
+	limits  Limits
+	domains map[string]Domain
+	ids     *rand.Rand
+	Answers Answers
+}
+
+// Answers counts the final answers given.
+type Answers struct{ Sessions, Established, Errors, Left int }
+
+const (
+	clientNS = "jabber:client"
+	streamNS = "http://etherx.jabber.org/streams"
+	bindNS   = "urn:ietf:params:xml:ns:xmpp-bind"
+	tlsNS    = "urn:ietf:params:xml:ns:xmpp-tls"
+	saslNS   = "urn:ietf:params:xml:ns:xmpp-sasl"
+)
+
+// New makes a front for the given domains; "*" stands for all that are not named.
+func New(l *loop.Loop, domains map[string]Domain, limits Limits, seed uint64) *Front {
+	return &Front{loop: l, domains: domains, limits: limits, ids: rand.New(rand.NewPCG(seed, 2))}
+}
+
+func (f *Front) domain(to string) (Domain, bool) {
+	if d, ok := f.domains[strings.ToLower(to)]; ok {
+		return d, true
+	}
+	d, ok := f.domains["*"]
+	return d, ok
+}
+
+// Accept takes a new connection.
+func (f *Front) Accept(c *loop.Conn) loop.Handler {
+	f.Answers.Sessions++
+	s := &session{front: f, conn: c, in: scanner{most: f.limits.Stanza}, headerDue: true}
+	s.stop = f.loop.At(f.loop.Now().Add(f.limits.HeaderTime), func() { s.fail(connectionTimeout, "no stream header came in time") })
+	return s
+}
+
+// session is one client's connection.
+type session struct {
+	front     *Front
+	conn      *loop.Conn
+	in        scanner
+	request   *edge.Request
+	deadline  time.Time
+	attempt   *edge.Attempt
+	host      *host
+	sent      []byte // what the client sent, kept until no other host can take over
+	committed bool   // bytes of the host have reached the client
+	open      bool   // established
+	over      bool
+	headerDue bool // the client waits for a stream header
+	authDone  bool // the host said <success/>: the client starts its stream anew
+	bindID    string
+	top       token  // the present child of the root, as its start tag said
+	to        string // as the client named it
+	leaving   bool   // told to leave at the end of the present stanza
+	stop      func()
+}
+
+// OnConnect is for connections dialled; a client's is up from the start.
+func (s *session) OnConnect() {}
+
+// OnData takes the client's bytes. Whole tokens go on to the host, as they came.
+func (s *session) OnData(p []byte) {
+	if s.over {
+		return
+	}
+	var pass []byte
+	_, bad := s.in.feed(p, func(t token) bool {
+		if why := s.token(t); why != "" {
+			s.fail(why, "")
+		}
+		if !s.over {
+			pass = append(pass, t.raw...)
+		}
+		return !s.over
+	})
+	if s.over {
+		return
+	}
+	s.pass(pass)
+	if bad != "" {
+		s.fail(bad, "")
+	}
+}
+
+// token looks at what the client sent and says whether the stream must end with an error.
+func (s *session) token(t token) condition {
+	switch {
+	case t.kind == start && t.depth == 1:
+		return s.header(t)
+	case t.kind == start && t.depth == 2:
+		s.top = token{name: local(t.name), attrs: t.attrs}
+		if s.top.name == "starttls" && t.attr("xmlns") == tlsNS {
+			s.refuseTLS()
+		}
+	case t.kind == start && t.depth == 3 && s.top.name == "iq" && s.top.attr("type") == "set" &&
+		local(t.name) == "bind" && t.attr("xmlns") == bindNS:
+		s.bindID = s.top.attr("id")
+	}
+	return ""
+}
+
+// header takes a stream header: the first opens the request, later ones start the stream anew.
+func (s *session) header(t token) condition {
+	s.headerDue = true
+	if s.in.prefix == "" || local(t.name) != "stream" || t.attr("xmlns:"+s.in.prefix) != streamNS || t.attr("xmlns") != clientNS {
+		return invalidNamespace
+	}
+	if major, _, _ := strings.Cut(t.attr("version"), "."); major == "" || major == "0" {
+		return unsupportedVersion
+	} else if _, err := strconv.ParseUint(major, 10, 16); err != nil {
+		return unsupportedVersion
+	}
+	to := t.attr("to")
+	if s.request != nil {
+		if !strings.EqualFold(to, s.to) {
+			return hostUnknown
+		}
+		return ""
+	}
+	d, ok := s.front.domain(to)
+	if !ok || to == "" {
+		return hostUnknown
+	}
+	s.to = to
+	s.cancelTimer()
+	if s.front.loop.Open()+2 > s.front.limits.MostOpen {
+		// Guards against running out of descriptors half way: a session taken needs one more for its host.
+		log.Print("xmpp: too many connections: refused one")
+		return resourceConstraint
+	}
+	s.deadline = s.front.loop.Now().Add(d.Patience)
+	id := choice.RequestID(strconv.FormatUint(s.front.ids.Uint64(), 16))
+	s.request = d.Core.Open(edge.Spec{ID: id, Class: d.Class, Tenant: -1, Key: s.front.ids.Uint64(), Deadline: s.deadline}, s)
+	return ""
+}
+
+// pass gives the client's bytes to the host, and keeps them while another host may yet need them.
+func (s *session) pass(p []byte) {
+	if len(p) == 0 {
+		return
+	}
+	if !s.committed {
+		s.sent = append(s.sent, p...)
+		if len(s.sent) > s.front.limits.Early {
+			s.fail(policyViolation, "too much was sent before the host's answer")
+			return
+		}
+	}
+	if s.host != nil && s.host.up && !s.host.over {
+		s.host.conn.Write(p)
+		if s.host.conn.Buffered() > loop.HighWater {
+			s.conn.Pause()
+		}
+	}
+}
+
+// refuseTLS answers STARTTLS, which is not carried: the front could not read an encrypted stream.
+func (s *session) refuseTLS() {
+	s.end("<failure xmlns='" + tlsNS + "'/></stream:stream>")
+	s.front.Answers.Errors++
+}
+
+// Attempt starts an upstream request for the core.
+func (s *session) Attempt(a *edge.Attempt) edge.UpstreamRequest {
+	s.attempt = a
+	s.host = &host{session: s, attempt: a, in: scanner{most: s.front.limits.Stanza}}
+	s.host.conn = s.front.loop.Dial(a.Host.Addr, a.ConnectBy(), s.host)
+	return s.host
+}
+
+var conditions = map[edge.Why]struct {
+	condition condition
+	text      string
+}{
+	edge.Busy:         {resourceConstraint, "no server can take the session now"},
+	edge.ShuttingDown: {systemShutdown, "connect again"},
+	edge.Unreachable:  {remoteConnectionFailed, "the server can't be reached"},
+	edge.HostLost:     {remoteConnectionFailed, "the server was lost"},
+	edge.Late:         {connectionTimeout, "the session was not set up in time"},
+}
+
+// LocalReply gives the session's final answer in place of a host's.
+func (s *session) LocalReply(r edge.LocalReply) {
+	c, ok := conditions[r.Why]
+	if !ok || !r.Refused {
+		c.condition, c.text = internalServerError, ""
+	}
+	if r.After > 0 {
+		c.text += "; come again after " + strconv.FormatInt(r.After.Milliseconds(), 10) + " ms"
+	}
+	s.fail(c.condition, c.text)
+}
+
+// Move tells the client of an open session to leave, between two stanzas.
+func (s *session) Move() {
+	if s.over {
+		return
+	}
+	if s.host != nil && !s.host.in.between() {
+		s.leaving = true
+		s.stop = s.front.loop.At(s.front.loop.Now().Add(time.Second), s.depart)
+		return
+	}
+	s.depart()
+}
+
+func (s *session) depart() {
+	if !s.over {
+		s.fail(systemShutdown, "connect again")
+	}
+}
+
+// fail ends the stream with an error, once.
+func (s *session) fail(c condition, words string) {
+	if s.over {
+		return
+	}
+	var b strings.Builder
+	if s.headerDue {
+		b.WriteString("<?xml version='1.0'?><stream:stream from='" + escape(s.to) + "' id='" +
+			strconv.FormatUint(s.front.ids.Uint64(), 16) + "' version='1.0' xml:lang='en' xmlns='" + clientNS +
+			"' xmlns:stream='" + streamNS + "'>")
+	}
+	prefix := "stream"
+	if !s.headerDue && s.host != nil && s.host.in.prefix != "" {
+		prefix = s.host.in.prefix
+	}
+	b.WriteString("<" + prefix + ":error><" + string(c) + " xmlns='urn:ietf:params:xml:ns:xmpp-streams'/>")
+	if words != "" {
+		b.WriteString("<text xmlns='urn:ietf:params:xml:ns:xmpp-streams' xml:lang='en'>" + escape(words) + "</text>")
+	}
+	b.WriteString("</" + prefix + ":error></" + prefix + ":stream>")
+	last := b.String()
+	if s.host != nil && s.committed && !s.host.in.between() && s.host.passedPart {
+		last = "" // the client is inside a stanza: any markup would only garble it
+	}
+	if !s.open {
+		s.front.Answers.Errors++
+	}
+	s.end(last)
+}
+
+// end writes a last text and ends both sides.
+func (s *session) end(last string) {
+	s.done()
+	s.conn.Write([]byte(last))
+	s.conn.End()
+	if s.host != nil {
+		s.host.farewell()
+	}
+	if s.request != nil {
+		s.request.Gone()
+	}
+}
+
+func (s *session) done() {
+	s.over = true
+	s.sent = nil
+	s.cancelTimer()
+}
+
+func (s *session) cancelTimer() {
+	if s.stop != nil {
+		s.stop()
+		s.stop = nil
+	}
+}
+
+// OnEnd ends the host's side as the client did its own.
+func (s *session) OnEnd(err error) {
+	if s.over {
+		return
+	}
+	if !s.open {
+		s.front.Answers.Left++
+	}
+	s.done()
+	if s.host != nil {
+		s.host.finish(err != io.EOF)
+	}
+	if s.request != nil {
+		s.request.Gone()
+	}
+	if err == io.EOF {
+		s.conn.End()
+	}
+}
+
+// OnDrained goes on reading from the host.
+func (s *session) OnDrained() {
+	if s.host != nil && !s.over {
+		s.host.conn.Resume()
+	}
+}
--- /dev/null
+++ b/internal/xmpp/host.go
@@ -0,0 +1,246 @@
+package xmpp
+
+import (
+	"io"
+	"log"
+
+	"spurwinch/choice"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/loop"
+)
+
+// host is one upstream request: the connection to an XMPP server that a session tries or uses.
+//
+// Until the session is established its bytes are held back to the end of each child of the root, so that the
+// session's one answer can always be put between two of them. The header and the first child go on together: an
+// error in their place is the host's refusal, and another host may be tried.
+type host struct {
+	session    *session
+	attempt    *edge.Attempt
+	conn       *loop.Conn
+	in         scanner
+	up         bool
+	over       bool
+	held       []byte
+	top        token
+	errored    condition // the condition in a stream error of the host
+	passedPart bool      // an unfinished stanza has been passed on
+}
+
+// OnConnect gives the host all that the client sent so far.
+func (h *host) OnConnect() {
+	h.up = true
+	h.attempt.Connected()
+	h.conn.Write(h.session.sent)
+}
+
+// OnData takes the host's bytes.
+func (h *host) OnData(p []byte) {
+	if h.over {
+		return
+	}
+	s := h.session
+	_, bad := h.in.feed(p, func(t token) bool {
+		h.token(t)
+		return !h.over
+	})
+	if h.over {
+		return
+	}
+	if s.open && len(h.held) > 0 {
+		h.passedPart = !h.in.between()
+		h.release()
+	}
+	if bad != "" {
+		h.broken("sent what is no XMPP stream: " + string(bad))
+	}
+}
+
+func (h *host) token(t token) {
+	s := h.session
+	if t.kind == start && t.depth == 1 {
+		if h.in.prefix == "" || local(t.name) != "stream" {
+			h.broken("sent no stream header")
+			return
+		}
+		h.held = append(h.held, t.raw...)
+		return
+	}
+	if t.kind == start && t.depth == 2 {
+		h.top = token{name: local(t.name), attrs: t.attrs}
+		if h.top.name == "success" && t.attr("xmlns") == saslNS {
+			s.in.restart, h.in.restart = true, true
+		}
+	}
+	if h.top.name == "error" && t.kind == start && t.depth == 3 && local(t.name) != "text" {
+		h.errored = condition(local(t.name))
+	}
+	if t.kind == end && t.depth == 1 {
+		h.closed(t)
+		return
+	}
+	h.held = append(h.held, t.raw...)
+	if !t.whole {
+		return
+	}
+	if s.open {
+		if s.leaving {
+			h.release()
+			s.depart()
+		}
+		return
+	}
+	if h.top.name == "error" && h.errored != "" {
+		h.refused()
+		return
+	}
+	established := h.top.name == "iq" && h.top.attr("type") == "result" && s.bindID != "" && h.top.attr("id") == s.bindID ||
+		h.top.name == "resumed"
+	if established {
+		// The answer is told first and passed on next: both happen in this call, and nothing comes in between.
+		s.open = true
+		s.front.Answers.Established++
+		h.attempt.Established()
+	}
+	h.commit()
+	h.release()
+}
+
+// commit notes that the client is about to see the host's bytes: no other host can take over.
+func (h *host) commit() {
+	s := h.session
+	if s.committed {
+		return
+	}
+	s.committed, s.sent = true, nil
+	h.attempt.Commit()
+}
+
+func (h *host) release() {
+	s := h.session
+	if s.over {
+		return
+	}
+	if len(h.held) > 0 {
+		s.headerDue = false
+		s.conn.Write(h.held)
+		h.held = h.held[:0]
+	}
+	if s.conn.Buffered() > loop.HighWater {
+		h.conn.Pause()
+	}
+}
+
+// refused takes a stream error of the host before the session stood. Nothing of it has reached the client yet where
+// it came first; else it is the session's answer and goes on as it came.
+func (h *host) refused() {
+	s := h.session
+	if s.committed {
+		h.over = true
+		h.conn.End()
+		s.front.Answers.Errors++
+		s.done()
+		s.conn.Write([]byte(string(h.held) + "</" + h.in.prefix + ":stream>"))
+		s.conn.End()
+		h.attempt.Ended(choice.Failed, nil)
+		return
+	}
+	o := choice.Failed
+	switch h.errored {
+	case resourceConstraint, systemShutdown, policyViolation, "reset", "see-other-host":
+		o = choice.Full
+	}
+	h.fail(o)
+}
+
+// closed takes the host's end of the stream.
+func (h *host) closed(t token) {
+	s := h.session
+	if s.open {
+		h.held = append(h.held, t.raw...)
+		h.release()
+		return
+	}
+	h.lost(choice.Reset)
+}
+
+func (h *host) broken(what string) {
+	log.Printf("xmpp: host %s %s", h.attempt.Host.ID, what)
+	h.lost(choice.Failed)
+}
+
+// lost ends a host that is of no use any more. The core tries another one, or gives the session its answer.
+func (h *host) lost(o choice.Outcome) {
+	if h.session.open {
+		h.session.fail(remoteConnectionFailed, "the server was lost")
+		return
+	}
+	h.fail(o)
+}
+
+func (h *host) fail(o choice.Outcome) {
+	h.over = true
+	h.conn.End()
+	h.attempt.Ended(o, nil)
+}
+
+// finish ends the host's side after its client has gone.
+func (h *host) finish(reset bool) {
+	if h.over {
+		return
+	}
+	h.over = true
+	if reset {
+		h.conn.Abort()
+	} else {
+		h.conn.End()
+	}
+}
+
+// farewell closes the stream towards the host where the front, not the client, ends it.
+func (h *host) farewell() {
+	if h.over {
+		return
+	}
+	if h.up && h.session.in.started && !h.session.in.ended && h.session.in.between() && h.session.in.prefix != "" {
+		h.conn.Write([]byte("</" + h.session.in.prefix + ":stream>"))
+	}
+	h.finish(false)
+}
+
+// GiveUp ends the attempt for the core.
+func (h *host) GiveUp() { h.finish(false) }
+
+// OnEnd gives the outcome of a connection that failed or ended.
+func (h *host) OnEnd(err error) {
+	if h.over {
+		return
+	}
+	s := h.session
+	h.over = true
+	if err == io.EOF {
+		h.conn.End()
+	}
+	if s.open {
+		s.done()
+		h.attempt.Ended(choice.Reset, nil)
+		if err == io.EOF {
+			s.conn.End()
+		} else {
+			s.conn.Abort()
+		}
+		return
+	}
+	if !h.up || !h.conn.Sent() {
+		h.attempt.Ended(choice.ConnectFailed, nil)
+		return
+	}
+	h.attempt.Ended(choice.Reset, nil)
+}
+
+// OnDrained goes on reading from the client.
+func (h *host) OnDrained() {
+	if !h.session.over {
+		h.session.conn.Resume()
+	}
+}
