--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -29,8 +29,8 @@
 const (
 	// drainTime is the most that a planned stop takes; what was held is answered or moved well before.
 	drainTime      = 3 * time.Second
-	exitTime       = 8 * time.Second
-	spareSockets   = 48 // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
+	exitTime       = 5 * time.Second // by then the platform has ended the process, and others have nothing left here
+	spareSockets   = 48              // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
 	defaultSockets = 1024
 )
 
@@ -154,6 +154,7 @@
 	if at, err = l.Listen(n.Listen, front.Accept); err != nil {
 		return nil, at, err
 	}
+	log.Printf("listening at %s", at)
 	l.After(core.Flush)
 	var known []edge.UpstreamHost
 	if n.Known != nil {
--- /dev/null
+++ b/cmd/spurwinch/program_test.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"spurwinch/internal/exchange"
+)
+
+// program is the built program, started as the platform starts it.
+type program struct {
+	cmd  *exec.Cmd
+	addr string
+	done chan error
+}
+
+func build(t *testing.T) string {
+	bin := filepath.Join(t.TempDir(), "spurwinch")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return bin
+}
+
+// launch starts the program and waits for the line that names its address.
+func launch(t *testing.T, bin string, env []string, args ...string) *program {
+	p := &program{cmd: exec.Command(bin, args...), done: make(chan error, 1)}
+	p.cmd.Env = append(os.Environ(), env...)
+	log, err := p.cmd.StderrPipe()
+	if err == nil {
+		err = p.cmd.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	lines := make(chan string, 1)
+	go func() {
+		for s := bufio.NewScanner(log); s.Scan(); {
+			if _, at, ok := strings.Cut(s.Text(), " at "); ok && strings.Contains(s.Text(), "listening") {
+				lines <- at
+			}
+		}
+		p.done <- p.cmd.Wait()
+	}()
+	select {
+	case p.addr = <-lines:
+	case err := <-p.done:
+		t.Fatal("the program ended: ", err)
+	case <-time.After(30 * time.Second):
+		t.Fatal("the program does not listen")
+	}
+	return p
+}
+
+// TestProgram starts the program as the platform does, has a connection served, and ends it as in a planned restart.
+func TestProgram(t *testing.T) {
+	bin := build(t)
+	p := &exchange.Player{Values: map[string]string{}}
+	host, discovery := p.Listen(t, "h1"), p.Listen(t, "d")
+	path := filepath.Join(t.TempDir(), "config.json")
+	config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	 "known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}]},
+	 "settings":%s}`, discovery, host, strings.Replace(settings, "REPORTS", "off", 1))
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := launch(t, bin, []string{"GW_CONFIG=" + path})
+	p.Addr = run.addr
+	p.Do = map[string]func(){"sigterm": func() { run.cmd.Process.Signal(syscall.SIGTERM) }}
+	p.Play(t, `
+c open
+c > PING
+c < PONG
+d accept d
+d < GET /v1/servers?after=41&wait_ms=10000 HTTP/1.1\r\nHost: {*}\r\nAccept: application/json\r\n
+c > OPEN 01 01 c=chat,t=acme,d=2000
+s accept h1
+s < OPEN 01 01 c=chat,t=acme,d={*}
+s > UP 1
+c < UP 1
+do sigterm
+# It goes on accepting and answering.
+b open
+b > PING
+b < PONG
+c < MOVE
+c < END
+s < END
+`)
+	select {
+	case err := <-run.done:
+		if err != nil {
+			t.Fatal("the program ended with ", err)
+		}
+	case <-time.After(60 * time.Second):
+		t.Fatal("the program does not end after SIGTERM")
+	}
+}
+
+// TestBadStart checks that a start that can't be gives one line on standard error and a status other than 0.
+func TestBadStart(t *testing.T) {
+	bin := build(t)
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	ok := `"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1"`
+	for _, c := range []struct {
+		name, want string
+		env        []string
+		args       []string
+	}{
+		{"nothing", "GW_CONFIG is not set", nil, nil},
+		{"no file", "no such file", []string{"GW_CONFIG=" + dir + "/none"}, nil},
+		{"no JSON", "invalid character", []string{"GW_CONFIG=" + file("a", "listen: x")}, nil},
+		{"no address", "is not IP:PORT", []string{"GW_CONFIG=" + file("b", `{"listen":"here"}`)}, nil},
+		{"no settings", "settings", []string{"GW_CONFIG=" + file("c", "{"+ok+"}")}, nil},
+		{"no class", "no request class", []string{"GW_CONFIG=" + file("d", "{"+ok+`,"settings":{}}`)}, nil},
+		{"bad state", "known: entry", []string{"GW_CONFIG=" + file("e", "{"+ok+`,"settings":`+strings.Replace(settings, "REPORTS", "off", 1)+`,"known":{"servers":[{"id":"x","state":"?"}]}}`)}, nil},
+		{"taken address", "listen", []string{"GW_CONFIG=" + file("f", `{"listen":"`+taken.Addr().String()+`","discovery":"127.0.0.1:9","settings":`+strings.Replace(settings, "REPORTS", "off", 1)+"}")}, nil},
+		{"unknown flag", "not defined", nil, []string{"-x"}},
+		{"unknown command", "unknown command", nil, []string{"serve"}},
+		{"operator: no TOML", "toml", nil, []string{"-operator", file("g", "= 3")}},
+		{"operator: unknown key", "unknown key", nil, []string{"-operator", file("h", "limit = 3")}},
+		{"operator: no listener", "no [[listener]]", nil, []string{"-operator", file("i", "")}},
+		{"importer", "does not end", nil, []string{"import-nginx", file("j", "http {")}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cmd := exec.Command(bin, c.args...)
+			cmd.Env = c.env
+			var out strings.Builder
+			cmd.Stderr = &out
+			err := cmd.Run()
+			if _, failed := err.(*exec.ExitError); !failed {
+				t.Errorf("ended with %v", err)
+			}
+			if strings.Count(out.String(), "\n") != 1 || !strings.Contains(out.String(), c.want) {
+				t.Errorf("standard error: %q, want one line with %q", out.String(), c.want)
+			}
+		})
+	}
+}
+
+// TestOperatorFile starts the program with the file in deploy/, on a free port, and re-reads it.
+func TestOperatorFile(t *testing.T) {
+	bin := build(t)
+	raw, err := os.ReadFile("../../deploy/operator.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &exchange.Player{Values: map[string]string{"ns": "xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'"}}
+	text := strings.Replace(string(raw), "127.0.0.1:5222", "127.0.0.1:0", 1)
+	text = strings.Replace(text, "127.0.0.1:15222", p.Listen(t, "h1"), 1)
+	text = strings.Replace(text, "127.0.0.1:15223", p.Listen(t, "h2"), 1)
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := launch(t, bin, nil, "-operator", path)
+	p.Addr = run.addr
+	p.Do = map[string]func(){"drain": func() {
+		text = strings.Replace(text, `id = "visits-2"`, "id = \"visits-2\"\nstate = \"draining\"", 1)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Error(err)
+		}
+		run.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(300 * time.Millisecond)
+	}}
+	open := `
+C open
+C >> <stream:stream to='chat.example.org' version='1.0' {ns}>
+S accept HOST
+S << <stream:stream to='chat.example.org' version='1.0' {ns}>
+`
+	script := strings.NewReplacer("C", "c0", "S", "s0", "HOST", "*").Replace(open) + "do drain\n"
+	for i := range 6 { // all go to the one that's left
+		script += strings.NewReplacer("C", fmt.Sprint("c", i+1), "S", fmt.Sprint("s", i+1), "HOST", "h1").Replace(open)
+	}
+	p.Play(t, script)
+}
