--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -17,8 +17,8 @@
 	HighWater = 64 << 10
 	// mostWaiting guards memory against a source that ignores HighWater: such a connection is cut off.
 	mostWaiting = 1 << 20
-	flushTime   = 5 * time.Second // for what still waits when a connection ends
-	lingerTime  = time.Second     // for the other side's end, once ours is sent
+	flushTime   = 900 * time.Millisecond // for what still waits when a connection ends: a host that ended must be seen within a second
+	lingerTime  = time.Second            // for the other side's end, once ours is sent
 )
 
 // ErrTimeout says that a connection was not made in time.
