--- a/cmd/spurwinch/exchange_test.go
+++ b/cmd/spurwinch/exchange_test.go
@@ -76,7 +76,7 @@
 // TestPlatform plays the exchanges of the platform's protocol: clients, hosts and discovery.
 func TestPlatform(t *testing.T) {
 	each(t, "platform", func(t *testing.T, text string) {
-		p := &exchange.Player{Values: map[string]string{}}
+		p := &exchange.Player{Values: map[string]string{"long": strings.Repeat("x", 5000)}}
 		l, err := loop.New()
 		if err != nil {
 			t.Fatal(err)
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -96,8 +96,7 @@
 	switch {
 	case s.over:
 	case s.open:
-		s.host.Write(p)
-		s.throttle()
+		s.forward(p)
 	case s.request != nil:
 		if len(s.early)+len(p) > mostEarly {
 			s.conn.Pause()
@@ -282,11 +281,23 @@
 	s.open = true
 	s.conn.Write(first)
 	s.first = nil
-	if len(s.early) > 0 {
-		s.host.Write(s.early)
+	s.conn.Resume()
+	if early := s.early; len(early) > 0 {
 		s.early = nil
+		s.forward(early)
+	}
+	s.throttle()
+}
+
+// forward passes the client's bytes on to its host.
+func (s *session) forward(p []byte) {
+	if err := s.host.Write(p); err != nil {
+		log.Print("downstream: a client sent a line that is too long on an open connection")
+		s.host.End(false)
+		s.drop()
+		s.request.Gone()
+		return
 	}
-	s.conn.Resume()
 	s.throttle()
 }
 
@@ -356,7 +367,7 @@
 	if s.over {
 		return
 	}
-	if s.out.Mid {
+	if s.out.Mid() {
 		s.moving = true
 		s.stop = s.front.loop.At(s.front.loop.Now().Add(time.Second), s.depart)
 		return
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -37,40 +37,44 @@
 	return l, rest, nil
 }
 
-// Scan calls fn for each line that ends in p. Of a line that is too long only the start is kept and shown.
-func (r *Reader) Scan(p []byte, fn func(l []byte)) {
+// Scan calls fn for each line that ends in p and keeps the start of the next. It stops at a line that is too long.
+func (r *Reader) Scan(p []byte, fn func(l []byte)) error {
 	for len(p) > 0 {
-		i := bytes.IndexByte(p, '\n')
-		if i < 0 {
-			r.part = append(r.part, p[:min(len(p), Max-len(r.part))]...)
-			return
+		l, rest, err := r.Next(p)
+		if err != nil {
+			return err
 		}
-		if len(r.part) == 0 {
-			fn(p[:i+1])
-		} else {
-			l := append(r.part, p[:min(i+1, Max-len(r.part))]...)
-			r.part = r.part[:0]
-			fn(l)
+		if l == nil {
+			return nil
 		}
-		p = p[i+1:]
+		fn(l)
+		p = rest
 	}
+	return nil
 }
 
 // Scanner counts lines without keeping any.
-type Scanner struct{ Mid bool } // Mid: the last byte seen is inside a line
+type Scanner struct{ part int }
+
+// Mid reports whether the last byte seen is inside a line.
+func (s *Scanner) Mid() bool { return s.part > 0 }
 
-// Count calls fn for each line that ends in p.
-func (s *Scanner) Count(p []byte, fn func()) {
+// Count calls fn for each line that ends in p. It stops at a line that is too long.
+func (s *Scanner) Count(p []byte, fn func()) error {
 	for len(p) > 0 {
 		i := bytes.IndexByte(p, '\n')
+		if s.part+max(i+1, 1) > Max || i < 0 && s.part+len(p) > Max {
+			return ErrTooLong
+		}
 		if i < 0 {
-			s.Mid = true
-			return
+			s.part += len(p)
+			return nil
 		}
-		s.Mid = false
+		s.part = 0
 		fn()
 		p = p[i+1:]
 	}
+	return nil
 }
 
 // Trim takes the end off a line.
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -73,7 +73,7 @@
 	}
 	c.fd = fd
 	l.open++
-	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	setOptions(fd)
 	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
 		return fail(os.NewSyscallError("connect", err))
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -256,7 +256,7 @@
 		case err != nil:
 			return
 		}
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		setOptions(fd)
 		c := &Conn{l: l, fd: fd, connected: true}
 		l.open++
 		c.h = accept(c)
@@ -269,6 +269,14 @@
 	}
 }
 
+// setOptions has small writes go out at once, and the kernel notice in minutes peers that vanished.
+func setOptions(fd int) {
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 60)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 20)
+}
+
 func (l *Loop) holdSpare() {
 	f, err := unix.Open(os.DevNull, unix.O_RDONLY|unix.O_CLOEXEC, 0)
 	if err != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -142,7 +142,7 @@
 
 // relay passes the host's bytes on and takes out what the core needs of them.
 func (r *Request) relay(p []byte) {
-	r.in.Scan(p, func(l []byte) {
+	err := r.in.Scan(p, func(l []byte) {
 		r.last = noEnding
 		word, info, _ := bytes.Cut(line.Trim(l), []byte(" "))
 		switch string(word) {
@@ -161,26 +161,37 @@
 			r.sent = r.sent[1:]
 		}
 	})
+	if err != nil && !r.over {
+		log.Printf("upstream: host %s sent a line that is too long on an open connection", r.attempt.Host.ID)
+		r.done()
+		r.conn.Abort()
+		r.attempt.Ended(choice.Reset, nil)
+		r.sink.Ended(true)
+	}
 	if !r.over {
 		r.sink.Bytes(p)
 	}
 }
 
-// Write passes a client's bytes on after UP.
-func (r *Request) Write(p []byte) {
+// Write passes a client's bytes on after UP. Nothing is passed on of bytes with a line that is too long.
+func (r *Request) Write(p []byte) error {
 	if r.over {
-		return
+		return nil
 	}
-	r.conn.Write(p)
 	now := r.cluster.loop.Now()
-	r.out.Count(p, func() {
+	err := r.out.Count(p, func() {
 		if len(r.sent) < mostUnanswered {
 			r.sent = append(r.sent, now)
 		}
 	})
+	if err != nil {
+		return err
+	}
+	r.conn.Write(p)
 	if len(r.sent) > 0 && r.watch == nil {
 		r.watch = r.cluster.loop.At(now.Add(checkEvery), r.check)
 	}
+	return nil
 }
 
 // check guards against hosts that say nothing although the connection stands: no answer would ever tell how slow
