--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,7 +91,7 @@
 }
 
 const (
-	probeTime   = time.Second            // for a probe's answer
+	probeTime   = 150 * time.Millisecond // for a probe's answer: longer than any way there and back, short against a placement
 	retryPinned = 250 * time.Millisecond // between tries at the host of a connection open before the run
 	silentTime  = 4500 * time.Millisecond
 )
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,251 @@
+package edge
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+)
+
+// world is a clock without waiting, a set of hosts with moods, and the clients of one core.
+type world struct {
+	t      *testing.T
+	rng    *rand.Rand
+	now    time.Time
+	timers queue
+	core   *Core
+	state  map[choice.ServerID]choice.ServerState
+	since  map[choice.ServerID]time.Time // of the state
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	fn  func()
+}
+
+type queue []*event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q *queue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+var seq int
+
+func (w *world) Now() time.Time { return w.now }
+
+func (w *world) At(at time.Time, fn func()) func() {
+	seq++
+	e := &event{at, seq, fn}
+	heap.Push(&w.timers, e)
+	return func() { e.fn = nil }
+}
+
+func (w *world) run(until time.Time) {
+	for len(w.timers) > 0 && !w.timers[0].at.After(until) {
+		e := heap.Pop(&w.timers).(*event)
+		if e.at.After(w.now) {
+			w.now = e.at
+		}
+		if e.fn != nil {
+			e.fn()
+			w.core.Flush()
+		}
+	}
+	w.now = until
+}
+
+func (w *world) Probe(h UpstreamHost, by time.Time, done func(choice.Outcome, []float64)) {
+	in := time.Duration(w.rng.IntN(200)) * time.Millisecond
+	w.At(w.now.Add(in), func() { done(choice.Served, []float64{w.rng.Float64() * 0.6}) })
+}
+
+// client checks what the core may do with one request.
+type client struct {
+	w        *world
+	r        *Request
+	deadline time.Time
+	answers  int
+	attempts int
+	out      *try
+	open     bool
+	moved    bool
+	gone     bool
+}
+
+type try struct {
+	c       *client
+	a       *Attempt
+	givenUp bool
+}
+
+func (y *try) GiveUp() {
+	y.givenUp = true
+	if y.c.out == y {
+		y.c.out = nil
+	}
+}
+
+func (c *client) Attempt(a *Attempt) UpstreamRequest {
+	w := c.w
+	c.attempts++
+	switch {
+	case c.out != nil:
+		w.t.Errorf("two attempts of %s at once", c.r.ID)
+	case c.attempts > 4:
+		w.t.Errorf("attempt %d of %s", c.attempts, c.r.ID)
+	case c.answers > 0 || c.gone:
+		w.t.Errorf("an attempt of %s after its end", c.r.ID)
+	case a.Until.After(c.deadline):
+		w.t.Errorf("an attempt of %s is out past its deadline", c.r.ID)
+	case w.state[a.Host.ID] != choice.Ready && w.now.Sub(w.since[a.Host.ID]) > 3*time.Second:
+		w.t.Errorf("an attempt of %s at a draining host", c.r.ID)
+	}
+	y := &try{c: c, a: a}
+	c.out = y
+	end := func(o choice.Outcome) {
+		if c.out == y {
+			c.out = nil
+		}
+		a.Ended(o, nil)
+	}
+	if w.rng.IntN(8) == 0 { // fails while it is being started
+		end(choice.ConnectFailed)
+		return y
+	}
+	in := time.Duration(w.rng.IntN(900)) * time.Millisecond
+	mood := w.rng.IntN(10)
+	w.At(w.now.Add(in), func() {
+		switch {
+		case mood == 0 || y.givenUp: // silence; or an answer that comes too late, which must not count
+			if y.givenUp {
+				a.Established()
+				a.Ended(choice.Served, nil)
+			}
+		case mood <= 2:
+			end(choice.Full)
+		case mood == 3:
+			end(choice.Reset)
+		default:
+			if mood == 4 {
+				a.Commit()
+			}
+			if mood == 5 {
+				a.Commit()
+				end(choice.Reset)
+				return
+			}
+			a.Established()
+			if c.answers++; c.answers > 1 || c.gone {
+				w.t.Errorf("%s: a second answer", c.r.ID)
+			}
+			c.open = true
+			w.At(w.now.Add(time.Duration(w.rng.IntN(9000))*time.Millisecond), func() {
+				if !y.givenUp && !c.moved {
+					end(choice.Reset)
+				}
+			})
+		}
+	})
+	return y
+}
+
+func (c *client) LocalReply(LocalReply) {
+	if c.answers++; c.answers > 1 || c.gone {
+		c.w.t.Errorf("%s: %d answers, gone %v", c.r.ID, c.answers, c.gone)
+	}
+	if c.w.now.After(c.deadline.Add(20 * time.Millisecond)) {
+		c.w.t.Errorf("%s: answered %v late", c.r.ID, c.w.now.Sub(c.deadline))
+	}
+}
+
+func (c *client) Move() {
+	if !c.open || c.moved {
+		c.w.t.Errorf("%s: moved twice, or not open", c.r.ID)
+	}
+	c.moved, c.out = true, nil
+}
+
+// TestRules plays random days against the core and the module: one final answer for each request, in time; four
+// attempts at most and never two at once; nothing new to a draining host after its grace; nothing held at the end.
+func TestRules(t *testing.T) {
+	for seed := range uint64(40) {
+		w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1.8e9, 0),
+			state: map[choice.ServerID]choice.ServerState{}, since: map[choice.ServerID]time.Time{}}
+		s := choice.Settings{Nodes: 1, Round: 5 * time.Millisecond, Classes: []choice.Class{{Name: "c", SetupAim: 800 * time.Millisecond,
+			Deadline: 4 * time.Second, MessageAim: 60 * time.Millisecond, Worth: 1}},
+			Limits: choice.Limits{Attempts: 4, MayCancel: true, MayProbe: seed%2 == 0},
+			Rules: choice.Rules{AskWithin: 10 * time.Second, DrainGrace: 3 * time.Second, ColdShare: .2, WarmUp: 10 * time.Second,
+				FallMultiple: 4, FallTime: 2 * time.Second}}
+		if seed%2 == 0 {
+			s.Reports, s.Fields = choice.ProbeReports, []choice.Field{choice.Load}
+		}
+		var err error
+		if w.core, err = New(Options{Clock: w, Settings: s, Seed: seed, Prober: w, Leave: time.Duration(seed%3) * time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		var hosts []UpstreamHost
+		for i := range 6 {
+			hosts = append(hosts, UpstreamHost{Server: choice.Server{ID: choice.ServerID(fmt.Sprint("s", i)), Size: 1}})
+		}
+		w.core.Start(hosts)
+		begin := w.now
+		var all []*client
+		for i := range 300 {
+			w.At(begin.Add(time.Duration(w.rng.IntN(22500))*time.Millisecond), func() {
+				c := &client{w: w, deadline: w.now.Add(time.Duration(200+w.rng.IntN(4000)) * time.Millisecond)}
+				all = append(all, c)
+				c.r = w.core.Open(Spec{ID: choice.RequestID(fmt.Sprint("r", i)), Tenant: -1, Deadline: c.deadline}, c)
+				if w.rng.IntN(10) == 0 {
+					w.At(w.now.Add(time.Duration(w.rng.IntN(3000))*time.Millisecond), func() {
+						if c.answers == 0 || c.open && !c.moved {
+							c.gone = true
+							c.r.Gone()
+						}
+					})
+				}
+			})
+		}
+		for range 4 {
+			w.At(begin.Add(time.Duration(w.rng.IntN(20000))*time.Millisecond), func() {
+				h := hosts[w.rng.IntN(5)] // the last one stays
+				h.State = choice.Draining
+				if w.state[h.ID] == choice.Ready {
+					w.state[h.ID], w.since[h.ID] = h.State, w.now
+				}
+				w.core.List(choice.ListChange, []UpstreamHost{h})
+			})
+		}
+		w.run(begin.Add(21 * time.Second))
+		left := false
+		w.core.Drain(w.now.Add(3*time.Second), func() { left = true })
+		w.run(w.now.Add(3 * time.Second))
+		if !left || w.core.Held() > 0 {
+			t.Errorf("seed %d: left %v, %d requests held after the planned stop", seed, left, w.core.Held())
+		}
+		for _, c := range all {
+			if c.answers != 1 && !c.gone {
+				t.Errorf("seed %d: %s has %d answers", seed, c.r.ID, c.answers)
+			}
+		}
+		if len(all) != 300 {
+			t.Fatal("not all requests came")
+		}
+		for id, h := range w.core.hosts {
+			if h.held != 0 {
+				t.Errorf("seed %d: %s holds %d", seed, id, h.held)
+			}
+		}
+	}
+}
