--- a/cmd/spurwinch/exchange_test.go
+++ b/cmd/spurwinch/exchange_test.go
@@ -129,6 +129,13 @@
 				"[[class]]\nname = \"c\"\npatience = \"3s\"\n[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n" +
 				"[[cluster]]\nname = \"k\"\nleave = \"400ms\"\ndrain_grace = \"1s\"\n")
 			for _, h := range names {
+				p.Values["entry-"+h] = fmt.Sprintf(`{"id":"s-%s","addr":"%s","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}`, h, p.Values[h])
+				if names[0] == "d" { // discovery tells the hosts
+					if h == "d" {
+						fmt.Fprintf(&b, "discovery = %q\n", p.Values[h])
+					}
+					continue
+				}
 				fmt.Fprintf(&b, "[[cluster.host]]\nid = %q\naddr = %q\nstate = %q\n", h, p.Values[h], state(h))
 			}
 			if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -20,6 +20,7 @@
 	firstLineTime = 10 * time.Second // for the first line of a connection
 	pinnedTime    = 39 * time.Second // for a connection open before the run; it counts as lost after 40 s
 	mostEarly     = 32 << 10         // bytes that a client may send before its connection is up
+	politeOver    = 16               // connections beyond the limit that are refused with an answer
 	mostPatience  = time.Hour        // a longer d counts as this
 )
 
@@ -65,8 +66,12 @@
 	f.waiting = nil
 }
 
-// Accept takes a new connection.
+// Accept takes a new connection. Beyond the limit some are still taken, for PING and to refuse politely; then none,
+// which guards the descriptors that discovery, probes and attempts in hand need.
 func (f *Front) Accept(c *loop.Conn) loop.Handler {
+	if f.loop.Open() > f.most+politeOver {
+		return nil
+	}
 	s := &session{front: f, conn: c}
 	s.stop = f.loop.At(f.loop.Now().Add(firstLineTime), s.drop)
 	return s
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -43,6 +43,8 @@
 // Answers counts the final answers given.
 type Answers struct{ Sessions, Established, Errors, Left int }
 
+const politeOver = 16 // connections beyond the limit that are refused with a stream error
+
 const (
 	clientNS = "jabber:client"
 	streamNS = "http://etherx.jabber.org/streams"
@@ -64,8 +66,11 @@
 	return d, ok
 }
 
-// Accept takes a new connection.
+// Accept takes a new connection. Beyond the limit some are still taken, to refuse them with a stream error; then none.
 func (f *Front) Accept(c *loop.Conn) loop.Handler {
+	if f.loop.Open() > f.limits.MostOpen+politeOver {
+		return nil
+	}
 	f.Answers.Sessions++
 	s := &session{front: f, conn: c, in: scanner{most: f.limits.Stanza}, headerDue: true}
 	s.stop = f.loop.At(f.loop.Now().Add(f.limits.HeaderTime), func() { s.fail(connectionTimeout, "no stream header came in time") })
