A planned stop on the platform ends by itself only after 10 s

The platform counts a process that exits as crashed, and ends a leaving one itself no sooner than 3.7 s after SIGTERM; the program ended by itself after 5 s. Away from the platform it now ends after 4 s.

--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -28,9 +28,12 @@
 
 const (
 	// drainTime is the most that a planned stop takes; what was held is answered or moved well before.
-	drainTime      = 3 * time.Second
-	exitTime       = 5 * time.Second // by then the platform has ended the process, and others have nothing left here
-	spareSockets   = 48              // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
+	drainTime = 3 * time.Second
+	// The platform ends a leaving process by itself, and counts one that ends too early as crashed; elsewhere the
+	// program ends once all have left.
+	platformExit   = 10 * time.Second
+	operatorExit   = 4 * time.Second
+	spareSockets   = 48 // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
 	defaultSockets = 1024
 )
 
@@ -60,6 +63,7 @@
 		return err
 	}
 	var cores []*edge.Core
+	exit := operatorExit
 	seed := uint64(time.Now().UnixNano())
 	if os.Getenv("GW_CONFIG") != "" || *operator == "" {
 		n, err := config.FromEnvironment(os.Getenv)
@@ -73,7 +77,7 @@
 		if err != nil {
 			return err
 		}
-		cores, seed = append(cores, core), n.Seed
+		cores, seed, exit = append(cores, core), n.Seed, platformExit
 	}
 	if *operator != "" {
 		more, _, err := serveOperator(l, *operator, seed)
@@ -82,7 +86,7 @@
 		}
 		cores = append(cores, more...)
 	}
-	leaveOnSignal(l, cores)
+	leaveOnSignal(l, cores, exit)
 	return l.Run()
 }
 
@@ -108,7 +112,7 @@
 }
 
 // leaveOnSignal begins the planned stop at SIGTERM or SIGINT.
-func leaveOnSignal(l *loop.Loop, cores []*edge.Core) {
+func leaveOnSignal(l *loop.Loop, cores []*edge.Core, exit time.Duration) {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -119,7 +123,7 @@
 				log.Printf("leaving: %v", core)
 				core.Drain(now.Add(drainTime), func() { log.Printf("left: %v", core) })
 			}
-			l.At(now.Add(exitTime), l.Stop)
+			l.At(now.Add(exit), l.Stop)
 		})
 	}()
 }
