Time one line at a time: a line without an answer is no silence

Seen in a recorded exchange: two lines, one answer, and the client was moved after 4.5 s, as the queue of unanswered lines kept the second. At fault: upstream.Request.sent. Any line of the host now ends the timing; the exchange fails without the change.

--- a/cmd/spurwinch/exchange_test.go
+++ b/cmd/spurwinch/exchange_test.go
@@ -110,6 +110,7 @@
 		p.Addr = at.String()
 		p.Do = map[string]func(){
 			"wait":    func() { time.Sleep(400 * time.Millisecond) },
+			"long":    func() { time.Sleep(5 * time.Second) },
 			"sigterm": func() { l.Post(func() { core.Drain(l.Now().Add(drainTime), func() {}) }) },
 		}
 		start(t, l)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -47,7 +47,7 @@
 	up      bool
 	over    bool
 	last    ending
-	sent    []time.Time // when the client's lines that nothing came back for were passed on, oldest first
+	sent    time.Time // when the line was passed on that is being timed; zero: none is
 	watch   func()
 }
 
@@ -59,10 +59,7 @@
 	move
 )
 
-const (
-	mostUnanswered = 64 // messages without an answer that are timed; further ones are not
-	checkEvery     = time.Second
-)
+const checkEvery = time.Second
 
 // Attempt starts a. first is the client's OPEN line; only its d is written anew.
 func (c *Cluster) Attempt(a *edge.Attempt, first []byte, sink Sink) *Request {
@@ -156,9 +153,11 @@
 		case "MOVE":
 			r.last = move
 		}
-		if len(r.sent) > 0 {
-			r.attempt.Delay(r.cluster.loop.Now().Sub(r.sent[0]))
-			r.sent = r.sent[1:]
+		// One line is timed at a time, and any of the host's ends it: a line that gets no answer must not make all
+		// later ones look late.
+		if !r.sent.IsZero() {
+			r.attempt.Delay(r.cluster.loop.Now().Sub(r.sent))
+			r.sent = time.Time{}
 		}
 	})
 	if err != nil && !r.over {
@@ -180,15 +179,15 @@
 	}
 	now := r.cluster.loop.Now()
 	err := r.out.Count(p, func() {
-		if len(r.sent) < mostUnanswered {
-			r.sent = append(r.sent, now)
+		if r.sent.IsZero() {
+			r.sent = now
 		}
 	})
 	if err != nil {
 		return err
 	}
 	r.conn.Write(p)
-	if len(r.sent) > 0 && r.watch == nil {
+	if !r.sent.IsZero() && r.watch == nil {
 		r.watch = r.cluster.loop.At(now.Add(checkEvery), r.check)
 	}
 	return nil
@@ -198,11 +197,11 @@
 // they are.
 func (r *Request) check() {
 	r.watch = nil
-	if r.over || len(r.sent) == 0 {
+	if r.over || r.sent.IsZero() {
 		return
 	}
 	now := r.cluster.loop.Now()
-	age := now.Sub(r.sent[0])
+	age := now.Sub(r.sent)
 	if age >= r.attempt.SilentAfter() {
 		r.attempt.Silent()
 		return
