Module: probes find full hosts where no delay notes come

At fault: choice.delayed, the only one that looks at a host after its connections are placed, is never called on sockets. Now steer asks a host that holds own connections and has not reported for 3 s, and probed may move some of the excess; only where Settings.TellsDelay is false, which the node sets.

--- a/choice/api.go
+++ b/choice/api.go
@@ -22,6 +22,8 @@
 	Reports   Channel  // where load reports come from
 	Fields    []Field  // the values of a report, in order
 	Sizes     SizeKind // what Server.Size means
+	// TellsDelay says that a DelayNote comes where messages take long; without it only reports show a full server.
+	TellsDelay bool
 	// OverQuotaWorth is the part of its worth that a connection keeps beyond its tenant's quota.
 	OverQuotaWorth float64
 	WorthByWork    bool // worth counts for each unit of work, not for each request
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	spill       = 0.15 // predicted load over the average from which on a group's next server is taken
 	firstEject  = 2 * time.Second
 	lastEject   = 16 * time.Second
+	patrolAfter = 3 * time.Second  // without a report of a server with own connections
 	rateMemory  = 10 * time.Second // arrivals: long against gaps between them, short against a day
 )
 
@@ -159,8 +160,7 @@
 	k.num, k.den, k.n = k.num*costKeep+load, k.den*costKeep+share, k.n*costKeep+1
 	b.anchor(s, load+piled)
 	b.anyKnown = true
-	// The average is of reports asked for, not of predictions (which lean on it) nor of delay notes (which
-	// only come from the overloaded): either would run away.
+	// Of reports asked for only: predictions lean on it, delay notes come from the overloaded alone.
 	b.sumLoad = fade(b.sumLoad, b.now-b.sumAt, rateMemory)*avgKeep + s.base*min(s.report, full)
 	b.sumBase, b.sumAt = fade(b.sumBase, b.now-b.sumAt, rateMemory)*avgKeep+s.base, b.now
 	b.avg = b.sumLoad / b.sumBase
@@ -208,8 +208,7 @@
 	}
 }
 
-// predict is told load x cost, anchored at the last report, which fades to the average as it ages: silence
-// is not low load.
+// predict is told load x cost, anchored at the last report; that fades to the average: silence is no news.
 func (b *Balancer) predict(s *server) float64 {
 	if !b.anyKnown {
 		return s.cost * s.told
@@ -235,8 +234,7 @@
 	return 1 / (mirrorPrior/mean + 1/float64(b.set.Nodes))
 }
 
-// steer is the PID tick: the average, the integral and the derivative of each server; the proportional part
-// is taken when drawing, from the newest report.
+// steer is the PID tick: average, integral, derivative; the proportional part is taken when drawing.
 func (b *Balancer) steer() {
 	b.price()
 	// The gate guards a fleet that is full as a whole, where set-ups and drops would feed each other.
@@ -255,6 +253,9 @@
 		s.errSum = clamp(s.errSum*0.9+kI*err*tick.Seconds()*0.1, -windup, windup)
 		s.trim = s.errSum + kD*(s.prevErr-err)*tick.Seconds()
 		s.prevErr = err
+		if !b.set.TellsDelay && s.told > 0 && s.State == Ready && b.now-s.reportAt > patrolAfter {
+			b.probe(s) // guards connections whose server filled up later, where nobody tells of slow messages
+		}
 	}
 }
 
@@ -304,8 +305,7 @@
 	return s.credit >= 1
 }
 
-// strike ejects a server that failed this node, longer each time; a probe or request after that is its
-// trial.
+// strike ejects a server that failed this node, longer each time; a probe or request is then its trial.
 func (b *Balancer) strike(s *server) {
 	s.badUntil = b.now + min(firstEject<<min(s.strikes, 10), lastEject)
 	s.strikes++
@@ -374,8 +374,7 @@
 	b.place(r)
 }
 
-// eligible says whether a request may go to a server at all: the rules of drains, of repeats, of cold
-// servers.
+// eligible says whether a request may go to a server at all: drains, repeats, cold servers.
 func (b *Balancer) eligible(r *request, s *server) bool {
 	c := b.set.Classes[r.Class]
 	if r.may != nil && c.Repeat == Keyed && (b.now-r.mayAt >= c.Window-2*b.set.Round ||
@@ -420,8 +419,7 @@
 	return 1 - b.rng.Float64()
 }
 
-// place samples the table for a request and probes what is not fresh, within the budget; the draw is among
-// these.
+// place samples the table for a request, the draw being among these, and probes what is not fresh.
 func (b *Balancer) place(r *request) {
 	n := int(clamp(math.Round(probeSpend/max(b.set.Tariffs.Probe, 1e-9)), 2, 4))
 	if r.bind != 0 { // its next server only
@@ -458,6 +456,9 @@
 	} else if s.State == Ready {
 		b.strike(s)
 	}
+	if !b.set.TellsDelay && s.mover == nil && e.Outcome == Served {
+		s.mover = b.anyOpen(s)
+	}
 	excess := 1 - crowded/s.report
 	if r := s.mover; r != nil && r.open && r.on == s && (e.Outcome != Served || b.rng.Float64() < excess) {
 		b.out = append(b.out, Move{r.ID})
@@ -472,8 +473,7 @@
 	}
 }
 
-// dispatch draws one of the sampled servers by weight and sends; where all of them are crowded it samples
-// on.
+// dispatch sends to one of the sampled servers, drawn by weight; where all are crowded it samples on.
 func (b *Balancer) dispatch(r *request) {
 	r.waiting = 0
 	b.waits = slices.DeleteFunc(b.waits, func(o *request) bool { return o == r })
--- /dev/null
+++ b/choice/patrol_test.go
@@ -0,0 +1,49 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestFullServerIsFound checks that a server that filled up under open connections is found and relieved where no
+// delay notes come, as on sockets, and that nothing is asked where they do.
+func TestFullServerIsFound(t *testing.T) {
+	for _, tells := range []bool{false, true} {
+		b, err := New(Settings{Nodes: 1, TellsDelay: tells, Reports: ProbeReports, Fields: []Field{Load},
+			Classes: []Class{{Name: "c", SetupAim: time.Second, Deadline: 4 * time.Second}},
+			Limits:  Limits{Attempts: 4, MayProbe: true}, Round: 5 * time.Millisecond}, 1, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var next []Event
+		now := time.Hour
+		next = append(next, ServerList{Kind: ListWhole, Servers: []Server{{ID: "full"}, {ID: "idle"}}})
+		for i := range 20 {
+			next = append(next, OpenConnection{Request{ID: RequestID(fmt.Sprint(i)), Tenant: -1}, "full"})
+		}
+		probes, moves := 0, 0
+		for range 30 {
+			events := next
+			next = nil
+			for _, a := range b.Step(now, events) {
+				switch a := a.(type) {
+				case Probe:
+					if probes++; a.Server != "full" {
+						t.Errorf("asked %s, which holds nothing", a.Server)
+					}
+					next = append(next, ProbeResult{Server: a.Server, Report: []float64{3}})
+				case Move:
+					moves++
+					next = append(next, AttemptEnded{ID: a.ID, Server: "full", Outcome: Cancelled, Final: true})
+				case SetTimer:
+					next = append(next, TimerFired{a.Token})
+				}
+			}
+			now += time.Second
+		}
+		if want := !tells; probes > 0 != want || moves > 0 != want || probes > 15 {
+			t.Errorf("notes told %v: %d probes, %d moves", tells, probes, moves)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -213,6 +213,17 @@
 	}
 }
 
+// anyOpen is one of the open connections on a server, by a hash: the order of a map must not sway it.
+func (b *Balancer) anyOpen(s *server) (found *request) {
+	least := uint64(math.MaxUint64)
+	for id, r := range b.reqs {
+		if h := mix(hashOf(string(id)) ^ uint64(b.now)); r.on == s && r.open && h < least {
+			found, least = r, h
+		}
+	}
+	return found
+}
+
 // bind puts a request's load on a server.
 func (b *Balancer) bind(r *request, s *server) {
 	r.on = s
--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -131,6 +131,9 @@
 // serve puts a node together on a loop that is not running yet.
 func serve(l *loop.Loop, n config.Node) (*edge.Core, netip.AddrPort, error) {
 	var at netip.AddrPort
+	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
+	// of slow messages has no like here, and the module must do without.
+	n.Settings.TellsDelay = false
 	hosts := upstream.New(l, n.Settings.ReportFields)
 	var watch *cluster.Watch
 	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -242,7 +242,8 @@
 
 // Settings is what the module is told of a cluster.
 func (o *Operator) Settings(c Cluster) choice.Settings {
-	s := choice.Settings{Nodes: c.Nodes, Zone: c.Zone, Subscribe: c.Discovery != "", Sizes: choice.NominalSize,
+	// Load is the core's own count: there is nothing to find out by asking, and sessions stay where they are.
+	s := choice.Settings{Nodes: c.Nodes, Zone: c.Zone, TellsDelay: true, Subscribe: c.Discovery != "", Sizes: choice.NominalSize,
 		Reports: choice.ProbeReports, Fields: []choice.Field{choice.Load}, Round: 5 * time.Millisecond,
 		Limits: choice.Limits{Attempts: c.Attempts, MayProbe: true, MayCancel: true, RetryAdvice: true,
 			MaxRetryAdvice: 2 * time.Second, ConnectTimeout: time.Duration(c.ConnectTimeout)},
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -40,6 +40,7 @@
 	MessageAimS []float64 `json:"messageAimS"`
 	Mode        string    `json:"mode"`
 	ParkS       float64   `json:"parkS"`
+	TellsDelay  bool      `json:"tellsDelay"`
 	TenantQuota []float64 `json:"tenantQuotaConnections"`
 }
 
@@ -137,7 +138,7 @@
 	}
 	inv, lim := in.Invariants, in.Limits
 	s := choice.Settings{
-		Nodes: in.GroupSize, Node: in.Index, Zone: in.AZ, Grouped: in.Domain.Groups,
+		Nodes: in.GroupSize, Node: in.Index, Zone: in.AZ, Grouped: in.Domain.Groups, TellsDelay: in.Domain.TellsDelay,
 		PassThru: in.Domain.Mode == "pass", Park: seconds(in.Domain.ParkS), Subscribe: in.Membership == "on_request",
 		OverQuotaWorth: in.OverShare, WorthByWork: in.WorthBy == "work", Round: seconds(in.RoundS),
 		Limits: choice.Limits{Attempts: lim.SendCap, MayProbe: lim.MayProbe, MayCancel: lim.MayCancel,
