XMPP: a client that closes its stream during the set-up has left

Seen reading the code, then in an exchange: the closing tag was kept for a replay, and the host's own close sent the session to the next host. Also: the front's attempts are called upstream requests, as in the shop's terms.

--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -85,7 +85,7 @@
 	request   *edge.Request
 	deadline  time.Time
 	attempt   *edge.Attempt
-	host      *host
+	upstream  *upstreamRequest
 	sent      []byte // what the client sent, kept until no other host can take over
 	committed bool   // bytes of the host have reached the client
 	open      bool   // established
@@ -121,11 +121,25 @@
 		return
 	}
 	s.pass(pass)
-	if bad != "" {
+	switch {
+	case bad != "":
 		s.fail(bad, "")
+	case s.in.ended && !s.open && !s.over:
+		s.left()
 	}
 }
 
+// left ends a session whose client closed its stream before it stood: nobody waits for an answer any more, and no
+// other host may be tried for it.
+func (s *session) left() {
+	s.front.Answers.Left++
+	last := ""
+	if !s.headerDue {
+		last = "</" + s.upstream.in.prefix + ":stream>"
+	}
+	s.end(last)
+}
+
 // token looks at what the client sent and says whether the stream must end with an error.
 func (s *session) token(t token) condition {
 	switch {
@@ -190,9 +204,9 @@
 			return
 		}
 	}
-	if s.host != nil && s.host.up && !s.host.over {
-		s.host.conn.Write(p)
-		if s.host.conn.Buffered() > loop.HighWater {
+	if s.upstream != nil && s.upstream.up && !s.upstream.over {
+		s.upstream.conn.Write(p)
+		if s.upstream.conn.Buffered() > loop.HighWater {
 			s.conn.Pause()
 		}
 	}
@@ -207,9 +221,9 @@
 // Attempt starts an upstream request for the core.
 func (s *session) Attempt(a *edge.Attempt) edge.UpstreamRequest {
 	s.attempt = a
-	s.host = &host{session: s, attempt: a, in: scanner{most: s.front.limits.Stanza}}
-	s.host.conn = s.front.loop.Dial(a.Host.Addr, a.ConnectBy(), s.host)
-	return s.host
+	s.upstream = &upstreamRequest{session: s, attempt: a, in: scanner{most: s.front.limits.Stanza}}
+	s.upstream.conn = s.front.loop.Dial(a.Host.Addr, a.ConnectBy(), s.upstream)
+	return s.upstream
 }
 
 var conditions = map[edge.Why]struct {
@@ -240,7 +254,7 @@
 	if s.over {
 		return
 	}
-	if s.host != nil && !s.host.in.between() {
+	if s.upstream != nil && !s.upstream.in.between() {
 		s.leaving = true
 		s.stop = s.front.loop.At(s.front.loop.Now().Add(time.Second), s.depart)
 		return
@@ -266,8 +280,8 @@
 			"' xmlns:stream='" + streamNS + "'>")
 	}
 	prefix := "stream"
-	if !s.headerDue && s.host != nil && s.host.in.prefix != "" {
-		prefix = s.host.in.prefix
+	if !s.headerDue && s.upstream != nil && s.upstream.in.prefix != "" {
+		prefix = s.upstream.in.prefix
 	}
 	b.WriteString("<" + prefix + ":error><" + string(c) + " xmlns='urn:ietf:params:xml:ns:xmpp-streams'/>")
 	if words != "" {
@@ -275,7 +289,7 @@
 	}
 	b.WriteString("</" + prefix + ":error></" + prefix + ":stream>")
 	last := b.String()
-	if s.host != nil && s.committed && !s.host.in.between() && s.host.passedPart {
+	if s.upstream != nil && s.committed && !s.upstream.in.between() && s.upstream.passedPart {
 		last = "" // the client is inside a stanza: any markup would only garble it
 	}
 	if !s.open {
@@ -289,8 +303,8 @@
 	s.done()
 	s.conn.Write([]byte(last))
 	s.conn.End()
-	if s.host != nil {
-		s.host.farewell()
+	if s.upstream != nil {
+		s.upstream.farewell()
 	}
 	if s.request != nil {
 		s.request.Gone()
@@ -319,8 +333,8 @@
 		s.front.Answers.Left++
 	}
 	s.done()
-	if s.host != nil {
-		s.host.finish(err != io.EOF)
+	if s.upstream != nil {
+		s.upstream.finish(err != io.EOF)
 	}
 	if s.request != nil {
 		s.request.Gone()
@@ -332,7 +346,7 @@
 
 // OnDrained goes on reading from the host.
 func (s *session) OnDrained() {
-	if s.host != nil && !s.over {
-		s.host.conn.Resume()
+	if s.upstream != nil && !s.over {
+		s.upstream.conn.Resume()
 	}
 }
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -9,12 +9,12 @@
 	"spurwinch/internal/loop"
 )
 
-// host is one upstream request: the connection to an XMPP server that a session tries or uses.
+// upstreamRequest is one attempt: the connection to an XMPP server that a session tries or uses.
 //
 // Until the session is established its bytes are held back to the end of each child of the root, so that the
 // session's one answer can always be put between two of them. The header and the first child go on together: an
 // error in their place is the host's refusal, and another host may be tried.
-type host struct {
+type upstreamRequest struct {
 	session    *session
 	attempt    *edge.Attempt
 	conn       *loop.Conn
@@ -28,14 +28,14 @@
 }
 
 // OnConnect gives the host all that the client sent so far.
-func (h *host) OnConnect() {
+func (h *upstreamRequest) OnConnect() {
 	h.up = true
 	h.attempt.Connected()
 	h.conn.Write(h.session.sent)
 }
 
 // OnData takes the host's bytes.
-func (h *host) OnData(p []byte) {
+func (h *upstreamRequest) OnData(p []byte) {
 	if h.over {
 		return
 	}
@@ -56,7 +56,7 @@
 	}
 }
 
-func (h *host) token(t token) {
+func (h *upstreamRequest) token(t token) {
 	s := h.session
 	if t.kind == start && t.depth == 1 {
 		if h.in.prefix == "" || local(t.name) != "stream" {
@@ -107,7 +107,7 @@
 }
 
 // commit notes that the client is about to see the host's bytes: no other host can take over.
-func (h *host) commit() {
+func (h *upstreamRequest) commit() {
 	s := h.session
 	if s.committed {
 		return
@@ -116,7 +116,7 @@
 	h.attempt.Commit()
 }
 
-func (h *host) release() {
+func (h *upstreamRequest) release() {
 	s := h.session
 	if s.over {
 		return
@@ -133,7 +133,7 @@
 
 // refused takes a stream error of the host before the session stood. Nothing of it has reached the client yet where
 // it came first; else it is the session's answer and goes on as it came.
-func (h *host) refused() {
+func (h *upstreamRequest) refused() {
 	s := h.session
 	if s.committed {
 		h.over = true
@@ -154,7 +154,7 @@
 }
 
 // closed takes the host's end of the stream.
-func (h *host) closed(t token) {
+func (h *upstreamRequest) closed(t token) {
 	s := h.session
 	if s.open {
 		h.held = append(h.held, t.raw...)
@@ -164,13 +164,13 @@
 	h.lost(choice.Reset)
 }
 
-func (h *host) broken(what string) {
+func (h *upstreamRequest) broken(what string) {
 	log.Printf("xmpp: host %s %s", h.attempt.Host.ID, what)
 	h.lost(choice.Failed)
 }
 
 // lost ends a host that is of no use any more. The core tries another one, or gives the session its answer.
-func (h *host) lost(o choice.Outcome) {
+func (h *upstreamRequest) lost(o choice.Outcome) {
 	if h.session.open {
 		h.session.fail(remoteConnectionFailed, "the server was lost")
 		return
@@ -178,14 +178,14 @@
 	h.fail(o)
 }
 
-func (h *host) fail(o choice.Outcome) {
+func (h *upstreamRequest) fail(o choice.Outcome) {
 	h.over = true
 	h.conn.End()
 	h.attempt.Ended(o, nil)
 }
 
 // finish ends the host's side after its client has gone.
-func (h *host) finish(reset bool) {
+func (h *upstreamRequest) finish(reset bool) {
 	if h.over {
 		return
 	}
@@ -198,7 +198,7 @@
 }
 
 // farewell closes the stream towards the host where the front, not the client, ends it.
-func (h *host) farewell() {
+func (h *upstreamRequest) farewell() {
 	if h.over {
 		return
 	}
@@ -209,10 +209,10 @@
 }
 
 // GiveUp ends the attempt for the core.
-func (h *host) GiveUp() { h.finish(false) }
+func (h *upstreamRequest) GiveUp() { h.finish(false) }
 
 // OnEnd gives the outcome of a connection that failed or ended.
-func (h *host) OnEnd(err error) {
+func (h *upstreamRequest) OnEnd(err error) {
 	if h.over {
 		return
 	}
@@ -239,7 +239,7 @@
 }
 
 // OnDrained goes on reading from the client.
-func (h *host) OnDrained() {
+func (h *upstreamRequest) OnDrained() {
 	if !h.session.over {
 		h.session.conn.Resume()
 	}
