SIGHUP moves the watch to the discovery that the replaced file names

Checked: cmd/spurwinch/main.go handled SIGHUP in serveOperator only, which runs with -operator; nothing else exits. Now signals are taken first thing in main, SIGHUP and SIGTERM on channels of their own; cluster.Watch.Move ends the call in hand and asks the new address for its whole list; a bad file is one log line. Test: TestReload starts the program; without the change it dies at the first SIGHUP.

--- a/cmd/spurwinch/exchange_test.go
+++ b/cmd/spurwinch/exchange_test.go
@@ -103,7 +103,7 @@
 				t.Fatal(err)
 			}
 		}
-		core, at, err := serve(l, n)
+		node, at, err := serve(l, n)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +111,7 @@
 		p.Do = map[string]func(){
 			"wait":    func() { time.Sleep(400 * time.Millisecond) },
 			"long":    func() { time.Sleep(5 * time.Second) },
-			"sigterm": func() { l.Post(func() { core.Drain(l.Now().Add(drainTime), func() {}) }) },
+			"sigterm": func() { l.Post(func() { node.core.Drain(l.Now().Add(drainTime), func() {}) }) },
 		}
 		start(t, l)
 		p.Play(t, text)
--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -1,5 +1,5 @@
 // Command spurwinch is a node: it places its clients' connections on upstream hosts. It reads GW_* and config.json,
-// runs in the foreground, and on SIGTERM moves its clients away, then ends with status 0. A configuration that cannot
+// runs in the foreground, and on SIGTERM moves its clients away, then ends with status 0. On SIGHUP it reads its files again. A configuration that cannot
 // be read gives one line on standard error and status 1.
 package main
 
@@ -38,14 +38,16 @@
 )
 
 func main() {
+	// Before anything else: a signal that nobody takes yet would end the process.
+	signals := takeSignals()
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(os.Args[1:]); err != nil {
+	if err := run(os.Args[1:], signals); err != nil {
 		fmt.Fprintln(os.Stderr, "spurwinch:", err)
 		os.Exit(1)
 	}
 }
 
-func run(args []string) error {
+func run(args []string, signals signals) error {
 	if len(args) > 0 && args[0] == "import-nginx" {
 		return importNginx(args[1:], os.Stdout, os.Stderr)
 	}
@@ -63,6 +65,7 @@
 		return err
 	}
 	var cores []*edge.Core
+	var reloads []func()
 	exit := operatorExit
 	seed := uint64(time.Now().UnixNano())
 	if os.Getenv("GW_CONFIG") != "" || *operator == "" {
@@ -73,20 +76,22 @@
 		if n.MemoryMB > 0 { // the collector works harder well before the node would be killed
 			debug.SetMemoryLimit(int64(n.MemoryMB) << 20 * 6 / 10)
 		}
-		core, _, err := serve(l, n)
+		node, _, err := serve(l, n)
 		if err != nil {
 			return err
 		}
-		cores, seed, exit = append(cores, core), n.Seed, platformExit
+		cores, seed, exit = append(cores, node.core), n.Seed, platformExit
+		reloads = append(reloads, func() { node.reload(config.DiscoveryNow(os.Getenv("GW_CONFIG"))) })
 	}
 	if *operator != "" {
-		more, _, err := serveOperator(l, *operator, seed)
+		more, op, err := serveOperator(l, *operator, seed)
 		if err != nil {
 			return err
 		}
 		cores = append(cores, more...)
+		reloads = append(reloads, op.reread)
 	}
-	leaveOnSignal(l, cores, exit)
+	signals.follow(l, reloads, func() { leave(l, cores, exit) })
 	return l.Run()
 }
 
@@ -111,25 +116,63 @@
 	return err
 }
 
-// leaveOnSignal begins the planned stop at SIGTERM or SIGINT.
-func leaveOnSignal(l *loop.Loop, cores []*edge.Core, exit time.Duration) {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+// signals has a channel for each kind, so that no number of SIGHUPs can crowd out the planned stop. SIGHUPs that come
+// while one waits are one with it: the file is read after all of them.
+type signals struct{ reload, stop chan os.Signal }
+
+func takeSignals() signals {
+	s := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	return s
+}
+
+// follow has the loop read its files again at each SIGHUP, and leave at the first SIGTERM or SIGINT.
+func (s signals) follow(l *loop.Loop, reloads []func(), leave func()) {
 	go func() {
-		<-stop
-		l.Post(func() {
-			now := l.Now()
-			for _, core := range cores {
-				log.Printf("leaving: %v", core)
-				core.Drain(now.Add(drainTime), func() { log.Printf("left: %v", core) })
-			}
-			l.At(now.Add(exit), l.Stop)
-		})
+		for range s.reload {
+			l.Post(func() {
+				for _, fn := range reloads {
+					fn()
+				}
+			})
+		}
+	}()
+	go func() {
+		<-s.stop
+		l.Post(leave)
 	}()
 }
 
+// leave begins the planned stop.
+func leave(l *loop.Loop, cores []*edge.Core, exit time.Duration) {
+	now := l.Now()
+	for _, core := range cores {
+		log.Printf("leaving: %v", core)
+		core.Drain(now.Add(drainTime), func() { log.Printf("left: %v", core) })
+	}
+	l.At(now.Add(exit), l.Stop)
+}
+
+// node is the platform's front with its core.
+type node struct {
+	core  *edge.Core
+	watch *cluster.Watch
+}
+
+// reload moves the watch to the address that the configuration names now. All else stays: the list as last told, the
+// connections, and with a file that can't be read the address too.
+func (n *node) reload(discovery string, err error) {
+	if err != nil {
+		log.Printf("kept the configuration as it was: %v", err)
+		return
+	}
+	log.Printf("discovery is at %s", discovery)
+	n.watch.Move(discovery)
+}
+
 // serve puts a node together on a loop that is not running yet.
-func serve(l *loop.Loop, n config.Node) (*edge.Core, netip.AddrPort, error) {
+func serve(l *loop.Loop, n config.Node) (*node, netip.AddrPort, error) {
 	var at netip.AddrPort
 	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
 	// of slow messages has no like here, and the module must do without.
@@ -171,5 +214,5 @@
 	if len(known) > 0 {
 		front.Ready()
 	}
-	return core, at, nil
+	return &node{core, watch}, at, nil
 }
--- a/cmd/spurwinch/operator.go
+++ b/cmd/spurwinch/operator.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"log"
 	"net/netip"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"spurwinch/choice"
@@ -35,7 +32,8 @@
 	front *xmpp.Front
 	at    []netip.AddrPort
 	cores map[string]*edge.Core
-	seen  map[string]time.Time // when a static host came in, by cluster and id; zero: with the start
+	watch map[string]*cluster.Watch // of the clusters with a discovery
+	seen  map[string]time.Time      // when a static host came in, by cluster and id; zero: with the start
 }
 
 // serveOperator sets up the fronts and clusters of an operator's file.
@@ -44,7 +42,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	op := &operated{path: path, loop: l, cores: map[string]*edge.Core{}, seen: map[string]time.Time{}}
+	op := &operated{path: path, loop: l, cores: map[string]*edge.Core{},
+		watch: map[string]*cluster.Watch{}, seen: map[string]time.Time{}}
 	var all []*edge.Core
 	for i, c := range o.Clusters {
 		var core *edge.Core
@@ -57,6 +56,7 @@
 		}
 		if c.Discovery != "" {
 			watch = cluster.New(l, c.Discovery, nil, core.List)
+			op.watch[c.Name] = watch
 		}
 		op.cores[c.Name] = core
 		all = append(all, core)
@@ -79,13 +79,6 @@
 		op.at = append(op.at, ap)
 		log.Printf("listening for %s at %s", ls.Protocol, ap)
 	}
-	again := make(chan os.Signal, 1)
-	signal.Notify(again, syscall.SIGHUP)
-	go func() {
-		for range again {
-			l.Post(op.reread)
-		}
-	}()
 	return all, op, nil
 }
 
@@ -102,7 +95,7 @@
 	}
 }
 
-// reread takes in the static hosts of the file as it is now. A file that can't be read changes nothing.
+// reread takes in the static hosts and the discovery addresses of the file as it is now. A file that can't be read changes nothing.
 func (op *operated) reread() {
 	o, err := config.ReadOperator(op.path)
 	if err != nil {
@@ -110,9 +103,14 @@
 		return
 	}
 	for _, c := range o.Clusters {
-		core := op.cores[c.Name]
-		if core == nil || c.Discovery != "" {
-			log.Printf("cluster %q: a new cluster, or a discovery, needs a restart", c.Name)
+		core, watch := op.cores[c.Name], op.watch[c.Name]
+		if core == nil || (watch != nil) != (c.Discovery != "") {
+			log.Printf("cluster %q: a new cluster, or one that gains or loses its discovery, needs a restart", c.Name)
+			continue
+		}
+		if watch != nil {
+			log.Printf("cluster %q: discovery is at %s", c.Name, c.Discovery)
+			watch.Move(c.Discovery)
 			continue
 		}
 		hosts := c.StaticHosts(op.first(c.Name, op.loop.Now()))
--- a/cmd/spurwinch/program_test.go
+++ b/cmd/spurwinch/program_test.go
@@ -106,6 +106,95 @@
 	}
 }
 
+// TestReload replaces the configuration of a started program, as the platform does: the watch moves to the new address
+// although GW_DISCOVERY names the old one, a bad file changes nothing, and no number of SIGHUPs keeps SIGTERM out.
+func TestReload(t *testing.T) {
+	bin := build(t)
+	p := &exchange.Player{Values: map[string]string{}}
+	host, other := p.Listen(t, "h1"), p.Listen(t, "h2")
+	old, next := p.Listen(t, "d1"), p.Listen(t, "d2")
+	entry := func(id, addr string) string {
+		return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}`, id, addr)
+	}
+	p.Values["list"] = fmt.Sprintf(`{"version":3,"full":true,"servers":[%s]}`, entry("s-2", other))
+	p.Values["length"] = fmt.Sprint(len(p.Values["list"]))
+	path := filepath.Join(t.TempDir(), "config.json")
+	var run *program
+	put := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Error(err)
+		}
+		if run != nil {
+			run.cmd.Process.Signal(syscall.SIGHUP)
+		}
+	}
+	config := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"memory_mb":64,"sockets":384},
+		 "known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, discovery, entry("s-1", host), strings.NewReplacer("REPORTS", "off", `"mayProbe":true`, `"mayProbe":false`).Replace(settings))
+	}
+	put(config("127.0.0.1:9"))
+	run = launch(t, bin, []string{"GW_CONFIG=" + path, "GW_DISCOVERY=" + old})
+	p.Addr = run.addr
+	p.Do = map[string]func(){
+		"bad":  func() { put(`{"discovery":`) },
+		"none": func() { put(`{"name":"n1"}`) },
+		"move": func() { put(config(next)) },
+		"end": func() {
+			for range 20 {
+				run.cmd.Process.Signal(syscall.SIGHUP)
+			}
+			run.cmd.Process.Signal(syscall.SIGTERM)
+			run.cmd.Process.Signal(syscall.SIGHUP)
+		},
+	}
+	p.Play(t, `
+a accept d1
+a < GET /v1/servers?after=41&wait_ms=10000 HTTP/1.1\r\nHost: {*}\r\nAccept: application/json\r\n
+c open
+c > OPEN 01 01 c=chat,d=2000
+s accept h1
+s < OPEN 01 01 c=chat,d={*}
+s > UP 1
+c < UP 1
+do bad
+a < SILENCE
+do none
+a < SILENCE
+do move
+a < END
+b accept d2
+b < GET /v1/servers HTTP/1.1\r\nHost: {*}\r\nAccept: application/json\r\n
+# The known list stands until the new address has answered, and so do open connections.
+e open
+e > OPEN 02 01 c=chat,d=2000
+f accept h1
+f < OPEN 02 01 c=chat,d={*}
+f > UP 2
+e < UP 2
+b >> HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}
+b < GET /v1/servers?after=3&wait_ms=10000 HTTP/1.1\r\nHost: {*}\r\nAccept: application/json\r\n
+g open
+g > OPEN 03 01 c=chat,d=2000
+k accept h2
+k < OPEN 03 01 c=chat,d={*}
+k > UP 3
+g < UP 3
+c > still here
+s < still here
+do end
+c < MOVE
+c < END
+`[1:])
+	select {
+	case err := <-run.done:
+		if err != nil {
+			t.Fatal("the program ended with ", err)
+		}
+	case <-time.After(60 * time.Second):
+		t.Fatal("the program does not end after SIGTERM")
+	}
+}
+
 // TestBadStart checks that a start that can't be gives one line on standard error and a status other than 0.
 func TestBadStart(t *testing.T) {
 	bin := build(t)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// Move has the watch follow discovery at another address from now on. The list stands as it was told; the service there
+// may count its versions anew, so the whole list is asked for. What the old address may still answer is not heard.
+func (w *Watch) Move(addr string) {
+	if addr == w.addr {
+		return
+	}
+	w.addr, w.version, w.have = addr, 0, false
+	w.close()
+	if w.calling {
+		w.stop()
+	}
+	w.ask()
+}
+
 func (w *Watch) ask() {
 	w.calling = true
 	path, until := "/v1/servers", listTime
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,14 +46,10 @@
 	if path == "" {
 		return Node{}, errors.New("GW_CONFIG is not set")
 	}
-	raw, err := os.ReadFile(path)
+	f, err := read(path)
 	if err != nil {
 		return Node{}, err
 	}
-	var f file
-	if err := json.Unmarshal(raw, &f); err != nil {
-		return Node{}, fmt.Errorf("%s: %w", path, err)
-	}
 	n := Node{Name: or(getenv("GW_NAME"), f.Name), Listen: or(getenv("GW_LISTEN"), f.Listen),
 		Discovery: or(getenv("GW_DISCOVERY"), f.Discovery), Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, Known: f.Known}
 	for _, a := range []struct{ what, addr string }{{"listen", n.Listen}, {"discovery", n.Discovery}} {
@@ -77,6 +73,30 @@
 	return n, nil
 }
 
+func read(path string) (f file, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return f, err
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return f, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// DiscoveryNow is the address of discovery in a configuration that was replaced while the node runs. No variable
+// beats it: those are as old as the process.
+func DiscoveryNow(path string) (string, error) {
+	f, err := read(path)
+	if err != nil {
+		return "", err
+	}
+	if _, err := netip.ParseAddrPort(f.Discovery); err != nil {
+		return "", fmt.Errorf("%s: discovery address %q is not IP:PORT", path, f.Discovery)
+	}
+	return f.Discovery, nil
+}
+
 func or(a, b string) string {
 	if a != "" {
 		return a
