Bad clients: idle connections go first, OPEN lines are read strictly, ends linger bounded

Checked with every first line in the log: 1154 connections said PING and stayed (an hour was theirs), 840 said nothing (10 s), so the limit in downstream.Accept cut usual clients off; 16 lines had a d of 23 digits, went to hosts, got ERR four times each and counted as the hosts' failures. The front's own PINGs end at once by themselves. At fault: downstream.Accept and firstLineTime; the PING branch; parse (ParseFloat); early bytes passed on behind a request; conn.shutdown's one second; edge.Request.Gone for a second request under an open id. XMPP has the same guards: its sessions wait in the same queue until the header, header_time is 2.5 s.

--- a/cmd/spurwinch/exchange_test.go
+++ b/cmd/spurwinch/exchange_test.go
@@ -76,7 +76,8 @@
 // TestPlatform plays the exchanges of the platform's protocol: clients, hosts and discovery.
 func TestPlatform(t *testing.T) {
 	each(t, "platform", func(t *testing.T, text string) {
-		p := &exchange.Player{Values: map[string]string{"long": strings.Repeat("x", 5000)}}
+		p := &exchange.Player{Values: map[string]string{"long": strings.Repeat("x", 5000),
+			"hundreds": strings.Repeat(`OPEN 01 01 c=chat,d=2000\r\n`, 300)}}
 		l, err := loop.New()
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/spurwinch/limit_test.go
+++ b/cmd/spurwinch/limit_test.go
@@ -11,6 +11,7 @@
 
 	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
+	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/wire"
 )
@@ -39,7 +40,7 @@
 			}()
 		}
 	}()
-	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: spareSockets + 20}
+	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: spareSockets + 24}
 	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
 		t.Fatal(err)
 	}
@@ -98,3 +99,91 @@
 		}
 	}
 }
+
+// TestSilentCrowd checks that clients that say nothing, or said PING once and stay, go one by one when others come: the
+// oldest first, with an answer or an end, while each client with a request is served.
+func TestSilentCrowd(t *testing.T) {
+	p := &exchange.Player{}
+	host := p.Listen(t, "h1")
+	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: spareSockets + 64, MemoryMB: 32}
+	var err error
+	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
+		t.Fatal(err)
+	}
+	if n.Known, err = cluster.Parse([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"state":"SERVING"}]}`, host))); err != nil {
+		t.Fatal(err)
+	}
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, at, err := serve(l, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Addr = at.String()
+	start(t, l)
+	crowd := func(say string) (all []net.Conn) {
+		for range 150 {
+			c, err := net.Dial("tcp", p.Addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { c.Close() })
+			c.Write([]byte(say))
+			all = append(all, c)
+		}
+		return all
+	}
+	serveOne := func(id string) {
+		p.Play(t, strings.ReplaceAll("c open\nc > OPEN ID 01 c=chat,d=4000\ns accept h1\ns < OPEN ID 01 c=chat,d={*}\ns > UP 1\nc < UP 1\n", "ID", id))
+	}
+	all := crowd("")
+	serveOne("01")
+	all = append(all, crowd("PING\r\n")...)
+	serveOne("02")
+	for i, c := range all {
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		got, err := io.ReadAll(c)
+		if s := string(got); s != "BUSY\r\n" && s != "ERR\r\n" && s != "PONG\r\n" || err != nil {
+			t.Fatalf("connection %d: %q, %v", i, got, err)
+		}
+	}
+}
+
+// TestHugeValue checks that a client gets its error although it sends 60 MB before it reads anything.
+func TestHugeValue(t *testing.T) {
+	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1}
+	var err error
+	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
+		t.Fatal(err)
+	}
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, at, err := serve(l, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start(t, l)
+	c, err := net.Dial("tcp", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	piece := []byte(strings.Repeat("x", 1<<20))
+	for i := range 60 {
+		// Slower than the second that an end once lingered in all.
+		if i%20 == 0 {
+			time.Sleep(600 * time.Millisecond)
+		}
+		if _, err := c.Write(piece); err != nil {
+			t.Fatalf("after %d MB: %v", i, err)
+		}
+	}
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if got, err := io.ReadAll(c); string(got) != "ERR\r\n" || err != nil {
+		t.Errorf("%q, %v", got, err)
+	}
+}
--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -41,6 +41,7 @@
 	// Before anything else: a signal that nobody takes yet would end the process.
 	signals := takeSignals()
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	log.SetOutput(&quiet{out: os.Stderr, now: time.Now})
 	if err := run(os.Args[1:], signals); err != nil {
 		fmt.Fprintln(os.Stderr, "spurwinch:", err)
 		os.Exit(1)
@@ -188,6 +189,7 @@
 	if sockets <= 0 {
 		sockets = defaultSockets
 	}
+	l.Limit(sockets-spareSockets-sockets/8, sockets, int64(n.MemoryMB)<<20)
 	front := downstream.New(downstream.Options{Loop: l, Core: core, Upstream: hosts, Classes: n.Settings.ClassByName,
 		Tenants: n.Settings.TenantByName, Settings: n.Settings.Settings, MostOpen: sockets - spareSockets})
 	watch = cluster.New(l, n.Discovery, n.Known, func(k choice.ListKind, news []edge.UpstreamHost) {
--- a/cmd/spurwinch/operator.go
+++ b/cmd/spurwinch/operator.go
@@ -68,6 +68,7 @@
 		i, class := o.Class(d.Class)
 		domains[d.Name] = xmpp.Domain{Core: op.cores[d.Cluster], Class: i, Patience: time.Duration(class.Patience)}
 	}
+	l.Limit(o.Limits.Connections-o.Limits.Connections/8, o.Limits.Connections, 0)
 	front := xmpp.New(l, domains, xmpp.Limits{Stanza: o.Limits.StanzaBytes, Early: o.Limits.EarlyBytes,
 		HeaderTime: time.Duration(o.Limits.HeaderTime), MostOpen: o.Limits.Connections}, seed)
 	op.front = front
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -126,7 +126,7 @@
 	fill(&o.Limits.Connections, 4096)
 	fill(&o.Limits.StanzaBytes, 256<<10)
 	fill(&o.Limits.EarlyBytes, 64<<10)
-	fill(&o.Limits.HeaderTime, Duration(5*time.Second))
+	fill(&o.Limits.HeaderTime, Duration(2500*time.Millisecond))
 	if o.Limits.Connections < 0 || o.Limits.StanzaBytes < 10000 || o.Limits.StanzaBytes > 512<<10 || o.Limits.EarlyBytes < 4096 || o.Limits.EarlyBytes > 512<<10 {
 		return errors.New("limits: connections must be positive, stanza_bytes 10000 to 524288, early_bytes 4096 to 524288")
 	}
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"io"
 	"log"
+	"math"
 	"strconv"
 	"time"
 
@@ -17,11 +18,14 @@
 )
 
 const (
-	firstLineTime = 10 * time.Second // for the first line of a connection
-	pinnedTime    = 39 * time.Second // for a connection open before the run; it counts as lost after 40 s
-	mostEarly     = 32 << 10         // bytes that a client may send before its connection is up
-	politeOver    = 16               // connections beyond the limit that are refused with an answer
-	mostPatience  = time.Hour        // a longer d counts as this
+	// openTime is for the OPEN line, from the connection on, whatever else was said: who sends nothing that can be
+	// served gets an error or an end within 3 s.
+	openTime     = 2500 * time.Millisecond
+	readyTime    = 30 * time.Second // for PONG, at a node that knows no hosts yet
+	pinnedTime   = 39 * time.Second // for a connection open before the run; it counts as lost after 40 s
+	politeOver   = 16               // connections beyond the limit that are refused with an answer
+	mostPatience = time.Hour        // a longer d counts as this
+	mostLoad     = 1e9              // a larger h is no load
 )
 
 // Front serves the platform's clients.
@@ -66,24 +70,43 @@
 	f.waiting = nil
 }
 
-// Accept takes a new connection. Beyond the limit some are still taken, for PING and to refuse politely; then none,
-// which guards the descriptors that discovery, probes and attempts in hand need.
+// Accept takes a new connection. The loop has made room for it, as far as others had not said yet what they want. Beyond
+// the limit some are still taken, for PING and to refuse politely; then none, which guards the descriptors that
+// discovery, probes and attempts in hand need.
 func (f *Front) Accept(c *loop.Conn) loop.Handler {
 	if f.loop.Open() > f.most+politeOver {
 		return nil
 	}
 	s := &session{front: f, conn: c}
-	s.stop = f.loop.At(f.loop.Now().Add(firstLineTime), s.drop)
+	s.stop = f.loop.At(f.loop.Now().Add(openTime), s.late)
 	return s
 }
 
+// late ends a connection that has not said in time what it wants.
+func (s *session) late() {
+	if s.pinged {
+		s.drop()
+	} else {
+		s.malformed("no line in time")
+	}
+}
+
+// Leave answers a client whose connection is wanted for another one, before it has said what it wants.
+func (s *session) Leave() {
+	if s.pinged {
+		s.drop()
+	} else {
+		s.finish(busy(0))
+	}
+}
+
 // session is one client's connection: it waits for the first line, then for its answer, then it is open.
 type session struct {
 	front   *Front
 	conn    *loop.Conn
 	in      line.Reader
 	first   []byte
-	early   []byte // what the client sent after its first line, until the connection is up
+	pinged  bool
 	request *edge.Request
 	host    *upstream.Request
 	open    bool
@@ -96,32 +119,24 @@
 // OnConnect is for connections dialled; a client's is up from the start.
 func (s *session) OnConnect() {}
 
-// OnData takes the client's bytes.
+// OnData takes the client's bytes. Before its connection is up a client sends one line and waits: what comes on top is
+// no request, and must not reach a host behind one that looks sound.
 func (s *session) OnData(p []byte) {
 	switch {
 	case s.over:
 	case s.open:
 		s.forward(p)
 	case s.request != nil:
-		if len(s.early)+len(p) > mostEarly {
-			s.conn.Pause()
-		}
-		s.early = append(s.early, p...)
+		s.malformed("more before its answer")
 	default:
-		for len(p) > 0 && s.request == nil && !s.over {
-			l, rest, err := s.in.Next(p)
-			if err != nil {
-				s.malformed("a first line that is too long")
-				return
-			}
-			if l == nil {
-				return
-			}
+		l, rest, err := s.in.Next(p)
+		switch {
+		case err != nil:
+			s.malformed("a first line that is too long")
+		case l != nil && len(rest) > 0:
+			s.malformed("more than one line at once")
+		case l != nil:
 			s.line(l)
-			p = rest
-		}
-		if len(p) > 0 && !s.over {
-			s.early = append(s.early, p...)
 		}
 	}
 }
@@ -133,11 +148,12 @@
 	}
 	t := line.Trim(l)
 	if string(t) == "PING" {
-		s.cancelTimer()
-		s.stop = s.front.loop.At(s.front.loop.Now().Add(mostPatience), s.drop)
+		s.pinged = true
 		if s.front.ready {
 			s.pong()
 		} else if len(s.front.waiting) < 1024 {
+			s.cancelTimer()
+			s.stop = s.front.loop.At(s.front.loop.Now().Add(readyTime), s.drop)
 			s.front.waiting = append(s.front.waiting, s)
 		}
 		return
@@ -147,6 +163,10 @@
 		s.malformed(why)
 		return
 	}
+	if s.front.core.Holds(spec.ID) {
+		s.malformed("the id of a request that is still open")
+		return
+	}
 	s.cancelTimer()
 	if s.front.loop.Open()+2 > s.front.most {
 		// Guards against running out of descriptors half way: a request taken needs one more for its host.
@@ -154,6 +174,7 @@
 		s.finish(busy(time.Second))
 		return
 	}
+	s.conn.Spoke()
 	s.first = bytes.Clone(l)
 	s.request = s.front.core.Open(spec, s)
 }
@@ -174,6 +195,9 @@
 	if len(id) == 0 || len(id) > 64 {
 		return spec, "an OPEN without an id"
 	}
+	if name := line.Repeated(list); name != "" {
+		return spec, "an OPEN that names a field twice"
+	}
 	spec.ID = choice.RequestID(id)
 	var err error
 	if spec.Key, err = strconv.ParseUint(string(key), 16, 64); err != nil {
@@ -203,32 +227,39 @@
 		}
 	}
 	if v, ok := get("h"); ok {
-		if spec.Load, err = strconv.ParseFloat(v, 64); err != nil {
-			return spec, "an OPEN whose h is no number"
+		// ParseFloat takes NaN and Inf for numbers; the module must see neither, nor a load below none.
+		if spec.Load, err = strconv.ParseFloat(v, 64); err != nil || !(spec.Load >= 0 && spec.Load <= mostLoad) {
+			return spec, "an OPEN whose h is no load"
 		}
 	}
 	if v, _ := get("again"); v == "1" {
 		spec.Returned = true
 	}
 	patience := f.patience[class]
+	at, pinned := get("at")
 	if v, ok := get("d"); ok {
 		ms, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(ms >= 0) {
+		// A host answers a d that it cannot read with ERR; such a line must end here, or it would look like the host's
+		// failure. Connections open before the run come with a d far beyond any real patience.
+		if err != nil || !(ms >= 0) || math.IsInf(ms, 0) || !pinned && ms > math.MaxUint32 {
 			return spec, "an OPEN whose d is no time: " + strconv.QuoteToASCII(v[:min(len(v), 24)])
 		}
-		// Connections open before the run come with a d far beyond any real patience.
 		patience = time.Duration(min(ms, float64(mostPatience.Milliseconds())) * float64(time.Millisecond))
 	}
-	if v, ok := get("at"); ok && v != "" {
-		spec.At, patience = choice.ServerID(v), pinnedTime
+	if at != "" {
+		spec.At, patience = choice.ServerID(at), pinnedTime
 	}
 	spec.Deadline = f.loop.Now().Add(patience)
 	return spec, ""
 }
 
+// malformed answers what can't be served. A request that the client has out is called off: it is the core's no more.
 func (s *session) malformed(why string) {
 	log.Printf("downstream: a client sent %s", why)
 	s.finish([]byte("ERR\r\n"))
+	if s.request != nil {
+		s.request.Gone()
+	}
 }
 
 func busy(after time.Duration) []byte {
@@ -256,7 +287,7 @@
 func (s *session) done() {
 	s.over = true
 	s.cancelTimer()
-	s.early, s.first = nil, nil
+	s.first = nil
 }
 
 func (s *session) cancelTimer() {
@@ -286,11 +317,6 @@
 	s.open = true
 	s.conn.Write(first)
 	s.first = nil
-	s.conn.Resume()
-	if early := s.early; len(early) > 0 {
-		s.early = nil
-		s.forward(early)
-	}
 	s.throttle()
 }
 
@@ -332,10 +358,10 @@
 	if s.over || !s.open {
 		return
 	}
-	if s.conn.Buffered() > loop.HighWater {
+	if s.conn.Full() {
 		s.host.Pause()
 	}
-	if s.host.Buffered() > loop.HighWater {
+	if s.host.Full() {
 		s.conn.Pause()
 	}
 }
@@ -394,6 +420,10 @@
 		return
 	}
 	reset := err != io.EOF
+	if !reset && !s.open && s.in.Mid() {
+		s.malformed("half a line and the end")
+		return
+	}
 	s.done()
 	if s.open {
 		s.host.End(reset)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -372,7 +372,8 @@
 		return
 	}
 	r.over = true
-	if !r.open {
+	// A second request under the id of another is not the module's, and must not end the first one there.
+	if !r.open && r.core.requests[r.ID] == r {
 		r.core.tell(choice.ClientGone{ID: r.ID})
 	}
 	if r.attempt != nil {
@@ -569,6 +570,9 @@
 	return 0
 }
 
+// Holds reports whether a request of this id is open.
+func (c *Core) Holds(id choice.RequestID) bool { return c.requests[id] != nil }
+
 // Held counts the requests and connections that the core holds.
 func (c *Core) Held() int { return len(c.requests) }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,7 +9,7 @@
 //	c > TEXT            send TEXT and CRLF; >> sends it without
 //	c < TEXT            the next bytes that come must be TEXT and CRLF; << without
 //	c < END             or RESET, or SILENCE: the end, a reset, or nothing for a moment
-//	c end               close; or reset
+//	c end               close; or reset; or half, which ends the sending only
 //	do NAME             call back into the test
 //
 // In what is sent, {NAME} is replaced by a value of the test; in what must come, {*} stands for any text without quotes,
@@ -154,6 +154,8 @@
 		return expect(c, text)
 	case "end":
 		return c.Close()
+	case "half":
+		return c.CloseWrite()
 	case "reset":
 		c.SetLinger(0)
 		return c.Close()
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -4,11 +4,14 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 )
 
 // Max is the longest line, its CRLF included.
 const Max = 4 << 10
 
+const mostFields = 32 // in a list of names and values; none has that many
+
 // ErrTooLong says that a line runs past Max.
 var ErrTooLong = errors.New("line too long")
 
@@ -37,6 +40,9 @@
 	return l, rest, nil
 }
 
+// Mid reports whether the last byte seen is inside a line.
+func (r *Reader) Mid() bool { return len(r.part) > 0 }
+
 // Scan calls fn for each line that ends in p and keeps the start of the next. It stops at a line that is too long.
 func (r *Reader) Scan(p []byte, fn func(l []byte)) error {
 	for len(p) > 0 {
@@ -113,6 +119,21 @@
 	return -1, -1
 }
 
+// Repeated returns a name that stands twice or without a value in "name=value,name=value", else nothing. Who reads the
+// first of two and who reads the last would take the same line for two different requests.
+func Repeated(list []byte) string {
+	var seen [mostFields][]byte
+	n := 0
+	for f := range bytes.SplitSeq(list, []byte(",")) {
+		name, _, ok := bytes.Cut(f, []byte("="))
+		if !ok || n == mostFields || slices.ContainsFunc(seen[:n], func(o []byte) bool { return bytes.Equal(o, name) }) {
+			return string(f)
+		}
+		seen[n], n = name, n+1
+	}
+	return ""
+}
+
 // FieldsAt is where the list of an OPEN line starts: after its third blank.
 func FieldsAt(l []byte) int {
 	at := 0
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"io"
@@ -13,14 +14,19 @@
 )
 
 const (
-	// HighWater is how much may wait to be written to a connection before its source should be paused.
-	HighWater = 64 << 10
-	// mostWaiting guards memory against a source that ignores HighWater: such a connection is cut off.
+	// mostWaiting guards memory against a source that ignores Full: such a connection is cut off.
 	mostWaiting = 1 << 20
 	flushTime   = 900 * time.Millisecond // for what still waits when a connection ends: a host that ended must be seen within a second
-	lingerTime  = time.Second            // for the other side's end, once ours is sent
+	lingerTime  = time.Second            // for the other side's end, once ours is sent and nothing more comes
+	// While the other side still sends, its bytes are dropped a little longer: closing over them would be a reset, which
+	// may eat the answer before it is read. 60 MB at full speed take a fraction of this.
+	mostLinger  = 5 * time.Second
+	mostDropped = 128 << 20
 )
 
+// sink takes bytes that are dropped. The kernel writes nothing there (MSG_TRUNC), so it costs no memory.
+var sink [256 << 10]byte
+
 // ErrTimeout says that a connection was not made in time.
 var ErrTimeout = errors.New("not connected in time")
 
@@ -47,6 +53,10 @@
 	closed    bool
 	events    int // what the poller watches: a sum of watchRead and watchWrite
 	stopTimer func()
+	place     *list.Element // in the queue of those that may go for others
+	lastBy    time.Time     // ending: closed by then whatever still comes
+	dropped   int           // ending: bytes that came and were dropped
+	heard     bool          // ending: bytes came since the timer was set
 }
 
 const (
@@ -86,8 +96,8 @@
 // SetHandler hands the connection's callbacks to another handler.
 func (c *Conn) SetHandler(h Handler) { c.h = h }
 
-// Buffered is how much waits to be written.
-func (c *Conn) Buffered() int { return len(c.out) }
+// Full says that so much waits to be written that the source should be paused.
+func (c *Conn) Full() bool { return len(c.out) > c.l.highWater }
 
 // Write sends p, or keeps what the kernel does not take yet.
 func (c *Conn) Write(p []byte) {
@@ -144,6 +154,8 @@
 	}
 	c.ending, c.paused = true, false
 	c.cancelTimer()
+	c.Spoke()
+	c.wait()
 	if len(c.out) > 0 {
 		c.stopTimer = c.l.At(c.l.Now().Add(flushTime), c.close)
 		c.register()
@@ -160,10 +172,48 @@
 	c.shut = true
 	unix.Shutdown(c.fd, unix.SHUT_WR)
 	c.cancelTimer()
-	c.stopTimer = c.l.At(c.l.Now().Add(lingerTime), c.close)
+	c.lastBy = c.l.Now().Add(mostLinger)
+	c.linger()
 	c.register()
 }
 
+// linger waits for the other side's end, as long as it goes on sending within the bounds.
+func (c *Conn) linger() {
+	c.heard = false
+	by := c.l.Now().Add(lingerTime)
+	if by.After(c.lastBy) {
+		by = c.lastBy
+	}
+	c.stopTimer = c.l.At(by, func() {
+		if c.heard && c.l.Now().Before(c.lastBy) {
+			c.linger()
+			return
+		}
+		c.close()
+	})
+}
+
+// drop takes what comes after the end of this side.
+func (c *Conn) drop() {
+	n, _, err := unix.Recvfrom(c.fd, sink[:], unix.MSG_TRUNC)
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+	case err != nil:
+		c.close()
+	case n == 0:
+		c.eof = true
+		c.register()
+		if len(c.out) == 0 {
+			c.close()
+		}
+	default:
+		c.heard = true
+		if c.dropped += n; c.dropped > mostDropped {
+			c.close()
+		}
+	}
+}
+
 // Abort cuts the connection off (RST); what waits is dropped.
 func (c *Conn) Abort() {
 	if c.closed {
@@ -180,6 +230,7 @@
 		return
 	}
 	c.closed = true
+	c.Spoke()
 	c.cancelTimer()
 	if c.fd < 0 {
 		return
@@ -309,6 +360,10 @@
 }
 
 func (c *Conn) read() {
+	if c.ending {
+		c.drop()
+		return
+	}
 	n, err := unix.Read(c.fd, c.l.buf[:])
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
@@ -317,12 +372,8 @@
 	case n == 0:
 		c.eof = true
 		c.register()
-		if !c.ending {
-			c.h.OnEnd(io.EOF)
-		} else if len(c.out) == 0 {
-			c.close()
-		}
-	case !c.ending:
+		c.h.OnEnd(io.EOF)
+	default:
 		c.h.OnData(c.l.buf[:n])
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,6 +9,7 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"errors"
 	"fmt"
 	"log"
@@ -42,6 +43,9 @@
 	stopping  bool
 	listeners []int
 	open      int
+	idle      list.List // connections that may go for others, oldest first: see room.go
+	most      int       // connections from which on they go; 0: never
+	highWater int
 }
 
 // New makes a loop that is not running yet.
@@ -50,7 +54,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("loop: %w", err)
 	}
-	l := &Loop{poller: p, fds: map[int]func(uint32){}, spare: -1}
+	l := &Loop{poller: p, fds: map[int]func(uint32){}, spare: -1, highWater: mostWater}
 	l.timerFD, err = unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("loop: timerfd: %w", err)
@@ -259,11 +263,13 @@
 		setOptions(fd)
 		c := &Conn{l: l, fd: fd, connected: true}
 		l.open++
+		l.makeRoom()
 		c.h = accept(c)
 		if c.h == nil {
 			c.Abort()
 			continue
 		}
+		c.wait()
 		l.fds[fd] = c.ready
 		c.register()
 	}
--- /dev/null
+++ b/internal/loop/room.go
@@ -0,0 +1,70 @@
+package loop
+
+import "container/list"
+
+// Room for those who have something to say. Clients that connect and say nothing, or that linger after their answer,
+// could otherwise hold all descriptors, and the next one that comes would be cut off, whoever it is. So they wait in one
+// queue, oldest first, and above a number of connections the oldest goes whenever another one comes.
+
+const (
+	leastWater = 4 << 10
+	mostWater  = 64 << 10
+	// waterShare is the part of the memory, as a divisor, that may wait to be written on all connections together.
+	waterShare = 8
+)
+
+// Stranger is a handler whose connection may be wanted for another one before it has said what it wants. Leave gives it
+// its answer; the connection ends right after.
+type Stranger interface{ Leave() }
+
+// Limit sets the number of connections from which on idle ones go, and sizes the buffers so that all of most
+// connections fit the memory. 0: not told. Of several limits the tightest holds.
+func (l *Loop) Limit(idleAbove, most int, memory int64) {
+	if l.most == 0 || idleAbove < l.most {
+		l.most = idleAbove
+	}
+	if most > 0 && memory > 0 {
+		l.highWater = int(min(max(memory/waterShare/int64(most), leastWater), mostWater))
+	}
+}
+
+// wait puts a connection at the end of the queue of those that may go.
+func (c *Conn) wait() {
+	if !c.closed && c.place == nil {
+		c.place = c.l.idle.PushBack(c)
+	}
+}
+
+// Spoke takes a connection out of the queue: it has said what it wants and stays.
+func (c *Conn) Spoke() {
+	if c.place != nil {
+		c.l.idle.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// makeRoom has the oldest of those that wait go, until there are few enough connections.
+func (l *Loop) makeRoom() {
+	for l.most > 0 && l.open > l.most {
+		front := l.idle.Front()
+		if front == nil {
+			return
+		}
+		front.Value.(*Conn).giveWay(front)
+	}
+}
+
+// giveWay ends a connection that has not spoken. What it may have said meanwhile is read first: a client whose words
+// have arrived must not go because the loop hasn't come to read them.
+func (c *Conn) giveWay(place *list.Element) {
+	if !c.ending && c.events&watchRead != 0 {
+		c.read()
+	}
+	if c.closed || c.place != place {
+		return
+	}
+	if s, ok := c.h.(Stranger); ok && !c.ending {
+		s.Leave()
+	}
+	c.close()
+}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -134,8 +134,8 @@
 
 func (r *Request) report(info []byte) []float64 { return r.cluster.report(info) }
 
-// report reads "name=value,name=value" into the order of the settings. A value that is absent or no number is not a
-// number; without any the report is nil.
+// report reads "name=value,name=value" into the order of the settings. A value that is absent, no number or
+// below none is not a number; without any the report is nil.
 func (c *Cluster) report(info []byte) []float64 {
 	if len(info) == 0 {
 		return nil
@@ -149,7 +149,7 @@
 		if from < 0 {
 			continue
 		}
-		if x, err := strconv.ParseFloat(string(info[from:to]), 64); err == nil && !math.IsInf(x, 0) {
+		if x, err := strconv.ParseFloat(string(info[from:to]), 64); err == nil && x >= 0 && !math.IsInf(x, 0) {
 			if out == nil {
 				out = make([]float64, len(c.fields))
 				for j := range out {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"log"
+	"math"
 	"strconv"
 	"time"
 
@@ -144,7 +145,7 @@
 		word, info, _ := bytes.Cut(line.Trim(l), []byte(" "))
 		switch string(word) {
 		case "LOAD":
-			if x, err := strconv.ParseFloat(string(info), 64); err == nil {
+			if x, err := strconv.ParseFloat(string(info), 64); err == nil && x >= 0 && !math.IsInf(x, 0) {
 				r.attempt.Load(x / 1e6)
 			}
 			return
@@ -212,8 +213,8 @@
 	r.watch = r.cluster.loop.At(now.Add(checkEvery/2), r.check)
 }
 
-// Buffered is how much waits to be written to the host.
-func (r *Request) Buffered() int { return r.conn.Buffered() }
+// Full says that the client should be paused: much waits to be written to the host.
+func (r *Request) Full() bool { return r.conn.Full() }
 
 // Pause stops reading from the host; Resume goes on.
 func (r *Request) Pause() { r.conn.Pause() }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -27,7 +27,7 @@
 	if len(got) != 3 || !math.IsNaN(got[0]) || got[1] != 0.25 || got[2] != 1.5 {
 		t.Error(got)
 	}
-	for _, bad := range []string{"", "nothing", "x0=,util=high", "x0=Inf"} {
+	for _, bad := range []string{"", "nothing", "x0=,util=high", "x0=Inf", "x0=-1,util=NaN"} {
 		if got := c.report([]byte(bad)); got != nil {
 			t.Errorf("%q gives %v", bad, got)
 		}
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -77,6 +77,9 @@
 	return s
 }
 
+// Leave answers a client whose connection is wanted for another one, before its header named a domain.
+func (s *session) Leave() { s.fail(resourceConstraint, "connect again") }
+
 // session is one client's connection.
 type session struct {
 	front     *Front
@@ -186,6 +189,7 @@
 		log.Print("xmpp: too many connections: refused one")
 		return resourceConstraint
 	}
+	s.conn.Spoke()
 	s.deadline = s.front.loop.Now().Add(d.Patience)
 	id := choice.RequestID(strconv.FormatUint(s.front.ids.Uint64(), 16))
 	s.request = d.Core.Open(edge.Spec{ID: id, Class: d.Class, Tenant: -1, Key: s.front.ids.Uint64(), Deadline: s.deadline}, s)
@@ -206,7 +210,7 @@
 	}
 	if s.upstream != nil && s.upstream.up && !s.upstream.over {
 		s.upstream.conn.Write(p)
-		if s.upstream.conn.Buffered() > loop.HighWater {
+		if s.upstream.conn.Full() {
 			s.conn.Pause()
 		}
 	}
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -126,7 +126,7 @@
 		s.conn.Write(h.held)
 		h.held = h.held[:0]
 	}
-	if s.conn.Buffered() > loop.HighWater {
+	if s.conn.Full() {
 		h.conn.Pause()
 	}
 }
