Module: a large group goes on as many servers as bear it, by load among them

Checked by a trace of each tick: predictions and reports agree, hosts are rightly ejected; the draw by hash takes one server for a group up to the average + 0.15 (place: n = 1, weight: spillAt), and a node sees averages of the full ones only. Ruled out: outcomes and probes of the sockets (all as sent), bad clients (none at a host). Now place draws as many servers by hash as the group's own told load, over all nodes, needs at 0.7 a server, and load decides among them. A group that fits one server stays together.

New moved to state.go, it decides nothing.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,10 +7,7 @@
 package choice
 
 import (
-	"errors"
-	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +27,7 @@
 	probeSpend  = 0.006           // service worth spending on probes, a first try
 	reportLag   = time.Second     // about as long as a placement takes to show in a report
 	mirrorPrior = 4.0             // mean connections of evidence that a server bears the average
+	groupShare  = 0.7             // load that one group may put on a server before it takes a further one
 	freshFor    = 300 * time.Millisecond
 	holdShare   = 5    // a request waits aim/holdShare for its probes
 	crowded     = 0.85 // predicted load from which on more servers are sampled, and in the end none used
@@ -47,29 +45,6 @@
 	rateMemory  = 10 * time.Second // arrivals: long against gaps between them, short against a day
 )
 
-// New makes the balancer of one node. It acts first on its first Step.
-func New(s Settings, seed uint64, now time.Duration) (*Balancer, error) {
-	switch {
-	case len(s.Classes) == 0:
-		return nil, errors.New("choice: settings have no request class")
-	case s.Limits.Attempts < 0 || s.Nodes < 0:
-		return nil, errors.New("choice: settings have a negative count")
-	}
-	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
-		reqs: map[RequestID]*request{}, kinds: map[string]*costs{}}
-	for i, c := range s.Classes {
-		if c.Repeat > Unsafe || c.Scope > ScopeCell {
-			return nil, fmt.Errorf("choice: class %d: unknown repeat kind or scope", i)
-		}
-		if a := c.MessageAim; a > 0 && (b.minAim == 0 || a < b.minAim) {
-			b.minAim = a
-		}
-	}
-	s.Nodes, s.Limits.Attempts = max(1, s.Nodes), max(1, s.Limits.Attempts)
-	b.set, b.held, b.meanWorth = s, make([]int, len(s.Tenants)), s.Classes[0].Worth
-	return b, nil
-}
-
 // Step takes what happened and returns what to do, in order.
 func (b *Balancer) Step(now time.Duration, events []Event) []Action {
 	b.now, b.out = max(b.now, now), nil
@@ -261,7 +236,7 @@
 
 // weight is the server's weight for a request of the given load, against avg.
 func (b *Balancer) weight(r *request, s *server, load, avg float64) float64 {
-	if r.bind != 0 {
+	if r.bind != 0 && !r.wide {
 		if b.predict(s)+s.cost*load > b.spillAt() {
 			return s.coarse * floorShare
 		}
@@ -413,20 +388,31 @@
 }
 
 func (b *Balancer) chance(r *request, s *server) float64 {
-	if r.bind != 0 {
+	if r.bind != 0 && !r.wide {
 		return (float64(mix(r.bind^s.hash)>>11) + 0.5) / (1 << 53)
 	}
 	return 1 - b.rng.Float64()
 }
 
+// spread is on how many servers a request's group goes: as few as bear it, since each pays for the group
+// once; but one large group must not fill server after server while others idle.
+func (b *Balancer) spread(r *request) int {
+	if !b.set.Grouped {
+		return 1
+	}
+	all := b.groups[r.bind] * float64(b.set.Nodes) * b.meanCost()
+	return int(clamp(math.Ceil(all/groupShare), 1, float64(len(b.servers))))
+}
+
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
 func (b *Balancer) place(r *request) {
 	n := int(clamp(math.Round(probeSpend/max(b.set.Tariffs.Probe, 1e-9)), 2, 4))
-	if r.bind != 0 { // its next server only
-		n = 1
+	if r.bind != 0 { // its next servers only
+		n = b.spread(r)
 	}
+	r.wide = false
 	b.sample(r, n)
-	r.waiting, r.rounds = 0, r.rounds+1
+	r.waiting, r.rounds, r.wide = 0, r.rounds+1, r.bind != 0 && n > 1
 	hold := b.set.Classes[r.Class].SetupAim / holdShare
 	for _, s := range r.picks {
 		if b.set.Reports == NoReports || r.deadline-b.now < 3*hold || s.known && b.now-s.reportAt < freshFor {
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -53,6 +55,7 @@
 	rounds   int       // samples taken for the placement in hand
 	waiting  int       // probes a placement waits for
 	picks    []*server // the sampled table of the placement in hand
+	wide     bool      // its group is on several servers: among the picks load decides
 }
 
 // Balancer decides for one node.
@@ -82,8 +85,32 @@
 	recent    float64 // rate, faded to now
 	asks      int     // failed asks for the list in a row
 	started   bool
-	tellsHeld bool          // reports tell the connections held
-	minAim    time.Duration // shortest wanted message time
+	groups    map[uint64]float64 // own told load by group
+	tellsHeld bool               // reports tell the connections held
+	minAim    time.Duration      // shortest wanted message time
+}
+
+// New makes the balancer of one node. It acts first on its first Step.
+func New(s Settings, seed uint64, now time.Duration) (*Balancer, error) {
+	switch {
+	case len(s.Classes) == 0:
+		return nil, errors.New("choice: settings have no request class")
+	case s.Limits.Attempts < 0 || s.Nodes < 0:
+		return nil, errors.New("choice: settings have a negative count")
+	}
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
+		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{}}
+	for i, c := range s.Classes {
+		if c.Repeat > Unsafe || c.Scope > ScopeCell {
+			return nil, fmt.Errorf("choice: class %d: unknown repeat kind or scope", i)
+		}
+		if a := c.MessageAim; a > 0 && (b.minAim == 0 || a < b.minAim) {
+			b.minAim = a
+		}
+	}
+	s.Nodes, s.Limits.Attempts = max(1, s.Nodes), max(1, s.Limits.Attempts)
+	b.set, b.held, b.meanWorth = s, make([]int, len(s.Tenants)), s.Classes[0].Worth
+	return b, nil
 }
 
 func (b *Balancer) find(id ServerID) *server {
@@ -110,6 +137,7 @@
 			b.held[r.Tenant]--
 		}
 		b.bear(r.on, -r.load)
+		b.group(r, -r.load)
 	}
 	r.on, r.open = nil, false
 }
@@ -209,6 +237,7 @@
 func (b *Balancer) reload(e LoadNote) {
 	if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Load >= 0 && finite(e.Load) {
 		b.bear(r.on, e.Load-r.load)
+		b.group(r, e.Load-r.load)
 		r.load = e.Load
 	}
 }
@@ -231,4 +260,25 @@
 		b.held[r.Tenant]++
 	}
 	b.bear(s, r.load)
+	b.group(r, r.load)
+}
+
+// group adds to what a request's group bears on this node.
+func (b *Balancer) group(r *request, load float64) {
+	if b.set.Grouped && r.Group != 0 {
+		if b.groups[r.Group] += load; b.groups[r.Group] < 1e-9 {
+			delete(b.groups, r.Group)
+		}
+	}
+}
+
+// meanCost is the load that a unit of told load puts on the mean server.
+func (b *Balancer) meanCost() float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.State == Ready {
+			sum, n = sum+s.cost, n+1
+		}
+	}
+	return sum / max(n, 1)
 }
