Slow messages in reports count as load, full hosts give up their excess, stops move late

A host went from 0.18 to 2.36 between two probes 3.8 s apart and dropped all it held. Two connections in all were moved, the first at 24 s: probed() moved one with the chance of the excess, each 3 s. Checked: who is left out (ejected hosts come back by a placement's probe), requests in flight (told equals what is held); ruled out: late reports (none over 0.13 s in a placement), discovery's news, the set-up times. At fault: observe (Latency unread), steer's patrolAfter, probed, edge/drain.go's fixed times. The module's referee now answers probes that the module sends by itself; without answers each asked host counted as silent for ever.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,8 +2,7 @@
 //
 // The ordinary path: each server has a predicted load, told connection load x learned cost anchored at its
 // last report; a PID keeps a local weight for it, high where predicted load is below average; a new
-// connection goes to a weighted draw and stays put. Everything else here is an exception, and says what it
-// guards against.
+// connection goes to a weighted draw and stays put. All else are exceptions that say what they guard against.
 package choice
 
 import (
@@ -40,7 +39,6 @@
 	full        = 1.2  // most that a server counts in the average: few slow ones must not shut the gate
 	spill       = 0.15 // predicted load over the average from which on a group's next server is taken
 	firstEject  = 2 * time.Second
-	lastEject   = 16 * time.Second
 	patrolAfter = 3 * time.Second  // without a report of a server with own connections
 	rateMemory  = 10 * time.Second // arrivals: long against gaps between them, short against a day
 )
@@ -122,7 +120,7 @@
 
 // observe takes a load report: the predicted load is anchored there, and costs learn.
 func (b *Balancer) observe(s *server, report []float64) {
-	load, held, piled := readReport(b.set.Fields, report)
+	load, held, piled, late := readReport(b.set.Fields, report)
 	if math.IsNaN(load) {
 		return
 	}
@@ -133,7 +131,10 @@
 	s.num, s.den = s.num*0.9+load, s.den*0.9+share
 	k := s.kind
 	k.num, k.den, k.n = k.num*costKeep+load, k.den*costKeep+share, k.n*costKeep+1
-	b.anchor(s, load+piled)
+	if load += piled; !b.set.TellsDelay {
+		load = max(load, b.asLoad(late)) // where no notes come, reports alone tell of slow messages
+	}
+	b.anchor(s, load)
 	b.anyKnown = true
 	// Of reports asked for only: predictions lean on it, delay notes come from the overloaded alone.
 	b.sumLoad = fade(b.sumLoad, b.now-b.sumAt, rateMemory)*avgKeep + s.base*min(s.report, full)
@@ -228,7 +229,8 @@
 		s.errSum = clamp(s.errSum*0.9+kI*err*tick.Seconds()*0.1, -windup, windup)
 		s.trim = s.errSum + kD*(s.prevErr-err)*tick.Seconds()
 		s.prevErr = err
-		if !b.set.TellsDelay && s.told > 0 && s.State == Ready && b.now-s.reportAt > patrolAfter {
+		if age := b.now - s.reportAt; !b.set.TellsDelay && s.told > 0 && s.State == Ready &&
+			(age > patrolAfter || s.report > crowded-2*spill && age > tick/2) {
 			b.probe(s) // guards connections whose server filled up later, where nobody tells of slow messages
 		}
 	}
@@ -282,18 +284,24 @@
 
 // strike ejects a server that failed this node, longer each time; a probe or request is then its trial.
 func (b *Balancer) strike(s *server) {
-	s.badUntil = b.now + min(firstEject<<min(s.strikes, 10), lastEject)
+	s.badUntil = b.now + firstEject<<min(s.strikes, 3)
 	s.strikes++
 }
 
+// asLoad is the load that a message's time tells: they slow down only near capacity. 0: not slow.
+func (b *Balancer) asLoad(took time.Duration) float64 {
+	if b.minAim == 0 || took <= b.minAim/3 {
+		return 0
+	}
+	return min(0.7+0.4*took.Seconds()/b.minAim.Seconds(), 1.5)
+}
+
 func (b *Balancer) delayed(e DelayNote) {
 	s := b.find(e.Server)
 	if s == nil || b.minAim == 0 || e.Took <= 0 {
 		return
 	}
-	// messages slow down only near capacity: as good as a report of it
-	p := min(0.7+0.4*e.Took.Seconds()/b.minAim.Seconds(), 1.5)
-	if e.Took > b.minAim/3 && p > b.predict(s) {
+	if p := b.asLoad(e.Took); p > b.predict(s) {
 		b.anchor(s, p)
 	}
 	// Exception to "connections stay put": one whose messages all miss their aim earns nothing where it is.
@@ -397,9 +405,6 @@
 // spread is on how many servers a request's group goes: as few as bear it, since each pays for the group
 // once; but one large group must not fill server after server while others idle.
 func (b *Balancer) spread(r *request) int {
-	if !b.set.Grouped {
-		return 1
-	}
 	all := b.groups[r.bind] * float64(b.set.Nodes) * b.meanCost()
 	return int(clamp(math.Ceil(all/groupShare), 1, float64(len(b.servers))))
 }
@@ -442,8 +447,8 @@
 	} else if s.State == Ready {
 		b.strike(s)
 	}
-	if !b.set.TellsDelay && s.mover == nil && e.Outcome == Served {
-		s.mover = b.anyOpen(s)
+	if !b.set.TellsDelay && e.Outcome == Served {
+		b.relieve(s)
 	}
 	excess := 1 - crowded/s.report
 	if r := s.mover; r != nil && r.open && r.on == s && (e.Outcome != Served || b.rng.Float64() < excess) {
@@ -459,6 +464,17 @@
 	}
 }
 
+// relieve moves the excess off a server that a report shows overloaded, where nobody tells of slow messages:
+// what stays earns again, what goes earned nothing. Not where others are hardly better.
+func (b *Balancer) relieve(s *server) {
+	excess := 1 - max(crowded, b.avg+spill)/b.predict(s) // what is on its way counts, too
+	for _, r := range b.openOn(s) {
+		if b.rng.Float64() < excess {
+			b.out = append(b.out, Move{r.ID})
+		}
+	}
+}
+
 // dispatch sends to one of the sampled servers, drawn by weight; where all are crowded it samples on.
 func (b *Balancer) dispatch(r *request) {
 	r.waiting = 0
--- a/choice/patrol_test.go
+++ b/choice/patrol_test.go
@@ -47,3 +47,34 @@
 		}
 	}
 }
+
+// TestSlowMessagesCountAsLoad checks that a report of slow messages is as good as one of a full server where no notes
+// come: what piled up makes messages late although the load asked looks fine again. The excess goes, not all.
+func TestSlowMessagesCountAsLoad(t *testing.T) {
+	for _, c := range []struct {
+		late  float64
+		moves bool
+	}{{5, false}, {400, true}} {
+		b, err := New(Settings{Nodes: 1, Reports: ProbeReports, Fields: []Field{Latency, Load},
+			Classes: []Class{{Name: "c", SetupAim: time.Second, Deadline: 4 * time.Second, MessageAim: 60 * time.Millisecond}},
+			Limits:  Limits{Attempts: 4, MayProbe: true}, Round: 5 * time.Millisecond}, 1, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		events := []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "idle"}, {ID: "late"}}}}
+		for i := range 40 {
+			events = append(events, OpenConnection{Request{ID: RequestID(fmt.Sprint(i)), Tenant: -1}, "late"})
+		}
+		b.Step(time.Hour, events)
+		b.Step(time.Hour+9*time.Second, []Event{ProbeResult{Server: "idle", Report: []float64{3, 0.1}}})
+		moves := 0
+		for _, a := range b.Step(time.Hour+9*time.Second, []Event{ProbeResult{Server: "late", Report: []float64{c.late, 0.6}}}) {
+			if _, ok := a.(Move); ok {
+				moves++
+			}
+		}
+		if moves > 0 != c.moves || moves > 30 {
+			t.Errorf("messages of %v ms: %d of 40 moved", c.late, moves)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -172,10 +173,10 @@
 }
 
 // readReport finds the values that the module uses in a report; load is not a number where there is none.
-func readReport(fields []Field, report []float64) (load, held, piled float64) {
+func readReport(fields []Field, report []float64) (load, held, piled float64, late time.Duration) {
 	load, held = math.NaN(), math.NaN()
 	if len(report) != len(fields) {
-		return load, held, 0
+		return load, held, 0, 0
 	}
 	for i, f := range fields {
 		switch v := report[i]; {
@@ -186,9 +187,11 @@
 			held = v
 		case f == PiledUp:
 			piled = v
+		case f == Latency:
+			late = time.Duration(min(v, 1e6) * float64(time.Millisecond))
 		}
 	}
-	return load, held, piled
+	return load, held, piled, late
 }
 
 // bear adds to what a server bears of this node.
@@ -242,15 +245,15 @@
 	}
 }
 
-// anyOpen is one of the open connections on a server, by a hash: the order of a map must not sway it.
-func (b *Balancer) anyOpen(s *server) (found *request) {
-	least := uint64(math.MaxUint64)
-	for id, r := range b.reqs {
-		if h := mix(hashOf(string(id)) ^ uint64(b.now)); r.on == s && r.open && h < least {
-			found, least = r, h
+// openOn is the open connections on a server, by id: the order of a map must not sway a choice.
+func (b *Balancer) openOn(s *server) (all []*request) {
+	for _, r := range b.reqs {
+		if r.on == s && r.open {
+			all = append(all, r)
 		}
 	}
-	return found
+	slices.SortFunc(all, func(x, y *request) int { return strings.Compare(string(x.ID), string(y.ID)) })
+	return all
 }
 
 // bind puts a request's load on a server.
--- a/choice/world_test.go
+++ b/choice/world_test.go
@@ -21,6 +21,7 @@
 	timers []timer
 	probes map[ServerID]int
 	last   []Action
+	load   func(ServerID) float64 // what hosts answer probes with, once set
 }
 
 type seen struct {
@@ -202,6 +203,9 @@
 		f.timers = f.timers[1:]
 		f.now = max(f.now, next.at)
 		f.step(TimerFired{next.token})
+		if f.load != nil { // probes on the module's own account have answers as well
+			f.answerProbes(f.load)
+		}
 	}
 	f.now = max(f.now, to)
 	for id, r := range f.reqs {
@@ -246,6 +250,7 @@
 // answerProbes answers the probes of the last step with the given load, and the ones that follow from it.
 func (f *referee) answerProbes(load func(ServerID) float64) {
 	f.t.Helper()
+	f.load = load
 	for range 50 {
 		var events []Event
 		for _, a := range f.last {
--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -27,8 +27,6 @@
 )
 
 const (
-	// drainTime is the most that a planned stop takes; what was held is answered or moved well before.
-	drainTime = 3 * time.Second
 	// The platform ends a leaving process by itself, and counts one that ends too early as crashed; elsewhere the
 	// program ends once all have left.
 	platformExit   = 10 * time.Second
@@ -147,12 +145,11 @@
 
 // leave begins the planned stop.
 func leave(l *loop.Loop, cores []*edge.Core, exit time.Duration) {
-	now := l.Now()
 	for _, core := range cores {
 		log.Printf("leaving: %v", core)
-		core.Drain(now.Add(drainTime), func() { log.Printf("left: %v", core) })
+		core.Drain(func() { log.Printf("left: %v", core) })
 	}
-	l.At(now.Add(exit), l.Stop)
+	l.At(l.Now().Add(exit), l.Stop)
 }
 
 // node is the platform's front with its core.
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -11,18 +11,32 @@
 const (
 	// frontTime is how long new connections still come after a planned stop began. Until then they are placed as
 	// ever: a client that is moved or refused before that may well be sent here again.
-	frontTime   = 450 * time.Millisecond
-	moveTime    = 1500 * time.Millisecond // clients are moved over this time, so that they don't come in one wave
-	answerTime  = 2600 * time.Millisecond // requests without an answer get one by now
-	leaveAdvice = 300 * time.Millisecond
+	frontTime = 450 * time.Millisecond
+	// The process is killed no sooner than the longest deadline after that, which counts as 3 s at most, and 0.7 s more.
+	mostDeadline = 3 * time.Second
+	killedAfter  = 700 * time.Millisecond
+	killMargin   = 500 * time.Millisecond  // nothing is held this long before
+	moveTime     = 1500 * time.Millisecond // clients are moved over this time, so that they don't come in one wave
+	leaveAdvice  = 300 * time.Millisecond
 )
 
+// drainTime is what a planned stop takes: all that can be had, since an open connection earns where it is, and a node
+// that leaves right after another one finds that one back by then.
+func (c *Core) drainTime() time.Duration {
+	longest := time.Duration(0)
+	for _, k := range c.o.Settings.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	return min(longest, mostDeadline) + killedAfter - killMargin
+}
+
 // Drain begins the planned stop: clients are told to move, what comes is still answered, and done is called once
-// nothing is held, or at the latest by the given time.
-func (c *Core) Drain(by time.Time, done func()) {
+// nothing is held.
+func (c *Core) Drain(done func()) {
 	now := c.o.Clock.Now()
-	end := earlier(now.Add(answerTime), by)
-	c.o.Clock.At(earlier(now.Add(frontTime), end), c.moveAll)
+	end := now.Add(c.drainTime())
+	begin := now.Add(max(frontTime, c.drainTime()-moveTime-killMargin/5))
+	c.o.Clock.At(earlier(begin, end), func() { c.moveAll(end.Add(-killMargin / 5)) })
 	c.o.Clock.At(end, func() {
 		c.draining = true
 		for _, r := range c.ordered() {
@@ -36,13 +50,15 @@
 	c.o.Clock.At(end.Add(time.Millisecond), done)
 }
 
-func (c *Core) moveAll() {
+// moveAll has the open connections go one by one until the given time.
+func (c *Core) moveAll(end time.Time) {
 	c.draining = true
 	all := c.ordered()
 	now := c.o.Clock.Now()
+	over := max(0, end.Sub(now))
 	for i, r := range all {
 		if r.open {
-			c.o.Clock.At(now.Add(moveTime*time.Duration(i)/time.Duration(len(all))), r.move)
+			c.o.Clock.At(now.Add(over*time.Duration(i)/time.Duration(len(all))), r.move)
 		}
 	}
 }
