A full host gives up its excess by number, never on a prediction under 0

Found by the fuzz tests on the new form: predict may be under 0 when connections have left since the report; then the excess 1 - 0.85/p is over 1 and all connections are moved (choice.go, relieve). A probe of 0 shows it in the test.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,11 +465,11 @@
 }
 
 // relieve moves the excess off a server that a report shows overloaded, where nobody tells of slow messages:
-// what stays earns again, what goes earned nothing. Not where others are hardly better.
+// what stays earns again, what goes earned nothing. Not where no other is much better.
 func (b *Balancer) relieve(s *server) {
-	excess := 1 - max(crowded, b.avg+spill)/b.predict(s) // what is on its way counts, too
-	for _, r := range b.openOn(s) {
-		if b.rng.Float64() < excess {
+	if p, most := b.predict(s), max(crowded, b.least()+2*spill); p > most { // p may be under 0
+		all := b.openOn(s)
+		for _, r := range all[:min(len(all), int((1-most/p)*float64(len(all))+b.rng.Float64()))] {
 			b.out = append(b.out, Move{r.ID})
 		}
 	}
--- a/choice/patrol_test.go
+++ b/choice/patrol_test.go
@@ -52,9 +52,9 @@
 // come: what piled up makes messages late although the load asked looks fine again. The excess goes, not all.
 func TestSlowMessagesCountAsLoad(t *testing.T) {
 	for _, c := range []struct {
-		late  float64
-		moves bool
-	}{{5, false}, {400, true}} {
+		late, load float64
+		moves      bool
+	}{{5, 0.6, false}, {400, 0.6, true}, {5, 0, false}} {
 		b, err := New(Settings{Nodes: 1, Reports: ProbeReports, Fields: []Field{Latency, Load},
 			Classes: []Class{{Name: "c", SetupAim: time.Second, Deadline: 4 * time.Second, MessageAim: 60 * time.Millisecond}},
 			Limits:  Limits{Attempts: 4, MayProbe: true}, Round: 5 * time.Millisecond}, 1, time.Hour)
@@ -67,14 +67,18 @@
 		}
 		b.Step(time.Hour, events)
 		b.Step(time.Hour+9*time.Second, []Event{ProbeResult{Server: "idle", Report: []float64{3, 0.1}}})
+		// Connections that left since a report shows take the prediction under 0, which must not read as an excess.
+		for i := range 30 {
+			b.Step(time.Hour+9*time.Second, []Event{AttemptEnded{ID: RequestID(fmt.Sprint(i)), Server: "late", Final: true}})
+		}
 		moves := 0
-		for _, a := range b.Step(time.Hour+9*time.Second, []Event{ProbeResult{Server: "late", Report: []float64{c.late, 0.6}}}) {
+		for _, a := range b.Step(time.Hour+9*time.Second, []Event{ProbeResult{Server: "late", Report: []float64{c.late, c.load}}}) {
 			if _, ok := a.(Move); ok {
 				moves++
 			}
 		}
 		if moves > 0 != c.moves || moves > 30 {
-			t.Errorf("messages of %v ms: %d of 40 moved", c.late, moves)
+			t.Errorf("messages of %v ms at %v: %d of 40 moved", c.late, c.load, moves)
 		}
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -256,6 +256,17 @@
 	return all
 }
 
+// least is the least predicted load of the servers that may be used.
+func (b *Balancer) least() float64 {
+	low := math.Inf(1)
+	for _, s := range b.servers {
+		if s.State == Ready && b.now >= s.badUntil {
+			low = min(low, b.predict(s))
+		}
+	}
+	return low
+}
+
 // bind puts a request's load on a server.
 func (b *Balancer) bind(r *request, s *server) {
 	r.on = s
