Module: hosts without load reports are not asked for any; an XMPP crowd test

At fault: steer's patrol looked at TellsDelay only. Tests: TestNothingIsAskedForWhereHostsReportNothing fails without; TestSilentCrowdXMPP plays 200 silent clients at a limit of 64 and then a session that must reach its host.

--- a/choice/patrol_test.go
+++ b/choice/patrol_test.go
@@ -48,6 +48,28 @@
 	}
 }
 
+// TestNothingIsAskedForWhereHostsReportNothing guards hosts whose protocol has no load reports against being asked.
+func TestNothingIsAskedForWhereHostsReportNothing(t *testing.T) {
+	b, err := New(Settings{Nodes: 1, Classes: []Class{{Name: "c", SetupAim: time.Second, Deadline: 4 * time.Second}},
+		Limits: Limits{Attempts: 4, MayProbe: true}}, 1, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "s"}}}, OpenConnection{Request{ID: "1", Tenant: -1}, "s"}}
+	for i := range 20 {
+		events := next
+		next = nil
+		for _, a := range b.Step(time.Hour+time.Duration(i)*time.Second, events) {
+			switch a := a.(type) {
+			case Probe:
+				t.Fatal("a probe after ", i, " s")
+			case SetTimer:
+				next = append(next, TimerFired{a.Token})
+			}
+		}
+	}
+}
+
 // TestSlowMessagesCountAsLoad checks that a report of slow messages is as good as one of a full server where no notes
 // come: what piled up makes messages late although the load asked looks fine again. The excess goes, not all.
 func TestSlowMessagesCountAsLoad(t *testing.T) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -109,6 +109,9 @@
 			b.minAim = a
 		}
 	}
+	if s.Reports == NoReports { // there is nothing to ask hosts for on the module's own account
+		s.TellsDelay = true
+	}
 	s.Nodes, s.Limits.Attempts = max(1, s.Nodes), max(1, s.Limits.Attempts)
 	b.set, b.held, b.meanWorth = s, make([]int, len(s.Tenants)), s.Classes[0].Worth
 	return b, nil
--- a/cmd/spurwinch/limit_test.go
+++ b/cmd/spurwinch/limit_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -187,3 +189,37 @@
 		t.Errorf("%q, %v", got, err)
 	}
 }
+
+// TestSilentCrowdXMPP checks the same of XMPP clients, whose sessions wait for their header.
+func TestSilentCrowdXMPP(t *testing.T) {
+	p := &exchange.Player{Values: map[string]string{"ns": "xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'"}}
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	text := fmt.Sprintf("[limits]\nconnections = 64\n[[listener]]\naddr = \"127.0.0.1:0\"\nprotocol = \"xmpp\"\n[[class]]\nname = \"c\"\n"+
+		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n[[cluster.host]]\naddr = %q\n", p.Listen(t, "h1"))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, op, err := serveOperator(l, path, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Addr = op.at[0].String()
+	start(t, l)
+	for range 200 {
+		c, err := net.Dial("tcp", p.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	p.Play(t, `
+c open
+c >> <stream:stream to='farm.example' version='1.0' {ns}>
+s accept h1
+s << <stream:stream to='farm.example' version='1.0' {ns}>
+`)
+}
