Captures, spurwinchctl, structured logs and line-true faults: the planner's groundwork

Need: the capacity planner reads captured load, and all that does not serve belongs outside the lean node.

Change: with [capture] in the operator's file a node writes requests, attempts, answers, ends, hosts and reports to checksummed, compressed files, off the loop over a bounded queue. The wiring moves to internal/node; spurwinchctl (cobra) has check and import-nginx; zap takes the place of the own log and rate limit; settings are read with the line of each fault (internal/tomlfile).

--- a/cmd/spurwinch/program_test.go
+++ b/cmd/spurwinch/program_test.go
@@ -45,8 +45,8 @@
 	lines := make(chan string, 1)
 	go func() {
 		for s := bufio.NewScanner(log); s.Scan(); {
-			if _, at, ok := strings.Cut(s.Text(), " at "); ok && strings.Contains(s.Text(), "listening") {
-				lines <- at
+			if _, at, ok := strings.Cut(s.Text(), `"address": "`); ok && strings.Contains(s.Text(), "listening") {
+				lines <- strings.TrimRight(at, `"}`)
 			}
 		}
 		p.done <- p.cmd.Wait()
@@ -69,7 +69,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 	 "known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}]},
-	 "settings":%s}`, discovery, host, strings.Replace(settings, "REPORTS", "off", 1))
+	 "settings":%s}`, discovery, host, strings.Replace(exchange.Settings, "REPORTS", "off", 1))
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +130,7 @@
 	}
 	config := func(discovery string) string {
 		return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"memory_mb":64,"sockets":384},
-		 "known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, discovery, entry("s-1", host), strings.NewReplacer("REPORTS", "off", `"mayProbe":true`, `"mayProbe":false`).Replace(settings))
+		 "known":{"version":41,"full":true,"servers":[%s]},"settings":%s}`, discovery, entry("s-1", host), strings.NewReplacer("REPORTS", "off", `"mayProbe":true`, `"mayProbe":false`).Replace(exchange.Settings))
 	}
 	put(config("127.0.0.1:9"))
 	run = launch(t, bin, []string{"GW_CONFIG=" + path, "GW_DISCOVERY=" + old})
@@ -223,8 +223,8 @@
 		{"no address", "is not IP:PORT", []string{"GW_CONFIG=" + file("b", `{"listen":"here"}`)}, nil},
 		{"no settings", "settings", []string{"GW_CONFIG=" + file("c", "{"+ok+"}")}, nil},
 		{"no class", "no request class", []string{"GW_CONFIG=" + file("d", "{"+ok+`,"settings":{}}`)}, nil},
-		{"bad state", "known: entry", []string{"GW_CONFIG=" + file("e", "{"+ok+`,"settings":`+strings.Replace(settings, "REPORTS", "off", 1)+`,"known":{"servers":[{"id":"x","state":"?"}]}}`)}, nil},
-		{"taken address", "listen", []string{"GW_CONFIG=" + file("f", `{"listen":"`+taken.Addr().String()+`","discovery":"127.0.0.1:9","settings":`+strings.Replace(settings, "REPORTS", "off", 1)+"}")}, nil},
+		{"bad state", "known: entry", []string{"GW_CONFIG=" + file("e", "{"+ok+`,"settings":`+strings.Replace(exchange.Settings, "REPORTS", "off", 1)+`,"known":{"servers":[{"id":"x","state":"?"}]}}`)}, nil},
+		{"taken address", "listen", []string{"GW_CONFIG=" + file("f", `{"listen":"`+taken.Addr().String()+`","discovery":"127.0.0.1:9","settings":`+strings.Replace(exchange.Settings, "REPORTS", "off", 1)+"}")}, nil},
 		{"unknown flag", "not defined", nil, []string{"-x"}},
 		{"unknown command", "unknown command", nil, []string{"serve"}},
 		{"operator: no TOML", "toml", nil, []string{"-operator", file("g", "= 3")}},
--- /dev/null
+++ b/cmd/spurwinchctl/check.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+
+	"github.com/spf13/cobra"
+
+	"spurwinch/internal/capture"
+	"spurwinch/internal/config"
+	"spurwinch/internal/tomlfile"
+)
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Check operator's files, fleet files and captures",
+		Long: "Tells each fault as FILE:LINE: what is wrong, and what would be right; in a capture FILE: byte N: what.\nWhat a file is, is seen from what it holds.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			bad := false
+			for _, path := range args {
+				kind, faults, err := check(path)
+				if err != nil {
+					return err
+				}
+				for _, f := range faults {
+					fmt.Fprintln(c.OutOrStdout(), f)
+				}
+				if bad = bad || len(faults) > 0; len(faults) == 0 {
+					fmt.Fprintf(c.OutOrStdout(), "%s: a sound %s\n", path, kind)
+				}
+			}
+			if bad {
+				return statusError{status: 2}
+			}
+			return nil
+		}}
+}
+
+// fleetTables are tables that only a fleet file has.
+var fleetTables = regexp.MustCompile(`(?m)^\s*\[\[?\s*(kind|servers|centre|edition|fleet|store|clients|node)\b`)
+
+func check(path string) (kind string, faults []string, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return "", nil, err
+	}
+	switch {
+	case bytes.HasPrefix(raw, []byte("spurwinch capture")):
+		_, list, err := capture.ReadFile(path, func(capture.Header, capture.Record) {})
+		for _, f := range list {
+			faults = append(faults, f.String())
+		}
+		if err != nil {
+			faults = append(faults, err.Error())
+		}
+		return "capture", faults, nil
+	case fleetTables.Match(raw):
+		kind = "fleet file"
+		err = error(nil)
+	default:
+		kind = "operator's file"
+		_, err = config.ReadOperator(path)
+	}
+	var list tomlfile.Faults
+	if errors.As(err, &list) {
+		for _, f := range list {
+			faults = append(faults, f.String())
+		}
+		err = nil
+	}
+	return kind, faults, err
+}
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -6,12 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log"
 	"time"
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -182,7 +183,7 @@
 
 // failed ends a call without an answer; the module says when to ask again.
 func (w *Watch) failed(why string) {
-	log.Printf("cluster: discovery: %s", why)
+	zap.L().Warn("discovery_call_failed", zap.String("address", w.addr), zap.String("cause", why))
 	w.close()
 	if w.calling {
 		w.stop()
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -1,16 +1,14 @@
 package config
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
+	"spurwinch/internal/tomlfile"
 )
 
 // Operator is the operator's file: the fronts and clusters beside the platform's own. The tags are its keys.
@@ -20,6 +18,7 @@
 	Domains   []Domain   `toml:"domain"`
 	Classes   []Class    `toml:"class"`
 	Clusters  []Cluster  `toml:"cluster"`
+	Capture   Capture    `toml:"capture,omitempty"`
 }
 
 // Limits bound what connections may take.
@@ -81,64 +80,79 @@
 }
 
 // Duration is written as in "1.5s".
-type Duration time.Duration
-
-// UnmarshalText reads a duration.
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	if err == nil && v < 0 {
-		err = errors.New("negative duration")
-	}
-	*d = Duration(v)
-	return err
-}
-
-// MarshalText writes a duration.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+type Duration = tomlfile.Duration
 
-func fill[T comparable](v *T, usual T) {
-	var zero T
-	if *v == zero {
-		*v = usual
-	}
+// Capture says where load and reports are written down; without a path they are not.
+type Capture struct {
+	Path   string  `toml:"path,omitempty"`   // what the files' names begin with
+	FileMB int     `toml:"file_mb,omitzero"` // size from which on the next file is begun
+	Files  int     `toml:"files,omitzero"`   // kept; the oldest goes for a new one
+	Share  float64 `toml:"share,omitzero"`   // of clients, or groups, that are written down
+	Key    string  `toml:"key,omitempty"`    // for the hashes of clients and groups
+	Queue  int     `toml:"queue,omitzero"`   // records that may wait to be written
 }
 
 // MostAttempts is the most attempts that a session may take.
 const MostAttempts = 4
 
-// ReadOperator reads and checks an operator's file.
+// ReadOperator reads and checks an operator's file. The error is a tomlfile.Faults, where the file could be read.
 func ReadOperator(path string) (Operator, error) {
 	var o Operator
-	md, err := toml.DecodeFile(path, &o)
+	f, err := tomlfile.Decode(path, &o)
 	if err != nil {
-		return o, fmt.Errorf("%s: %s", path, strings.ReplaceAll(err.Error(), "\n", " "))
-	}
-	if u := md.Undecoded(); len(u) > 0 {
-		return o, fmt.Errorf("%s: unknown key %q", path, u[0].String())
+		return o, err
 	}
-	if err := o.check(); err != nil {
-		return o, fmt.Errorf("%s: %w", path, err)
+	if !f.Broken() {
+		o.check(f)
 	}
-	return o, nil
+	return o, f.Err()
 }
 
-func (o *Operator) check() error {
+func (o *Operator) check(f *tomlfile.File) {
+	fill := tomlfile.Fill[int]
 	fill(&o.Limits.Connections, 4096)
 	fill(&o.Limits.StanzaBytes, 256<<10)
 	fill(&o.Limits.EarlyBytes, 64<<10)
-	fill(&o.Limits.HeaderTime, Duration(2500*time.Millisecond))
-	if o.Limits.Connections < 0 || o.Limits.StanzaBytes < 10000 || o.Limits.StanzaBytes > 512<<10 || o.Limits.EarlyBytes < 4096 || o.Limits.EarlyBytes > 512<<10 {
-		return errors.New("limits: connections must be positive, stanza_bytes 10000 to 524288, early_bytes 4096 to 524288")
+	tomlfile.Fill(&o.Limits.HeaderTime, Duration(2500*time.Millisecond))
+	between := func(key string, v, lo, hi int) {
+		if v < lo || v > hi {
+			f.Fault(key, "%s = %d: a number from %d to %d is wanted", key[strings.LastIndexByte(key, '.')+1:], v, lo, hi)
+		}
+	}
+	between("limits.connections", o.Limits.Connections, 1, 1<<20)
+	between("limits.stanza_bytes", o.Limits.StanzaBytes, 10000, 512<<10)
+	between("limits.early_bytes", o.Limits.EarlyBytes, 4096, 512<<10)
+	if c := &o.Capture; f.Has("capture") {
+		fill(&c.FileMB, 64)
+		fill(&c.Files, 8)
+		fill(&c.Queue, 8192)
+		tomlfile.Fill(&c.Share, 1)
+		between("capture.file_mb", c.FileMB, 1, 16<<10)
+		between("capture.files", c.Files, 1, 10000)
+		between("capture.queue", c.Queue, 16, 1<<20)
+		if c.Path == "" {
+			f.Fault("capture.path", "[capture] without a path: what the files' names begin with is wanted, as in path = \"/var/lib/spurwinch/load\"")
+		}
+		if !(c.Share > 0 && c.Share <= 1) {
+			f.Fault("capture.share", "share = %v: a part over 0, up to 1, is wanted", c.Share)
+		}
+		if len(c.Key) < 16 {
+			f.Fault("capture.key", "a key of %d characters: 16 or more are wanted, so that nobody can guess who a client is", len(c.Key))
+		}
+		if len(o.Listeners)+len(o.Domains)+len(o.Clusters) == 0 {
+			return // a file beside the platform's front, for the capture only
+		}
 	}
 	if len(o.Listeners) == 0 {
-		return errors.New("no [[listener]]")
+		f.Fault("", "no [[listener]]: one with addr and protocol is wanted")
 	}
-	for _, l := range o.Listeners {
+	for i, l := range o.Listeners {
+		at := fmt.Sprintf("listener.%d.", i)
 		if _, err := netip.ParseAddrPort(l.Addr); err != nil {
-			return fmt.Errorf("listener: address %q is not IP:PORT", l.Addr)
+			f.Fault(at+"addr", "listener: address %q is not IP:PORT", l.Addr)
 		}
 		if l.Protocol != "xmpp" {
-			return fmt.Errorf("listener %s: unknown protocol %q", l.Addr, l.Protocol)
+			f.Fault(at+"protocol", "listener %s: unknown protocol %q: it must be \"xmpp\"", l.Addr, l.Protocol)
 		}
 	}
 	if len(o.Classes) == 0 {
@@ -147,97 +161,88 @@
 	classes := map[string]bool{}
 	for i := range o.Classes {
 		c := &o.Classes[i]
-		fill(&c.SetupAim, Duration(2*time.Second))
-		fill(&c.Patience, Duration(20*time.Second))
-		fill(&c.Worth, 1)
+		tomlfile.Fill(&c.SetupAim, Duration(2*time.Second))
+		tomlfile.Fill(&c.Patience, Duration(20*time.Second))
+		tomlfile.Fill(&c.Worth, 1)
 		if c.Name == "" || classes[c.Name] || c.Worth < 0 {
-			return fmt.Errorf("class %q: a name of its own and a worth over 0 are needed", c.Name)
+			f.Fault(fmt.Sprintf("class.%d.name", i), "class %q: a name of its own and a worth over 0 are needed", c.Name)
 		}
 		classes[c.Name] = true
 	}
 	clusters := map[string]bool{}
 	for i := range o.Clusters {
 		c := &o.Clusters[i]
+		at := fmt.Sprintf("cluster.%d", i)
 		if c.Name == "" || clusters[c.Name] {
-			return fmt.Errorf("cluster %q: a name of its own is needed", c.Name)
+			f.Fault(at+".name", "cluster %q: a name of its own is needed", c.Name)
 		}
 		clusters[c.Name] = true
-		if err := c.check(); err != nil {
-			return fmt.Errorf("cluster %q: %w", c.Name, err)
-		}
+		c.check(f, at)
 	}
 	if len(o.Domains) == 0 {
-		return errors.New("no [[domain]]")
+		f.Fault("", "no [[domain]]: one with name and cluster is wanted")
 	}
 	seen := map[string]bool{}
 	for i := range o.Domains {
 		d := &o.Domains[i]
+		at := fmt.Sprintf("domain.%d.", i)
 		d.Name = strings.ToLower(d.Name)
-		fill(&d.Class, o.Classes[0].Name)
+		tomlfile.Fill(&d.Class, o.Classes[0].Name)
 		switch {
 		case d.Name == "" || seen[d.Name]:
-			return fmt.Errorf("domain %q: a name of its own is needed", d.Name)
+			f.Fault(at+"name", "domain %q: a name of its own is needed", d.Name)
 		case !clusters[d.Cluster]:
-			return fmt.Errorf("domain %q: unknown cluster %q", d.Name, d.Cluster)
+			f.Fault(at+"cluster", "domain %q: unknown cluster %q: no [[cluster]] has this name", d.Name, d.Cluster)
 		case !classes[d.Class]:
-			return fmt.Errorf("domain %q: unknown class %q", d.Name, d.Class)
+			f.Fault(at+"class", "domain %q: unknown class %q: no [[class]] has this name", d.Name, d.Class)
 		}
 		seen[d.Name] = true
 	}
-	return nil
 }
 
-func (c *Cluster) check() error {
-	fill(&c.Sessions, 1000)
-	fill(&c.Nodes, 1)
-	fill(&c.Attempts, MostAttempts)
-	fill(&c.ConnectTimeout, Duration(time.Second))
-	fill(&c.DrainGrace, Duration(3*time.Second))
-	fill(&c.Leave, Duration(10*time.Second))
-	fill(&c.ColdShare, 0.15)
-	fill(&c.WarmUp, Duration(30*time.Second))
-	fill(&c.FallMultiple, 4)
-	fill(&c.FallTime, Duration(2*time.Second))
-	switch {
-	case c.Attempts < 1 || c.Attempts > MostAttempts:
-		return fmt.Errorf("attempts must be 1 to %d", MostAttempts)
-	case c.Sessions < 1 || c.Nodes < 1:
-		return errors.New("sessions and nodes must be 1 or more")
-	case c.DrainGrace > Duration(3*time.Second):
-		return errors.New("drain_grace may be 3s at most")
-	case c.ColdShare < 0 || c.ColdShare > 1 || c.FallMultiple <= 0:
-		return errors.New("cold_share must be 0 to 1, fall_multiple over 0")
-	case c.Discovery != "" && len(c.Hosts) > 0:
-		return errors.New("discovery and hosts exclude each other")
-	case c.Discovery == "" && len(c.Hosts) == 0:
-		return errors.New("neither discovery nor a [[cluster.host]]")
+func (c *Cluster) check(f *tomlfile.File, at string) {
+	tomlfile.Fill(&c.Sessions, 1000)
+	tomlfile.Fill(&c.Nodes, 1)
+	tomlfile.Fill(&c.Attempts, MostAttempts)
+	tomlfile.Fill(&c.ConnectTimeout, Duration(time.Second))
+	tomlfile.Fill(&c.DrainGrace, Duration(3*time.Second))
+	tomlfile.Fill(&c.Leave, Duration(10*time.Second))
+	tomlfile.Fill(&c.ColdShare, 0.15)
+	tomlfile.Fill(&c.WarmUp, Duration(30*time.Second))
+	tomlfile.Fill(&c.FallMultiple, 4)
+	tomlfile.Fill(&c.FallTime, Duration(2*time.Second))
+	fault := func(bad bool, key, what string, args ...any) {
+		if bad {
+			f.Fault(at+"."+key, "cluster %q: "+what, append([]any{c.Name}, args...)...)
+		}
 	}
+	fault(c.Attempts < 1 || c.Attempts > MostAttempts, "attempts", "attempts must be 1 to %d", MostAttempts)
+	fault(!(c.Sessions >= 1), "sessions", "sessions must be 1 or more")
+	fault(c.Nodes < 1, "nodes", "nodes must be 1 or more")
+	fault(c.DrainGrace > Duration(3*time.Second), "drain_grace", "drain_grace may be 3s at most")
+	fault(!(c.ColdShare >= 0 && c.ColdShare <= 1), "cold_share", "cold_share must be 0 to 1")
+	fault(!(c.FallMultiple > 0), "fall_multiple", "fall_multiple must be over 0")
+	fault(c.Discovery != "" && len(c.Hosts) > 0, "discovery", "discovery and hosts exclude each other")
+	fault(c.Discovery == "" && len(c.Hosts) == 0, "name", "neither discovery nor a [[cluster.host]]")
 	if c.Discovery != "" {
-		if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
-			return fmt.Errorf("discovery %q is not IP:PORT", c.Discovery)
-		}
+		_, err := netip.ParseAddrPort(c.Discovery)
+		fault(err != nil, "discovery", "discovery %q is not IP:PORT", c.Discovery)
 	}
 	seen := map[string]bool{}
 	for i := range c.Hosts {
 		h := &c.Hosts[i]
-		if _, err := netip.ParseAddrPort(h.Addr); err != nil {
-			return fmt.Errorf("host address %q is not IP:PORT", h.Addr)
-		}
-		fill(&h.ID, h.Addr)
-		fill(&h.Weight, 1)
-		fill(&h.State, "serving")
-		fill(&h.Zone, c.Zone)
-		switch {
-		case seen[h.ID]:
-			return fmt.Errorf("host %q stands twice", h.ID)
-		case h.State != "serving" && h.State != "draining":
-			return fmt.Errorf("host %q: state %q is neither serving nor draining", h.ID, h.State)
-		case h.Weight < 0:
-			return fmt.Errorf("host %q: weight must be over 0", h.ID)
-		}
+		key := func(name string) string { return fmt.Sprintf("host.%d.%s", i, name) }
+		_, err := netip.ParseAddrPort(h.Addr)
+		fault(err != nil, key("addr"), "host address %q is not IP:PORT", h.Addr)
+		tomlfile.Fill(&h.ID, h.Addr)
+		tomlfile.Fill(&h.Weight, 1)
+		tomlfile.Fill(&h.State, "serving")
+		tomlfile.Fill(&h.Zone, c.Zone)
+		fault(seen[h.ID], key("id"), "host %q stands twice", h.ID)
+		fault(h.State != "serving" && h.State != "draining", key("state"), "host %q: state %q is neither serving nor draining", h.ID, h.State)
+		fault(!(h.Weight > 0), key("weight"), "host %q: weight must be over 0", h.ID)
 		seen[h.ID] = true
 	}
-	return nil
 }
 
 // Settings is what the module is told of a cluster.
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"io"
-	"log"
 	"math"
 	"strconv"
 	"time"
@@ -15,6 +14,8 @@
 	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/upstream"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -170,7 +171,7 @@
 	s.cancelTimer()
 	if s.front.loop.Open()+2 > s.front.most {
 		// Guards against running out of descriptors half way: a request taken needs one more for its host.
-		log.Print("downstream: too many connections: refused one")
+		zap.L().Warn("connection_limit_refused", zap.String("front", "platform"), zap.Int("open_connections", s.front.loop.Open()))
 		s.finish(busy(time.Second))
 		return
 	}
@@ -255,7 +256,7 @@
 
 // malformed answers what can't be served. A request that the client has out is called off: it is the core's no more.
 func (s *session) malformed(why string) {
-	log.Printf("downstream: a client sent %s", why)
+	zap.L().Warn("client_line_unreadable", zap.String("sent", why))
 	s.finish([]byte("ERR\r\n"))
 	if s.request != nil {
 		s.request.Gone()
@@ -323,7 +324,7 @@
 // forward passes the client's bytes on to its host.
 func (s *session) forward(p []byte) {
 	if err := s.host.Write(p); err != nil {
-		log.Print("downstream: a client sent a line that is too long on an open connection")
+		zap.L().Warn("client_line_too_long")
 		s.host.End(false)
 		s.drop()
 		s.request.Gone()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,10 +7,11 @@
 
 import (
 	"fmt"
-	"log"
 	"time"
 
 	"spurwinch/choice"
+
+	"go.uber.org/zap"
 )
 
 // Clock is the loop's time and timers. A timer never fires before the call that sets it has returned.
@@ -41,6 +42,51 @@
 	Probe(h UpstreamHost, by time.Time, done func(o choice.Outcome, report []float64))
 }
 
+// Observer hears what passes through a core, at once and on its goroutine: it must neither wait nor call back.
+type Observer interface {
+	Answered(a Answered)
+	Ended(seq uint64, life time.Duration, load float64, cause EndCause)
+	Report(h choice.ServerID, values []float64)
+	Host(h UpstreamHost) // new to the list, or changed
+}
+
+// Answered is a request with its one final answer.
+type Answered struct {
+	Spec
+	Seq     uint64 // of the core's requests
+	Arrived time.Time
+	Took    time.Duration
+	Answer  Answer
+	Tries   []Try // in order; the last one may be the connection that stands
+}
+
+// Answer is the final answer of a request.
+type Answer uint8
+
+const (
+	Up Answer = iota
+	Served
+	Refused
+	Failed
+	Left // the client left before any
+)
+
+// EndCause says who ended an open connection.
+type EndCause uint8
+
+const (
+	ByClient EndCause = iota
+	ByHost
+	Moved
+)
+
+// Try is an attempt with its outcome, as far as there is one.
+type Try struct {
+	Host    choice.ServerID
+	Outcome choice.Outcome
+	Took    time.Duration
+}
+
 // LocalReply is a final answer that the node gives by itself.
 type LocalReply struct {
 	Refused bool          // trying again does no harm; else the request failed
@@ -88,6 +134,8 @@
 	// Leave is how long the clients of a draining host have to leave it; they are moved one by one over that time.
 	// 0: hosts send their clients away themselves.
 	Leave time.Duration
+	// Observer hears of all that passes through; nil: nobody does.
+	Observer Observer
 }
 
 const (
@@ -108,6 +156,7 @@
 	requests map[choice.RequestID]*Request
 	draining bool
 	minAim   time.Duration
+	seq      uint64
 }
 
 type host struct {
@@ -170,7 +219,7 @@
 		if r := c.requests[a.ID]; r != nil && r.attempt == nil && !r.over {
 			r.send(a.Server, earlier(now.Add(a.Cap), r.Deadline))
 		} else {
-			log.Printf("edge: no request %s to send", a.ID)
+			zap.L().Error("send_without_request", zap.String("request", string(a.ID)))
 		}
 	case choice.Refuse:
 		if r := c.requests[a.ID]; r != nil {
@@ -211,6 +260,9 @@
 			return
 		}
 		done = true
+		if c.o.Observer != nil && report != nil {
+			c.o.Observer.Report(id, report)
+		}
 		c.tell(choice.ProbeResult{Server: id, Outcome: o, Took: c.o.Clock.Now().Sub(now), Report: report})
 	}
 	if h == nil || c.o.Prober == nil {
@@ -228,6 +280,9 @@
 			h.Started = max(h.Started, 1)
 		}
 		l.Servers = append(l.Servers, h.Server)
+		if k := c.hosts[h.ID]; c.o.Observer != nil && (k == nil || k.State != h.State || k.Started != h.Started) {
+			c.o.Observer.Host(h)
+		}
 		if k := c.hosts[h.ID]; k == nil {
 			c.hosts[h.ID] = &host{UpstreamHost: h}
 		} else {
@@ -249,7 +304,11 @@
 		for id, h := range c.hosts {
 			if !named[id] && h.State != choice.Gone {
 				ready := h.State == choice.Ready
-				if h.State = choice.Gone; ready && c.o.Leave > 0 {
+				h.State = choice.Gone
+				if c.o.Observer != nil {
+					c.o.Observer.Host(h.UpstreamHost)
+				}
+				if ready && c.o.Leave > 0 {
 					c.leave(h)
 				}
 			}
@@ -270,11 +329,44 @@
 	stop     func()
 
 	committed bool // bytes of a host have reached the client: no other host can take over
+
+	// For the observer.
+	seq      uint64
+	arrived  time.Time
+	stood    time.Time
+	load     float64
+	tries    []Try
+	answered bool
+}
+
+// observe tells the request's final answer, once.
+func (r *Request) observe(a Answer) {
+	o := r.core.o.Observer
+	if o == nil || r.answered {
+		return
+	}
+	r.answered = true
+	o.Answered(Answered{Spec: r.Spec, Seq: r.seq, Arrived: r.arrived, Took: r.core.o.Clock.Now().Sub(r.arrived), Answer: a, Tries: r.tries})
+}
+
+// observeEnd tells that the connection that stood has ended.
+func (r *Request) observeEnd(cause EndCause) {
+	if o := r.core.o.Observer; o != nil && !r.stood.IsZero() {
+		o.Ended(r.seq, r.core.o.Clock.Now().Sub(r.stood), r.load, cause)
+		r.stood = time.Time{}
+	}
+}
+
+func (r *Request) observeTry(a *Attempt, o choice.Outcome) {
+	if r.core.o.Observer != nil && !r.answered {
+		r.tries = append(r.tries, Try{a.host.ID, o, r.core.o.Clock.Now().Sub(a.started)})
+	}
 }
 
 // Open takes a new request. The client hears of it through c's methods, at the earliest when this has returned.
 func (c *Core) Open(s Spec, client Client) *Request {
-	r := &Request{Spec: s, core: c, client: client}
+	c.seq++
+	r := &Request{Spec: s, core: c, client: client, seq: c.seq, arrived: c.o.Clock.Now()}
 	switch {
 	case c.requests[s.ID] != nil:
 		// Guards against two requests under one id, of which the module would know only the first.
@@ -305,7 +397,7 @@
 	if r.over || r.open {
 		return
 	}
-	log.Printf("edge: request %s reached its deadline unanswered", r.ID)
+	zap.L().Error("deadline_unanswered", zap.String("request", string(r.ID)))
 	r.refuse(LocalReply{Refused: true})
 }
 
@@ -351,6 +443,11 @@
 		return
 	}
 	r.over = true
+	if l.Refused {
+		r.observe(Refused)
+	} else {
+		r.observe(Failed)
+	}
 	r.client.LocalReply(l)
 	r.settle()
 }
@@ -372,6 +469,11 @@
 		return
 	}
 	r.over = true
+	if r.open {
+		r.observeEnd(ByClient)
+	} else {
+		r.observe(Left)
+	}
 	// A second request under the id of another is not the module's, and must not end the first one there.
 	if !r.open && r.core.requests[r.ID] == r {
 		r.core.tell(choice.ClientGone{ID: r.ID})
@@ -388,6 +490,7 @@
 		return
 	}
 	r.over = true
+	r.observeEnd(Moved)
 	r.client.Move()
 	r.attempt.Ended(choice.Cancelled, nil)
 	r.settle()
@@ -431,6 +534,9 @@
 		return
 	}
 	r.open = true
+	r.observeTry(a, choice.Served)
+	r.observe(Up)
+	r.stood = r.core.o.Clock.Now()
 	if a.stop != nil {
 		a.stop()
 	}
@@ -479,6 +585,12 @@
 	r := a.request
 	r.attempt = nil
 	final := r.over || r.open || r.committed || o == choice.Served
+	switch r.observeTry(a, o); {
+	case r.open:
+		r.observeEnd(ByHost)
+	case o == choice.Served:
+		r.observe(Served)
+	}
 	if r.At == "" || r.open {
 		r.core.tell(choice.AttemptEnded{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Outcome: o,
 			Took: r.core.o.Clock.Now().Sub(a.started), Final: final, Report: report})
@@ -515,6 +627,7 @@
 // Load tells the connection's present load.
 func (a *Attempt) Load(x float64) {
 	if !a.ended && a.request.open {
+		a.request.load = x
 		a.request.core.tell(choice.LoadNote{ID: a.request.ID, Attempt: a.Number, Load: x})
 	}
 }
@@ -542,7 +655,7 @@
 // Silent moves the client of a connection that returns nothing.
 func (a *Attempt) Silent() {
 	if !a.ended {
-		log.Printf("edge: host %s says nothing on an open connection: its client is moved", a.host.ID)
+		zap.L().Warn("host_silent_client_moved", zap.String("host", string(a.host.ID)))
 		a.request.move()
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -12,7 +12,6 @@
 	"container/list"
 	"errors"
 	"fmt"
-	"log"
 	"net/netip"
 	"os"
 	"time"
@@ -22,6 +21,8 @@
 	"golang.org/x/sys/unix"
 
 	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -87,7 +88,7 @@
 		return nil
 	}, nil)
 	if err != nil {
-		log.Printf("loop: wake: %v", err)
+		zap.L().Error("loop_wake_failed", zap.Error(err))
 	}
 }
 
@@ -203,7 +204,7 @@
 	in := max(time.Until(at), time.Microsecond)
 	spec := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(in))}
 	if err := unix.TimerfdSettime(l.timerFD, 0, &spec, nil); err != nil {
-		log.Printf("loop: timer: %v", err)
+		zap.L().Error("loop_timer_failed", zap.Error(err))
 	}
 }
 
@@ -255,7 +256,7 @@
 				unix.Close(fd)
 			}
 			l.holdSpare()
-			log.Print("loop: no descriptor left: turned a connection away")
+			zap.L().Warn("descriptors_exhausted")
 			continue
 		case err != nil:
 			return
--- a/internal/nginx/convert.go
+++ b/internal/nginx/convert.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -483,3 +485,21 @@
 	}
 	return d.args[0]
 }
+
+// Command imports the file at path: the operator's file goes to out, what could not be carried over to notes. An error
+// means that nothing was written to out.
+func Command(path string, out, notes io.Writer) error {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	file, warnings, err := Import(path, string(src))
+	for _, w := range warnings {
+		fmt.Fprintln(notes, w)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = out.Write(file)
+	return err
+}
--- a/cmd/spurwinch/burst_test.go
+++ b/internal/node/burst_test.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"bufio"
@@ -194,7 +194,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, op, err := serveOperator(l, path, 3)
+	_, op, err := operate(l, path, 3)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/spurwinch/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"fmt"
@@ -16,13 +16,16 @@
 	"spurwinch/internal/wire"
 )
 
-// settings of a small node; REPORTS and TRIES are set by the exchange.
-const settings = `{"groupSize":1,"index":0,"az":"a","membershipMode":"on_request","roundS":0.005,
- "customers":[{"name":"acme","quotaRps":10,"fraction":1}],"domain":{"mode":"proxy","messageAimS":[0.06]},
- "invariants":{"answerSlackS":0.02,"askWithinS":10,"coldShare":0.14,"fallMultiple":4,"fallS":2,"rampTimeS":24,"stopSendingWithinS":3},
- "loadReport":{"via":"REPORTS","fields":["recent_ms","utilization","x0"]},
- "policyLimits":{"connectTimeoutS":1,"mayCancel":true,"mayProbe":true,"retryAfter":true,"maxRetryAfterS":2,"sendCap":4},
- "profiles":[{"name":"chat","aimS":0.8,"giveUpS":4,"idempotency":"safe","value":1}],"tariffs":{"probe":0.002}}`
+const settings = exchange.Settings
+
+// operate sets up what an operator's file names.
+func operate(l *loop.Loop, path string, seed uint64) ([]*edge.Core, *operated, error) {
+	o, err := config.ReadOperator(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	return serveOperator(l, path, o, seed, &Program{loop: l})
+}
 
 // start runs a loop until the test ends.
 func start(t *testing.T, l *loop.Loop) {
@@ -104,7 +107,7 @@
 				t.Fatal(err)
 			}
 		}
-		node, at, err := serve(l, n)
+		node, at, err := serve(l, n, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -149,7 +152,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		cores, op, err := serveOperator(l, path, 1)
+		cores, op, err := operate(l, path, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/spurwinch/limit_test.go
+++ b/internal/node/limit_test.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"bufio"
@@ -53,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n)
+	_, at, err := serve(l, n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n)
+	_, at, err := serve(l, n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,7 +164,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n)
+	_, at, err := serve(l, n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -203,7 +203,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, op, err := serveOperator(l, path, 1)
+	_, op, err := operate(l, path, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/spurwinch/operator.go
+++ b/internal/node/operator.go
@@ -1,8 +1,7 @@
-package main
+package node
 
 import (
 	"fmt"
-	"log"
 	"net/netip"
 	"time"
 
@@ -12,6 +11,8 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/xmpp"
+
+	"go.uber.org/zap"
 )
 
 // sessions reports a host's load as the operator's file sees it: the sessions held there over those it bears.
@@ -37,18 +38,19 @@
 }
 
 // serveOperator sets up the fronts and clusters of an operator's file.
-func serveOperator(l *loop.Loop, path string, seed uint64) ([]*edge.Core, *operated, error) {
-	o, err := config.ReadOperator(path)
-	if err != nil {
-		return nil, nil, err
-	}
+func serveOperator(l *loop.Loop, path string, o config.Operator, seed uint64, p *Program) ([]*edge.Core, *operated, error) {
 	op := &operated{path: path, loop: l, cores: map[string]*edge.Core{},
 		watch: map[string]*cluster.Watch{}, seen: map[string]time.Time{}}
 	var all []*edge.Core
 	for i, c := range o.Clusters {
 		var core *edge.Core
 		var watch *cluster.Watch
-		core, err = edge.New(edge.Options{Clock: l, Settings: o.Settings(c), Seed: seed + uint64(i),
+		settings := o.Settings(c)
+		observer, err := p.record(o.Capture, c.Name, settings, []string{"x0"})
+		if err != nil {
+			return nil, nil, err
+		}
+		core, err = edge.New(edge.Options{Clock: l, Settings: settings, Observer: observer, Seed: seed + uint64(i),
 			Prober: sessions{func() *edge.Core { return core }, c.Sessions / float64(c.Nodes)},
 			Follow: func() { watch.Follow() }, Leave: time.Duration(c.Leave)})
 		if err != nil {
@@ -78,7 +80,7 @@
 			return nil, nil, err
 		}
 		op.at = append(op.at, ap)
-		log.Printf("listening for %s at %s", ls.Protocol, ap)
+		zap.L().Info("listening", zap.String("protocol", ls.Protocol), zap.Stringer("address", ap))
 	}
 	return all, op, nil
 }
@@ -100,17 +102,17 @@
 func (op *operated) reread() {
 	o, err := config.ReadOperator(op.path)
 	if err != nil {
-		log.Printf("kept the hosts as they were: %v", err)
+		zap.L().Error("reload_kept_old_hosts", zap.Error(err))
 		return
 	}
 	for _, c := range o.Clusters {
 		core, watch := op.cores[c.Name], op.watch[c.Name]
 		if core == nil || (watch != nil) != (c.Discovery != "") {
-			log.Printf("cluster %q: a new cluster, or one that gains or loses its discovery, needs a restart", c.Name)
+			zap.L().Warn("reload_needs_restart", zap.String("cluster", c.Name), zap.String("cause", "a new cluster, or one that gains or loses its discovery"))
 			continue
 		}
 		if watch != nil {
-			log.Printf("cluster %q: discovery is at %s", c.Name, c.Discovery)
+			zap.L().Info("discovery_moved", zap.String("cluster", c.Name), zap.String("address", c.Discovery))
 			watch.Move(c.Discovery)
 			continue
 		}
@@ -125,6 +127,6 @@
 			}
 		}
 		core.List(choice.ListWhole, hosts)
-		log.Printf("cluster %q: %d hosts", c.Name, len(hosts))
+		zap.L().Info("hosts_reloaded", zap.String("cluster", c.Name), zap.Int("hosts", len(hosts)))
 	}
 }
--- /dev/null
+++ b/internal/node/platform.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"spurwinch/choice"
+	"spurwinch/internal/cluster"
+	"spurwinch/internal/config"
+	"spurwinch/internal/downstream"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/loop"
+	"spurwinch/internal/upstream"
+)
+
+const (
+	spareSockets   = 48 // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
+	defaultSockets = 1024
+)
+
+// platform is the platform's front with its core.
+type platform struct {
+	core  *edge.Core
+	watch *cluster.Watch
+}
+
+// reload moves the watch to the address that the configuration names now. All else stays: the list as last told, the
+// connections, and with a file that can't be read the address too.
+func (n *platform) reload(discovery string, err error) {
+	if err != nil {
+		zap.L().Error("reload_kept_old_configuration", zap.Error(err))
+		return
+	}
+	zap.L().Info("discovery_moved", zap.String("address", discovery))
+	n.watch.Move(discovery)
+}
+
+// serve puts a node together on a loop that is not running yet.
+func serve(l *loop.Loop, n config.Node, observer edge.Observer) (*platform, netip.AddrPort, error) {
+	var at netip.AddrPort
+	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
+	// of slow messages has no like here, and the module must do without.
+	n.Settings.TellsDelay = false
+	hosts := upstream.New(l, n.Settings.ReportFields)
+	var watch *cluster.Watch
+	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
+		Follow: func() { watch.Follow() }, Observer: observer})
+	if err != nil {
+		return nil, at, err
+	}
+	sockets := n.Sockets
+	if sockets <= 0 {
+		sockets = defaultSockets
+	}
+	l.Limit(sockets-spareSockets-sockets/8, sockets, int64(n.MemoryMB)<<20)
+	front := downstream.New(downstream.Options{Loop: l, Core: core, Upstream: hosts, Classes: n.Settings.ClassByName,
+		Tenants: n.Settings.TenantByName, Settings: n.Settings.Settings, MostOpen: sockets - spareSockets})
+	watch = cluster.New(l, n.Discovery, n.Known, func(k choice.ListKind, news []edge.UpstreamHost) {
+		core.List(k, news)
+		for _, h := range news {
+			if h.State == choice.Gone {
+				hosts.Forget(h.ID)
+			}
+		}
+		if k != choice.ListLost {
+			front.Ready()
+		}
+	})
+	if at, err = l.Listen(n.Listen, front.Accept); err != nil {
+		return nil, at, err
+	}
+	zap.L().Info("listening", zap.String("protocol", "platform"), zap.Stringer("address", at))
+	l.After(core.Flush)
+	var known []edge.UpstreamHost
+	if n.Known != nil {
+		known, _ = n.Known.Hosts()
+	}
+	core.Start(known)
+	if len(known) > 0 {
+		front.Ready()
+	}
+	return &platform{core, watch}, at, nil
+}
--- a/cmd/spurwinch/slow_test.go
+++ b/internal/node/slow_test.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"bufio"
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n)
+	_, at, err := serve(l, n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"log"
 	"math"
 	"strconv"
 	"time"
@@ -12,6 +11,8 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
+
+	"go.uber.org/zap"
 )
 
 // fieldNames are the names that hosts give to a report's values, where they differ from those of the settings.
@@ -89,7 +90,7 @@
 	for len(b) > 0 {
 		l, rest, err := p.in.Next(b)
 		if err != nil {
-			log.Printf("upstream: host %s answers a probe with a line that is too long", p.id)
+			zap.L().Warn("probe_line_too_long", zap.String("host", string(p.id)))
 			p.drop(choice.Failed)
 			return
 		}
@@ -100,7 +101,7 @@
 		word, info, _ := bytes.Cut(line.Trim(l), []byte(" "))
 		switch {
 		case p.done == nil:
-			log.Printf("upstream: host %s speaks unasked on a probe connection", p.id)
+			zap.L().Warn("probe_line_unasked", zap.String("host", string(p.id)))
 			p.drop(choice.Failed)
 			return
 		case string(word) == "PONG":
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"io"
-	"log"
 	"math"
 	"strconv"
 	"time"
@@ -13,6 +12,8 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
+
+	"go.uber.org/zap"
 )
 
 // Sink is the client's side of an upstream request. After End or Abort nothing more comes.
@@ -131,7 +132,7 @@
 		return
 	}
 	if why != "" {
-		log.Printf("upstream: host %s sent %s", r.attempt.Host.ID, why)
+		zap.L().Warn("host_answer_unreadable", zap.String("host", string(r.attempt.Host.ID)), zap.String("sent", why))
 	}
 	r.over = true
 	r.conn.End()
@@ -162,7 +163,7 @@
 		}
 	})
 	if err != nil && !r.over {
-		log.Printf("upstream: host %s sent a line that is too long on an open connection", r.attempt.Host.ID)
+		zap.L().Warn("host_line_too_long", zap.String("host", string(r.attempt.Host.ID)))
 		r.done()
 		r.conn.Abort()
 		r.attempt.Ended(choice.Reset, nil)
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"log"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -14,6 +13,8 @@
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+
+	"go.uber.org/zap"
 )
 
 // Domain is an address that clients may name in the stream header.
@@ -186,7 +187,7 @@
 	s.cancelTimer()
 	if s.front.loop.Open()+2 > s.front.limits.MostOpen {
 		// Guards against running out of descriptors half way: a session taken needs one more for its host.
-		log.Print("xmpp: too many connections: refused one")
+		zap.L().Warn("connection_limit_refused", zap.String("front", "xmpp"))
 		return resourceConstraint
 	}
 	s.conn.Spoke()
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -2,11 +2,12 @@
 
 import (
 	"io"
-	"log"
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+
+	"go.uber.org/zap"
 )
 
 // upstreamRequest is one attempt: the connection to an XMPP server that a session tries or uses.
@@ -165,7 +166,7 @@
 }
 
 func (h *upstreamRequest) broken(what string) {
-	log.Printf("xmpp: host %s %s", h.attempt.Host.ID, what)
+	zap.L().Warn("host_stream_unreadable", zap.String("host", string(h.attempt.Host.ID)), zap.String("cause", what))
 	h.lost(choice.Failed)
 }
 
