Capacity planner, thin path: capture, forecast, and replay on loopback side by side

Need: the operators guess how many servers an evening takes.

Change: fleet files (internal/fleet), sessions out of captures (internal/load), a simulated fleet under the real core and decision module (internal/planner), stand-in servers that work through single jobs (internal/standin), replays through real node processes (internal/replay), and the commands capture summary and plan forecast, size, lose and validate.

--- a/cmd/spurwinchctl/check.go
+++ b/cmd/spurwinchctl/check.go
@@ -11,6 +11,7 @@
 
 	"spurwinch/internal/capture"
 	"spurwinch/internal/config"
+	"spurwinch/internal/fleet"
 	"spurwinch/internal/tomlfile"
 )
 
@@ -59,7 +60,7 @@
 		return "capture", faults, nil
 	case fleetTables.Match(raw):
 		kind = "fleet file"
-		err = error(nil)
+		_, err = fleet.Read(path)
 	default:
 		kind = "operator's file"
 		_, err = config.ReadOperator(path)
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -18,8 +18,9 @@
 type Header struct {
 	Version int
 	Node    string
-	Start   int64 // Unix time of offset 0, ns
-	File    int   // number of the file since the program's start, from 0
+	Zone    string // of the node
+	Start   int64  // Unix time of offset 0, ns
+	File    int    // number of the file since the program's start, from 0
 	Share   float64
 	Classes []string
 	Tenants []string
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -98,10 +98,11 @@
 // ReadOperator reads and checks an operator's file. The error is a tomlfile.Faults, where the file could be read.
 func ReadOperator(path string) (Operator, error) {
 	var o Operator
-	f, err := tomlfile.Decode(path, &o)
+	src, err := tomlfile.Load(path)
 	if err != nil {
 		return o, err
 	}
+	f := tomlfile.Decode(path, src, &o)
 	if !f.Broken() {
 		o.check(f)
 	}
--- /dev/null
+++ b/internal/load/capture.go
@@ -0,0 +1,261 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"spurwinch/internal/capture"
+	"spurwinch/internal/fleet"
+)
+
+// Captured is what files of a fleet's nodes hold, put in one order of time.
+type Captured struct {
+	Headers []capture.Header
+	Faults  []capture.Fault
+	Classes []string // all that the files name, in order of first mention
+	Tenants []string
+	Share   float64 // least share of the files: what the rates are divided by
+	Begin   time.Time
+	Length  time.Duration
+	Dropped uint64
+	Placed  []Request // by time
+	Reports int
+	Hosts   map[string]*HostSeen
+}
+
+// Request is a captured request with the life of its connection.
+type Request struct {
+	capture.Placed
+	At     time.Duration // since Begin
+	Node   int           // in Headers
+	Zone   string
+	Class  int // in Captured.Classes
+	Tenant int // in Captured.Tenants; -1: none
+	Life   time.Duration
+	Ended  bool // else the connection still stood at the end of the capture, or its end was lost
+	Cause  capture.Cause
+	Told   float64 // load told last
+}
+
+// HostSeen is what was seen of one host.
+type HostSeen struct {
+	Kind, Zone string
+	Reports    int
+	Load, Peak float64 // mean and largest of the load in reports, the first field named x0 or utilization
+}
+
+// ReadCaptures reads files of one or more nodes. An error means that a file can't be used at all.
+func ReadCaptures(files []string) (*Captured, error) {
+	c := &Captured{Share: 1, Hosts: map[string]*HostSeen{}}
+	classes, tenants := map[string]int{}, map[string]int{}
+	number := func(m map[string]int, list *[]string, name string) int {
+		i, ok := m[name]
+		if !ok {
+			i = len(*list)
+			m[name] = i
+			*list = append(*list, name)
+		}
+		return i
+	}
+	type key struct {
+		node string
+		run  int64
+		seq  uint64
+	}
+	open := map[key]int{}
+	type absolute struct{ from, to int64 }
+	var span absolute
+	var starts []int64 // of each request, ns of Unix time
+	for _, name := range files {
+		var node, field int
+		first := true
+		head, faults, err := capture.ReadFile(name, func(h capture.Header, r capture.Record) {
+			if first {
+				first = false
+				node, field = len(c.Headers), -1
+				c.Headers = append(c.Headers, h)
+				for i, f := range h.Fields {
+					if f == "x0" || f == "utilization" && field < 0 {
+						field = i
+					}
+				}
+				if h.Share > 0 {
+					c.Share = min(c.Share, h.Share)
+				}
+			}
+			note := func(at int64) int64 {
+				t := h.Start + at*1000
+				if span.from == 0 || t < span.from {
+					span.from = t
+				}
+				span.to = max(span.to, t)
+				return t
+			}
+			switch r := r.(type) {
+			case capture.Placed:
+				t := note(r.At)
+				q := Request{Placed: r, Node: node, Zone: h.Zone, Class: number(classes, &c.Classes, h.Classes[r.Class]), Tenant: -1}
+				if r.Tenant >= 0 {
+					q.Tenant = number(tenants, &c.Tenants, h.Tenants[r.Tenant])
+				}
+				if r.Answer == capture.Up {
+					open[key{h.Node, h.Start, r.Seq}] = len(c.Placed)
+				}
+				c.Placed = append(c.Placed, q)
+				starts = append(starts, t)
+			case capture.Ended:
+				note(r.At)
+				k := key{h.Node, h.Start, r.Seq}
+				if i, ok := open[k]; ok {
+					q := &c.Placed[i]
+					q.Life, q.Ended, q.Cause, q.Told = capture.Duration(r.Life), true, r.Cause, r.Load
+					delete(open, k)
+				}
+			case capture.Report:
+				note(r.At)
+				c.Reports++
+				s := c.host(r.Host)
+				if field >= 0 && field < len(r.Values) && r.Values[field] == r.Values[field] {
+					x := float64(r.Values[field])
+					s.Reports++
+					s.Load += (x - s.Load) / float64(s.Reports)
+					s.Peak = max(s.Peak, x)
+				}
+			case capture.Host:
+				s := c.host(r.ID)
+				s.Kind, s.Zone = r.Kind, r.Zone
+			case capture.Dropped:
+				c.Dropped += r.Count
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if first { // nothing but a header
+			c.Headers = append(c.Headers, head)
+		}
+		c.Faults = append(c.Faults, faults...)
+	}
+	c.Begin = time.Unix(0, span.from)
+	c.Length = time.Duration(span.to - span.from)
+	for i := range c.Placed {
+		c.Placed[i].At = time.Duration(starts[i] - span.from)
+	}
+	for _, i := range open {
+		q := &c.Placed[i]
+		q.Life = c.Length - q.At - capture.Duration(q.Took)
+	}
+	sort.SliceStable(c.Placed, func(i, j int) bool { return c.Placed[i].At < c.Placed[j].At })
+	return c, nil
+}
+
+const mostHosts = 1 << 17
+
+func (c *Captured) host(id string) *HostSeen {
+	s := c.Hosts[id]
+	if s == nil {
+		if s = (&HostSeen{}); len(c.Hosts) < mostHosts {
+			c.Hosts[id] = s
+		}
+	}
+	return s
+}
+
+// again is how long after its last sign a client that comes with the same key still is in the same session.
+const again = 15 * time.Second
+
+// Sessions puts a client's tries, returns and connections together to what it wanted, in a fleet's terms. Connections that
+// still stood at the end go on for as long as their class's life says, by chance. What a share left out is made up for by
+// copies.
+func (c *Captured) Sessions(f *fleet.Fleet, seed uint64) (*Load, error) {
+	classes := make([]int, len(c.Classes))
+	for i, name := range c.Classes {
+		classes[i] = -1
+		for j, k := range f.Classes {
+			if k.Name == name {
+				classes[i] = j
+			}
+		}
+		if classes[i] < 0 {
+			return nil, fmt.Errorf("the capture holds class %q, the fleet file has none of this name: add a [[class]]; it has %s", name, classNames(f))
+		}
+	}
+	editions := make([]int, len(c.Tenants))
+	for i, name := range c.Tenants {
+		editions[i] = -1
+		for j, e := range f.Editions {
+			if e.Name == name {
+				editions[i] = j
+			}
+		}
+		if editions[i] < 0 && len(f.Editions) > 0 {
+			return nil, fmt.Errorf("the capture holds edition %q, the fleet file has none of this name: add an [[edition]]", name)
+		}
+	}
+	// Told loads are in the hosts' own unit: they count in relation to the mean of their class.
+	told, count := make([]float64, len(f.Classes)), make([]float64, len(f.Classes))
+	for _, q := range c.Placed {
+		if x := q.load(); x > 0 {
+			told[classes[q.Class]] += x
+			count[classes[q.Class]]++
+		}
+	}
+	out := &Load{Length: c.Length}
+	rng := rand.New(rand.NewPCG(seed, 31))
+	last := map[uint64]int{}         // session of a client
+	until := map[int]time.Duration{} // its last sign
+	for _, q := range c.Placed {
+		k := classes[q.Class]
+		begin, end := q.At, q.At+capture.Duration(q.Took)+q.Life
+		if !q.Ended && q.Answer == capture.Up {
+			end += time.Duration(rng.ExpFloat64() * float64(f.Classes[k].Life))
+		}
+		if i, ok := last[q.Client]; ok && q.Client != 0 && out.Sessions[i].Class == k && begin-until[i] < again {
+			s := &out.Sessions[i]
+			s.Life, until[i] = max(s.Life, end-s.At), max(until[i], end)
+			continue
+		}
+		s := Session{At: begin, Life: max(end-begin, 100*time.Millisecond), Class: k, Edition: -1, Centre: f.Centre(q.Zone), Client: q.Client, Group: q.Group}
+		if q.Tenant >= 0 {
+			s.Edition = editions[q.Tenant]
+		}
+		if s.Client == 0 {
+			s.Client = rng.Uint64() | 1
+		}
+		if x := q.load(); x > 0 {
+			s.Load = x / (told[k] / count[k]) * f.Classes[k].Load
+		}
+		last[s.Client] = len(out.Sessions)
+		until[len(out.Sessions)] = end
+		out.Sessions = append(out.Sessions, s)
+	}
+	// A session whose client was never served tells no life: it wanted what its class does.
+	for i := range out.Sessions {
+		if s := &out.Sessions[i]; s.Life <= 100*time.Millisecond {
+			s.Life = time.Duration(rng.ExpFloat64() * float64(f.Classes[s.Class].Life))
+		}
+	}
+	out.sort()
+	if c.Share < 1 {
+		return out.Scale(1/c.Share, seed), nil
+	}
+	return out, nil
+}
+
+func (q *Request) load() float64 {
+	if q.Told > 0 {
+		return q.Told
+	}
+	return q.Load
+}
+
+func classNames(f *fleet.Fleet) string {
+	var all []string
+	for _, c := range f.Classes {
+		all = append(all, c.Name)
+	}
+	return strings.Join(all, ", ")
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,234 @@
+// Package load is what clients want, apart from any fleet that gives it: sessions with their arrival, life, class,
+// edition and group. It is read from captures, drawn from a fleet's description, scaled and summed up.
+package load
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"spurwinch/internal/fleet"
+)
+
+// Session is one client that wants a connection from At on for Life. Where it lost its connection meanwhile it came again
+// and still was the same session.
+type Session struct {
+	At      time.Duration
+	Life    time.Duration
+	Class   int // in the fleet's classes
+	Edition int // in the fleet's editions; -1: none
+	Centre  int // in the fleet's centres; -1: any
+	Client  uint64
+	Group   uint64  // 0: none
+	Load    float64 // in usual connections; 0: not told
+}
+
+// Load is sessions in the order of their arrival.
+type Load struct {
+	Sessions []Session
+	Length   time.Duration // of the time that they were taken from
+}
+
+func (l *Load) sort() {
+	slices.SortStableFunc(l.Sessions, func(a, b Session) int { return cmp.Compare(a.At, b.At) })
+}
+
+// Standing is the mean number of sessions that want a connection over the load's length.
+func (l *Load) Standing() float64 {
+	if l.Length <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, s := range l.Sessions {
+		sum += min(s.Life, l.Length-s.At).Seconds()
+	}
+	return sum / l.Length.Seconds()
+}
+
+// Cores is the mean work that the sessions ask for, in yardstick cores, without groups and set-ups.
+func (l *Load) Cores(f *fleet.Fleet) float64 {
+	if l.Length <= 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, s := range l.Sessions {
+		x := s.Load
+		if x == 0 {
+			x = f.Classes[s.Class].Load
+		}
+		sum += x * f.CoreLoad() * min(s.Life, l.Length-s.At).Seconds()
+	}
+	return sum / l.Length.Seconds()
+}
+
+// Scale is the load times a factor. Whole copies of all sessions are added, and of a part of the clients, groups of theirs
+// with them: more farms come, each as large as before. A copy arrives up to spread sooner or later than its original, so
+// that copies don't come in pairs.
+func (l *Load) Scale(by float64, seed uint64) *Load {
+	out := &Load{Length: l.Length}
+	const spread = 2.0 // seconds
+	whole, part := int(by), by-math.Floor(by)
+	for copy := range whole + 1 {
+		for _, s := range l.Sessions {
+			who := s.Group
+			if who == 0 {
+				who = s.Client
+			}
+			if copy == whole && float64(Mix(who^seed)>>11)/(1<<53) >= part {
+				continue
+			}
+			if copy > 0 {
+				s.Client = Mix(s.Client + uint64(copy)*0x9e3779b97f4a7c15)
+				if s.Group != 0 {
+					s.Group = Mix(s.Group+uint64(copy)*0x9e3779b97f4a7c15) | 1
+				}
+				rng := rand.New(rand.NewPCG(seed, s.Client))
+				s.At += time.Duration((2*rng.Float64() - 1) * spread * float64(time.Second))
+				s.At = max(0, min(s.At, l.Length-1))
+			}
+			out.Sessions = append(out.Sessions, s)
+		}
+	}
+	out.sort()
+	return out
+}
+
+// Mix is a hash of a number (splitmix64).
+func Mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Drawn describes a load to draw.
+type Drawn struct {
+	Seed     uint64
+	Length   time.Duration
+	Standing float64 // sessions that want a connection, in the mean of the plateau
+	Swing    float64 // of the rate: it climbs from 1-Swing to 1+Swing times the mean over the length
+}
+
+// Draw makes a load after a fleet's classes, editions and groups: Poisson arrivals of groups, lives and sizes as the file
+// says. The sessions that stand at its beginning arrive over the first two seconds.
+func Draw(f *fleet.Fleet, d Drawn) *Load {
+	rng := rand.New(rand.NewPCG(d.Seed, 77))
+	shares, uses, places := make([]float64, len(f.Classes)), make([]float64, len(f.Editions)), make([]float64, len(f.Centres))
+	meanLife := 0.0
+	sum := 0.0
+	for i, c := range f.Classes {
+		shares[i] = c.Share
+		meanLife, sum = meanLife+c.Share*c.Life.Seconds(), sum+c.Share
+	}
+	meanLife /= sum
+	for i, e := range f.Editions {
+		uses[i] = e.Share * e.Usage
+	}
+	for i, c := range f.Centres {
+		places[i] = c.Clients
+	}
+	out := &Load{Length: d.Length}
+	add := func(at time.Duration, group uint64, edition, centre int, residual bool) {
+		class := Pick(rng, shares)
+		c := f.Classes[class]
+		life := c.Life.Seconds() * Lognormal(rng, c.LifeSpread)
+		if c.LifeSpread == 0 {
+			life = c.Life.Seconds() * rng.ExpFloat64()
+		} else if residual {
+			life *= rng.Float64()
+		}
+		out.Sessions = append(out.Sessions, Session{At: at, Life: max(100*time.Millisecond, time.Duration(life*1e9)), Class: class,
+			Edition: edition, Centre: centre, Client: rng.Uint64() | 1, Group: group})
+	}
+	// A group is a farm with its visitors: they come within some seconds of one another.
+	group := func(at time.Duration, residual bool) {
+		n, id := 1, uint64(0)
+		if f.Group.Cost > 0 {
+			id = rng.Uint64() | 1
+			for f.Group.Size > 1 && rng.Float64() > 1/f.Group.Size && n < 1000 {
+				n++
+			}
+		}
+		edition := -1
+		if len(uses) > 0 {
+			edition = Pick(rng, uses)
+		}
+		centre := Pick(rng, places)
+		for i := range n {
+			t := at
+			if i > 0 {
+				t += time.Duration(rng.ExpFloat64() * 2 * float64(time.Second))
+			}
+			if t < d.Length {
+				add(t, id, edition, centre, residual)
+			}
+		}
+	}
+	size := 1.0
+	if f.Group.Cost > 0 {
+		size = f.Group.Size
+	}
+	standing := int(d.Standing * (1 - d.Swing) / size)
+	for range standing {
+		group(time.Duration(rng.Float64()*2*float64(time.Second)), true)
+	}
+	top := d.Standing / size / meanLife * (1 + d.Swing)
+	for t := rng.ExpFloat64() / top; t < d.Length.Seconds(); t += rng.ExpFloat64() / top {
+		rate := 1 - d.Swing + 2*d.Swing*t/d.Length.Seconds()
+		if rng.Float64()*(1+d.Swing) < rate {
+			group(time.Duration(t*1e9), false)
+		}
+	}
+	out.sort()
+	return out
+}
+
+// Pick draws an index by weight.
+func Pick(rng *rand.Rand, weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := rng.Float64() * sum
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// Lognormal draws a factor of mean 1; spread is the standard deviation of its logarithm.
+func Lognormal(rng *rand.Rand, spread float64) float64 {
+	if spread == 0 {
+		return 1
+	}
+	return math.Exp(spread*rng.NormFloat64() - spread*spread/2)
+}
+
+// Wander is a connection's load over time, in usual connections: a level that is the connection's own, and a swing about
+// it that is drawn anew at times.
+type Wander struct {
+	rng   *rand.Rand
+	level float64
+	class *fleet.Class
+}
+
+// NewWander draws a connection's level; told is its load where that is known.
+func NewWander(seed uint64, c *fleet.Class, told float64) Wander {
+	w := Wander{rng: rand.New(rand.NewPCG(seed, 5)), class: c}
+	if w.level = told; told == 0 {
+		w.level = c.Load * Lognormal(w.rng, c.LoadSpread)
+	}
+	return w
+}
+
+// Next is the load from now on and how long it lasts; 0: for ever.
+func (w *Wander) Next() (load float64, lasts time.Duration) {
+	if w.class.Swing == 0 {
+		return w.level, 0
+	}
+	return w.level * Lognormal(w.rng, w.class.Swing), max(10*time.Millisecond, time.Duration(w.rng.ExpFloat64()*float64(w.class.Change)))
+}
--- /dev/null
+++ b/internal/load/service.go
@@ -0,0 +1,159 @@
+package load
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"spurwinch/internal/fleet"
+)
+
+// Worths is what a second of each session is worth: its class's worth, less for one that comes while its edition holds
+// more sessions than its share. It hangs on the load alone, not on how it is served.
+func Worths(f *fleet.Fleet, l *Load) []float64 {
+	out := make([]float64, len(l.Sessions))
+	held := make([]int, max(1, len(f.Editions)))
+	var ends endings
+	for i, s := range l.Sessions {
+		for len(ends) > 0 && ends[0].at <= s.At {
+			held[heap.Pop(&ends).(ending).edition]--
+		}
+		out[i] = f.Classes[s.Class].Worth
+		if s.Edition < 0 {
+			continue
+		}
+		if float64(held[s.Edition]) >= f.Quota(s.Edition) {
+			out[i] *= f.General.OverShareWorth
+		}
+		held[s.Edition]++
+		heap.Push(&ends, ending{s.At + s.Life, s.Edition})
+	}
+	return out
+}
+
+type ending struct {
+	at      time.Duration
+	edition int
+}
+
+type endings []ending
+
+func (e endings) Len() int           { return len(e) }
+func (e endings) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e endings) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *endings) Push(x any)        { *e = append(*e, x.(ending)) }
+func (e *endings) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// Account adds up the worth of the seconds that were wanted and of those that were well served.
+type Account struct {
+	Want, Got       [][]float64 // by class and edition
+	WantSec, GotSec [][]float64 // by second and class
+}
+
+// NewAccount makes an account for a load.
+func NewAccount(f *fleet.Fleet, length time.Duration) *Account {
+	grid := func(n, m int) [][]float64 {
+		g := make([][]float64, n)
+		for i := range g {
+			g[i] = make([]float64, m)
+		}
+		return g
+	}
+	n, seconds := len(f.Classes), int(length/time.Second)+1
+	return &Account{grid(n, max(1, len(f.Editions))), grid(n, max(1, len(f.Editions))), grid(seconds, n), grid(seconds, n)}
+}
+
+// Wanted fills in what the sessions want.
+func (a *Account) Wanted(l *Load, worths []float64) {
+	for i, s := range l.Sessions {
+		end := min(s.At+s.Life, l.Length)
+		a.Want[s.Class][max(0, s.Edition)] += worths[i] * (end - s.At).Seconds()
+		for t := s.At; t < end; {
+			sec := int(t / time.Second)
+			next := min(end, time.Duration(sec+1)*time.Second)
+			a.WantSec[sec][s.Class] += worths[i] * (next - t).Seconds()
+			t = next
+		}
+	}
+}
+
+// Served adds well-served worth at a time.
+func (a *Account) Served(at time.Duration, class, edition int, worth float64) {
+	a.Got[class][max(0, edition)] += worth
+	a.GotSec[min(max(0, int(at/time.Second)), len(a.GotSec)-1)][class] += worth
+}
+
+// ratio is 1 where nothing was wanted: nobody was served badly.
+func ratio(got, want float64) float64 {
+	if want <= 0 {
+		return 1
+	}
+	return min(1, got/want)
+}
+
+// Service is the part that was well served, in all, by class and by edition.
+func (a *Account) Service() (all float64, classes, editions []float64) {
+	want, got := 0.0, 0.0
+	ew, eg := make([]float64, len(a.Want[0])), make([]float64, len(a.Want[0]))
+	for k := range a.Want {
+		cw, cg := 0.0, 0.0
+		for e := range a.Want[k] {
+			cw, cg = cw+a.Want[k][e], cg+a.Got[k][e]
+			ew[e], eg[e] = ew[e]+a.Want[k][e], eg[e]+a.Got[k][e]
+		}
+		want, got = want+cw, got+cg
+		classes = append(classes, ratio(cg, cw))
+	}
+	for e := range ew {
+		editions = append(editions, ratio(eg[e], ew[e]))
+	}
+	return ratio(got, want), classes, editions
+}
+
+// Between is the part well served from one time to another, in all and by class.
+func (a *Account) Between(from, to time.Duration) (all float64, classes []float64) {
+	n := len(a.Want)
+	w, g := make([]float64, n), make([]float64, n)
+	want, got := 0.0, 0.0
+	for i := int(from / time.Second); i < min(int(to/time.Second), len(a.WantSec)); i++ {
+		for k := range n {
+			w[k], g[k] = w[k]+a.WantSec[i][k], g[k]+a.GotSec[i][k]
+			want, got = want+a.WantSec[i][k], got+a.GotSec[i][k]
+		}
+	}
+	for k := range n {
+		classes = append(classes, ratio(g[k], w[k]))
+	}
+	return ratio(got, want), classes
+}
+
+// Series is the part well served by second; not a number where nothing was wanted.
+func (a *Account) Series() []float64 {
+	out := make([]float64, len(a.WantSec))
+	for i := range out {
+		w, g := 0.0, 0.0
+		for k := range a.Want {
+			w, g = w+a.WantSec[i][k], g+a.GotSec[i][k]
+		}
+		if out[i] = math.NaN(); w > 0 {
+			out[i] = min(1, g/w)
+		}
+	}
+	return out
+}
+
+// Worst is the least well served stretch of a length, and where it begins. A load shorter than that is one stretch.
+func (a *Account) Worst(length time.Duration) (float64, time.Duration) {
+	low, at := math.Inf(1), time.Duration(0)
+	total := time.Duration(len(a.WantSec)-1) * time.Second
+	for t := time.Duration(0); t+length <= total || t == 0; t += time.Second {
+		if r, _ := a.Between(t, t+length); r < low {
+			low, at = r, t
+		}
+	}
+	return low, at
+}
--- a/internal/node/capture.go
+++ b/internal/node/capture.go
@@ -22,7 +22,7 @@
 	if o.Path == "" {
 		return nil, nil
 	}
-	h := capture.Header{Node: name, Fields: fields}
+	h := capture.Header{Node: name, Zone: s.Zone, Fields: fields}
 	for _, c := range s.Classes {
 		h.Classes = append(h.Classes, c.Name)
 	}
--- /dev/null
+++ b/internal/planner/forecast.go
@@ -0,0 +1,136 @@
+package planner
+
+import (
+	"math"
+	"runtime"
+	"sync"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"spurwinch/internal/fleet"
+	"spurwinch/internal/load"
+)
+
+// Run is what one replication came to. Service is the worth of well-served seconds over that of all seconds asked for.
+type Run struct {
+	Service  float64
+	Worst    float64 // in the worst 10 s
+	WorstAt  time.Duration
+	Classes  []float64
+	Editions []float64
+	Series   []float64 // by second; NaN where nothing was wanted
+	Account  *load.Account
+	Requests []int // by second
+	Limits   []Seen
+	Stats    Stats
+}
+
+// Play simulates one replication.
+func Play(f *fleet.Fleet, l *load.Load, o Options) (Run, error) {
+	w, err := newWorld(f, l, o)
+	if err != nil {
+		return Run{}, err
+	}
+	w.simulate()
+	return w.result(), nil
+}
+
+func (w *world) result() Run {
+	r := Run{Limits: w.limits.list(), Stats: w.stats, Account: w.account, Requests: w.requests, Series: w.account.Series()}
+	r.Service, r.Classes, r.Editions = w.account.Service()
+	r.Editions = r.Editions[:len(w.fleet.Editions)]
+	r.Worst, r.WorstAt = w.account.Worst(window)
+	return r
+}
+
+// Figure is a mean over replications with its 95% interval by Student's t.
+type Figure struct {
+	Mean float64 `json:"mean"`
+	Low  float64 `json:"low95"`
+	High float64 `json:"high95"`
+}
+
+func figure(xs []float64) Figure {
+	m, s := stat.MeanStdDev(xs, nil)
+	f := Figure{m, m, m}
+	if n := float64(len(xs)); n > 1 {
+		half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * s / math.Sqrt(n)
+		f.Low, f.High = max(0, m-half), min(1, m+half)
+	}
+	return f
+}
+
+// Forecast is what a fleet is expected to make of a load.
+type Forecast struct {
+	Service  Figure            `json:"service"`
+	Worst    Figure            `json:"worst_10s"`
+	WorstAt  float64           `json:"worst_10s_at_s"`
+	Classes  map[string]Figure `json:"classes"`
+	Editions map[string]Figure `json:"editions"`
+	Limits   []Seen            `json:"limits"`
+	Stats    Stats             `json:"stats"`
+	Bound    Bound             `json:"bound"`
+	Runs     []Run             `json:"-"`
+}
+
+// Replicate plays the load n times, each with its own chance, on all cores, and sums up. tell (may be nil) hears of each
+// finished replication, not at once of several.
+func Replicate(f *fleet.Fleet, l *load.Load, o Options, n int, tell func()) (Forecast, error) {
+	runs := make([]Run, n)
+	errs := make([]error, n)
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range n {
+		wait.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wait.Done()
+			defer func() { <-slots }()
+			p := o
+			p.Seed = load.Mix(o.Seed*1000 + uint64(i))
+			runs[i], errs[i] = Play(f, l, p)
+			if tell != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				tell()
+			}
+		}()
+	}
+	wait.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return Forecast{}, err
+		}
+	}
+	return sum(f, l, runs), nil
+}
+
+func sum(f *fleet.Fleet, l *load.Load, runs []Run) Forecast {
+	pick := func(get func(Run) float64) Figure {
+		var xs []float64
+		for _, r := range runs {
+			xs = append(xs, get(r))
+		}
+		return figure(xs)
+	}
+	out := Forecast{Service: pick(func(r Run) float64 { return r.Service }), Worst: pick(func(r Run) float64 { return r.Worst }),
+		Classes: map[string]Figure{}, Editions: map[string]Figure{}, Bound: Bounds(f, l), Runs: runs}
+	for i, c := range f.Classes {
+		out.Classes[c.Name] = pick(func(r Run) float64 { return r.Classes[i] })
+	}
+	for i, e := range f.Editions {
+		out.Editions[e.Name] = pick(func(r Run) float64 { return r.Editions[i] })
+	}
+	// What stands for all replications is the one in the middle.
+	mid := runs[0]
+	for _, r := range runs {
+		if math.Abs(r.Service-out.Service.Mean) < math.Abs(mid.Service-out.Service.Mean) {
+			mid = r
+		}
+	}
+	out.Limits, out.Stats, out.WorstAt = mid.Limits, mid.Stats, mid.WorstAt.Seconds()
+	return out
+}
--- /dev/null
+++ b/internal/planner/limits.go
@@ -0,0 +1,98 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+)
+
+// limit is something that can be full.
+type limit int
+
+const (
+	limitServer limit = iota
+	limitFleet
+	limitConnections
+	limitSetups
+	limitStore
+	limitSockets
+	limitCold
+	limitShare
+	limitCount
+)
+
+var limitNames = [limitCount]string{"capacity of a server", "capacity of all servers", "connections of a server", "set-up queue of a server",
+	"session store", "descriptors of a node", "a cold server", "share of an edition"}
+
+// Seen is how far a limit was used.
+type Seen struct {
+	Limit string        `json:"limit"`
+	Peak  float64       `json:"peak"` // of the limit; from 1 on it was reached
+	At    time.Duration `json:"-"`    // when it was first reached, or came closest
+	AtS   float64       `json:"at_s"`
+	Where string        `json:"where"`
+	Hits  int           `json:"hits"` // times it was found reached
+}
+
+type limits struct {
+	seen [limitCount]Seen
+	mean float64
+	tops map[*host]float64 // load asked over a second and more
+}
+
+// hit notes that so much of a limit is used now.
+func (l *limits) hit(w *world, k limit, h *host, part float64) {
+	if w.now < settleTime && k != limitCold || !finite(part) {
+		return
+	}
+	s := &l.seen[k]
+	if part >= 1 {
+		if s.Hits++; s.Hits == 1 {
+			s.At, s.Where = w.now, where(w, h)
+		}
+	}
+	if part > s.Peak {
+		if s.Peak = part; s.Hits == 0 {
+			s.At, s.Where = w.now, where(w, h)
+		}
+	}
+}
+
+func where(w *world, h *host) string {
+	if h == nil {
+		return "all"
+	}
+	return fmt.Sprintf("%s (%s, %s)", h.id, h.kind.Name, w.fleet.Centres[h.centre].Name)
+}
+
+// host notes how much of itself a server is asked for, in the mean of about a second: one step's noise breaks nothing.
+func (l *limits) host(w *world, h *host) {
+	if l.tops == nil {
+		l.tops = map[*host]float64{}
+	}
+	x := l.tops[h]
+	x += (h.asked - x) * 0.05
+	l.tops[h] = x
+	l.hit(w, limitServer, h, x)
+}
+
+func (l *limits) fleet(w *world) {
+	ask, able := 0.0, 0.0
+	for _, h := range w.hosts {
+		if !h.dead {
+			ask, able = ask+l.tops[h]*h.cores(), able+h.cores()
+		}
+	}
+	if able > 0 {
+		l.hit(w, limitFleet, nil, ask/able)
+	}
+}
+
+func (l *limits) list() []Seen {
+	var out []Seen
+	for k := range l.seen {
+		s := l.seen[k]
+		s.Limit, s.AtS = limitNames[k], s.At.Seconds()
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/planner/validate.go
@@ -0,0 +1,96 @@
+package planner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"spurwinch/deploy"
+	"spurwinch/internal/fleet"
+	"spurwinch/internal/load"
+)
+
+// Trial is a small fleet with a load, drawn to check forecasts against what a replay does.
+type Trial struct {
+	Number   int
+	What     string
+	Fleet    *fleet.Fleet
+	Standing float64
+	Load     *load.Load
+	Lose     string
+	LoseAt   time.Duration
+}
+
+var trialKinds = []string{"usual", "mostly slow", "group-heavy", "edition over its share", "lost centre"}
+
+// TrialBase is what trials are drawn after where no fleet file is named: the example under deploy/.
+func TrialBase() *fleet.Fleet {
+	f, err := fleet.Parse("the built-in fleet", deploy.FleetEvening)
+	if err != nil {
+		panic(err) // a test reads it
+	}
+	return f
+}
+
+// DrawTrial draws trial number i of a seed. The first five are of one kind each, later ones of any.
+func DrawTrial(base *fleet.Fleet, seed uint64, i int, length time.Duration) Trial {
+	rng := rand.New(rand.NewPCG(seed, uint64(i)))
+	t := Trial{Number: i, What: trialKinds[i%len(trialKinds)]}
+	f := base.Clone()
+	f.General.Name = fmt.Sprintf("trial %d", i)
+	f.General.ConnectionsPerCore = 35 + 30*rng.Float64() // enough connections that chance doesn't hide what is wrong
+	f.Centres = append([]fleet.Centre(nil), base.Centres[:min(len(base.Centres), 2+rng.IntN(2))]...)
+	f.Delays = nil
+	f.Classes = append([]fleet.Class(nil), base.Classes...)
+	for k := range f.Classes {
+		c := &f.Classes[k]
+		c.Share *= 0.6 + 0.8*rng.Float64()
+		c.Load *= 0.5 + 0.6*rng.Float64() // small fleets: no connection may fill a server
+		c.LoadSpread *= 0.3 + 0.7*rng.Float64()
+		c.Life = fleet.Duration(float64(8*time.Second) * (0.7 + 0.8*rng.Float64()))
+	}
+	f.Editions = append([]fleet.Edition(nil), base.Editions...)
+	f.Servers, f.Nodes = nil, nil
+	n := 5 + rng.IntN(5)
+	slow := 0.2 + 0.4*rng.Float64()
+	if t.What == "mostly slow" {
+		slow = 0.55
+	}
+	place := func(kind string, count int) {
+		for c := range f.Centres {
+			k := count / len(f.Centres)
+			if c < count%len(f.Centres) {
+				k++
+			}
+			if k > 0 {
+				f.Servers = append(f.Servers, fleet.Servers{Kind: kind, Centre: f.Centres[c].Name, Count: k})
+			}
+		}
+	}
+	few := int(float64(n)*slow + 0.5)
+	place(f.Kinds[0].Name, n-few)
+	if len(f.Kinds) > 1 {
+		place(f.Kinds[1].Name, few)
+	}
+	for _, c := range f.Centres {
+		f.Nodes = append(f.Nodes, fleet.Nodes{Centre: c.Name, Count: 1, Sockets: 1024})
+	}
+	switch t.What {
+	case "group-heavy":
+		f.Group.Cost, f.Group.Size = 2+2*rng.Float64(), 5+3*rng.Float64()
+	case "edition over its share":
+		f.Editions[rng.IntN(len(f.Editions))].Usage = 5
+	case "lost centre":
+		t.Lose, t.LoseAt = f.Centres[len(f.Centres)-1].Name, length/3
+	}
+	t.Fleet = f
+	// Loads from easy to too much: a mean connection with its part of a group's cost.
+	each := f.MeanLoad() * f.CoreLoad()
+	if f.Group.Cost > 0 {
+		each += f.Group.Cost * f.CoreLoad() / f.Group.Size * 1.5
+	}
+	t.Standing = f.Cores() * (0.45 + 0.6*rng.Float64()) / each
+	f.Store.Rate = 4 * t.Standing / 8
+	t.Load = load.Draw(f, load.Drawn{Seed: rng.Uint64(), Length: length, Standing: t.Standing})
+	return t
+}
--- /dev/null
+++ b/internal/planner/world.go
@@ -0,0 +1,280 @@
+// Package planner forecasts what a fleet makes of a load. Nodes in the model are the real core and the real decision
+// module (edge.Core, choice.Balancer) on a simulated clock; servers, store, list and clients are models, described in
+// docs/planner.md. A run is a pure function of fleet, load, options and seed.
+package planner
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/fleet"
+	"spurwinch/internal/load"
+)
+
+const (
+	step       = 50 * time.Millisecond // of the servers' work
+	spareSlots = 48                    // descriptors of a node that are not for connections, as in internal/node
+	window     = 10 * time.Second      // the worst one counts on its own
+	settleTime = 2 * time.Second       // a wave of first arrivals is no load that breaks anything
+)
+
+// Options change a run.
+type Options struct {
+	Seed uint64
+	// Lose takes a centre away, its nodes and servers, at LoseAt.
+	Lose   string
+	LoseAt time.Duration
+	// AllCold starts all servers with the load.
+	AllCold bool
+}
+
+type event struct {
+	at   time.Duration
+	seq  uint64
+	fn   func()
+	core *edge.Core // whose events are handed on after fn
+}
+
+type events []*event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(*event)) }
+func (q *events) Pop() any {
+	e := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = nil
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// epoch is when the simulated clock starts: the module's clock is Unix time, in which 0 means "long ago".
+var epoch = time.Unix(1_800_000_000, 0)
+
+// world is one run.
+type world struct {
+	fleet    *fleet.Fleet
+	load     *load.Load
+	opts     Options
+	rng      *rand.Rand
+	now      time.Duration
+	seq      uint64
+	queue    events
+	hosts    []*host
+	byID     map[choice.ServerID]*host
+	nodes    []*node
+	storeAt  time.Duration // when the store is free again
+	account  *load.Account
+	worths   []float64 // of a second of each session
+	held     []int     // sessions that want a connection, by edition
+	quota    []float64
+	limits   limits
+	ids      int
+	ways     [][]time.Duration
+	stats    Stats
+	requests []int // by second
+}
+
+// Stats counts what happened in a run.
+type Stats struct {
+	Sessions, Requests, Up, Refused, Failed int
+	Moves, Breaks, Sheds                    int
+	Fallen                                  int // cold servers that were pushed over
+}
+
+func (w *world) at(t time.Duration, core *edge.Core, fn func()) *event {
+	w.seq++
+	e := &event{max(t, w.now), w.seq, fn, core}
+	heap.Push(&w.queue, e)
+	return e
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(*event)
+		w.now = e.at
+		if e.fn == nil {
+			continue
+		}
+		e.fn()
+		if e.core != nil {
+			e.core.Flush()
+		}
+	}
+	w.now = until
+}
+
+// clock is the simulated clock as a core sees it.
+type clock struct {
+	w *world
+	n *node
+}
+
+func (c clock) Now() time.Time { return epoch.Add(c.w.now) }
+
+func (c clock) At(at time.Time, fn func()) func() {
+	e := c.w.at(at.Sub(epoch), c.n.core, func() {
+		if !c.n.dead {
+			fn()
+		}
+	})
+	return func() { e.fn = nil }
+}
+
+// node is a node of the fleet: the real core, with the descriptors that its front would count.
+type node struct {
+	w      *world
+	core   *edge.Core
+	centre int
+	most   int // connections of both sides
+	open   int
+	dead   bool
+	here   map[*client]struct{}
+}
+
+func newWorld(f *fleet.Fleet, l *load.Load, o Options) (*world, error) {
+	w := &world{fleet: f, load: l, opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1213)), byID: map[choice.ServerID]*host{}}
+	w.account, w.worths = load.NewAccount(f, l.Length), load.Worths(f, l)
+	w.account.Wanted(l, w.worths)
+	w.requests = make([]int, len(w.account.WantSec))
+	editions := max(1, len(f.Editions))
+	w.held, w.quota = make([]int, editions), make([]float64, editions)
+	for i := range w.quota {
+		if w.quota[i] = math.Inf(1); len(f.Editions) > 0 {
+			w.quota[i] = f.Quota(i)
+		}
+	}
+	for a := range f.Centres {
+		var row []time.Duration
+		for b := range f.Centres {
+			row = append(row, f.OneWay(a, b))
+		}
+		w.ways = append(w.ways, row)
+	}
+	for _, s := range f.Servers {
+		for range s.Count {
+			w.addHost(f.Kind(s.Kind), f.Centre(s.Centre), s.Cold || o.AllCold)
+		}
+	}
+	total := 0
+	for _, n := range f.Nodes {
+		total += n.Count
+	}
+	for _, n := range f.Nodes {
+		for range n.Count {
+			if err := w.addNode(n, total); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return w, nil
+}
+
+func (w *world) addNode(spec fleet.Nodes, total int) error {
+	n := &node{w: w, centre: w.fleet.Centre(spec.Centre), most: spec.Sockets - spareSlots}
+	s, err := w.fleet.Settings(len(w.nodes), total, spec.Centre)
+	if err != nil {
+		return fmt.Errorf("planner: settings of a node: %w", err)
+	}
+	n.core, err = edge.New(edge.Options{Clock: clock{w, n}, Settings: s.Settings, Seed: w.opts.Seed*1000 + uint64(len(w.nodes)), Prober: n})
+	if err != nil {
+		return fmt.Errorf("planner: %w", err)
+	}
+	w.nodes = append(w.nodes, n)
+	return nil
+}
+
+// list is the list of servers as discovery tells it.
+func (w *world) list() []edge.UpstreamHost {
+	var all []edge.UpstreamHost
+	for _, h := range w.hosts {
+		s := choice.Server{ID: h.id, Zone: w.fleet.Centres[h.centre].Name, Kind: h.kind.Name, Size: 1}
+		if h.cold {
+			s.Started = time.Duration(epoch.UnixNano())
+		}
+		if h.dead {
+			s.State = choice.Gone
+		}
+		all = append(all, edge.UpstreamHost{Server: s})
+	}
+	return all
+}
+
+// Probe asks a server for its report, as the platform's probes do.
+func (n *node) Probe(u edge.UpstreamHost, by time.Time, done func(choice.Outcome, []float64)) {
+	w, h := n.w, n.w.byID[u.ID]
+	if n.dead {
+		return
+	}
+	way := w.ways[n.centre][h.centre]
+	w.at(w.now+way, nil, func() {
+		if h.dead {
+			w.at(w.now+way, n.core, func() { done(choice.ConnectFailed, nil) })
+			return
+		}
+		h.work += w.fleet.Reports.ProbeWork.Seconds()
+		report := h.report()
+		w.at(w.now+way, n.core, func() { done(choice.Served, report) })
+	})
+}
+
+// simulate plays the whole load.
+func (w *world) simulate() {
+	for i := range w.load.Sessions {
+		s := &w.load.Sessions[i]
+		w.at(s.At, nil, func() { w.arrive(s, w.worths[i]) })
+	}
+	for _, n := range w.nodes {
+		n.core.Start(w.list())
+	}
+	var tick func()
+	tick = func() {
+		w.advance()
+		if w.now+step <= w.load.Length {
+			w.at(w.now+step, nil, tick)
+		}
+	}
+	w.at(step, nil, tick)
+	if c := w.fleet.Centre(w.opts.Lose); c >= 0 {
+		w.at(w.opts.LoseAt, nil, func() { w.lose(c) })
+	}
+	w.run(w.load.Length)
+}
+
+// lose takes a centre away: its connections break, its nodes are gone for the front at once, and the others' lists tell of
+// its servers when discovery does.
+func (w *world) lose(centre int) {
+	for _, n := range w.nodes {
+		if n.centre == centre {
+			n.dead = true
+		}
+	}
+	for _, h := range w.hosts {
+		if h.centre == centre {
+			h.dead = true
+			h.breakAll()
+		}
+	}
+	for _, n := range w.nodes {
+		if n.dead {
+			for _, c := range n.clients() {
+				c.nodeLost()
+			}
+		}
+	}
+	w.at(w.now+time.Duration(w.fleet.Discovery.Delay), nil, func() {
+		for _, n := range w.nodes {
+			if !n.dead {
+				n.core.List(choice.ListWhole, w.list())
+				n.core.Flush()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"spurwinch/internal/fleet"
+)
+
+// Stats counts what the stand-ins did.
+type Stats struct{ Sheds, Fallen int }
+
+// Fleet is a stand-in fleet: servers, store, and a list of servers for the nodes of each centre.
+type Fleet struct {
+	Conf  *fleet.Fleet
+	Start time.Time
+	Hosts []*Host
+
+	seed    uint64
+	store   *Store
+	mu      sync.Mutex
+	stats   Stats
+	version int64
+	states  map[string]string
+	news    chan struct{} // closed at each change
+	servers []*http.Server
+	addrs   []string
+	stop    chan struct{}
+}
+
+// New starts a fleet's servers and lists on free loopback ports.
+func New(conf *fleet.Fleet, seed uint64, allCold bool) (*Fleet, error) {
+	f := &Fleet{Conf: conf, Start: time.Now(), seed: seed, store: &Store{conf: conf.Store}, version: 1, states: map[string]string{},
+		news: make(chan struct{}), stop: make(chan struct{})}
+	for _, s := range conf.Servers {
+		for range s.Count {
+			id := fmt.Sprintf("s-%04d", len(f.Hosts))
+			h, err := f.newHost(id, conf.Kind(s.Kind), conf.Centre(s.Centre), s.Cold || allCold, seed*1009+uint64(len(f.Hosts)))
+			if err != nil {
+				f.Close()
+				return nil, err
+			}
+			f.Hosts = append(f.Hosts, h)
+			f.states[id] = "SERVING"
+		}
+	}
+	for c := range conf.Centres {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.list(w, r, c) }), ReadHeaderTimeout: 5 * time.Second}
+		f.servers = append(f.servers, s)
+		f.addrs = append(f.addrs, l.Addr().String())
+		go s.Serve(l)
+	}
+	go func() {
+		t := time.NewTicker(tick)
+		defer t.Stop()
+		for {
+			select {
+			case now := <-t.C:
+				for _, h := range f.Hosts {
+					h.advance(now)
+				}
+			case <-f.stop:
+				return
+			}
+		}
+	}()
+	return f, nil
+}
+
+// Discovery is the address of the list for nodes of a centre.
+func (f *Fleet) Discovery(centre int) string { return f.addrs[centre] }
+
+func (f *Fleet) count(fn func(*Stats)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fn(&f.stats)
+}
+
+// Stats is what was counted so far.
+func (f *Fleet) Stats() Stats {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stats
+}
+
+// changed puts a server's death on the list, when discovery has noticed.
+func (f *Fleet) changed(h *Host) {
+	time.AfterFunc(time.Duration(f.Conf.Discovery.Delay), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.states[h.ID] = "DELETED"
+		f.version++
+		close(f.news)
+		f.news = make(chan struct{})
+	})
+}
+
+// Entries is the list as a node of a centre is told it, in discovery's form.
+func (f *Fleet) Entries(centre int) json.RawMessage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries(centre)
+}
+
+func (f *Fleet) entries(centre int) json.RawMessage {
+	type entry struct {
+		ID      string  `json:"id"`
+		Addr    string  `json:"addr"`
+		Zone    string  `json:"zone"`
+		Kind    string  `json:"kind"`
+		Cell    int     `json:"cell"`
+		State   string  `json:"state"`
+		Weight  float64 `json:"weight"`
+		Started int64   `json:"started_ms"`
+	}
+	all := []entry{}
+	for _, h := range f.Hosts {
+		if f.states[h.ID] == "DELETED" {
+			continue
+		}
+		e := entry{ID: h.ID, Addr: h.listen[centre].Addr().String(), Zone: f.Conf.Centres[h.Centre].Name, Kind: h.Kind.Name, State: f.states[h.ID], Weight: 1}
+		if h.cold {
+			e.Started = f.Start.UnixMilli()
+		}
+		all = append(all, e)
+	}
+	raw, err := json.Marshal(map[string]any{"version": f.version, "full": true, "servers": all})
+	if err != nil {
+		panic(err) // names and numbers only
+	}
+	return raw
+}
+
+// list answers GET /v1/servers, at once or, as a watch, when there is news.
+func (f *Fleet) list(w http.ResponseWriter, r *http.Request, centre int) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	ms, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	f.mu.Lock()
+	news := f.news
+	wait := r.URL.Query().Has("after") && after >= f.version
+	f.mu.Unlock()
+	if wait {
+		t := time.NewTimer(time.Duration(min(ms, 60000)) * time.Millisecond)
+		defer t.Stop()
+		select {
+		case <-news:
+		case <-t.C:
+		case <-f.stop:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(f.Entries(centre))
+}
+
+// Close ends all stand-ins.
+func (f *Fleet) Close() {
+	close(f.stop)
+	for _, s := range f.servers {
+		s.Close()
+	}
+	for _, h := range f.Hosts {
+		h.Kill()
+	}
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -48,16 +48,18 @@
 	faults Faults
 }
 
-// Decode reads the file at path into v, a pointer to a struct with toml tags. Syntax errors, values of a wrong type and
-// unknown keys are faults of the File; the error is for what could not be read at all.
-func Decode(path string, v any) (*File, error) {
+// Load reads a file's text.
+func Load(path string) ([]byte, error) {
 	src, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	if len(src) > MostBytes {
-		return nil, fmt.Errorf("%s: %d bytes; settings have %d at most", path, len(src), MostBytes)
+	if err == nil && len(src) > MostBytes {
+		err = fmt.Errorf("%s: %d bytes; settings have %d at most", path, len(src), MostBytes)
 	}
+	return src, err
+}
+
+// Decode decodes the text of a file into v, a pointer to a struct with toml tags. Syntax errors, values of a wrong type and
+// unknown keys are faults of the File.
+func Decode(path string, src []byte, v any) *File {
 	f := &File{Name: path, lines: map[string]int{}}
 	f.index(src)
 	md, err := toml.Decode(string(src), v)
@@ -81,7 +83,7 @@
 			}
 		}
 	}
-	return f, nil
+	return f
 }
 
 // index notes the line of each key, under its path: tables and keys joined by dots, with the numbers of array tables.
