--- a/cmd/spurwinchctl/capture.go
+++ b/cmd/spurwinchctl/capture.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"spurwinch/internal/fleet"
 	"spurwinch/internal/load"
 )
 
@@ -72,7 +73,44 @@
 			return nil
 		}}
 	s.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	c.AddCommand(s)
+	c.AddCommand(s, drawCommand())
+	return c
+}
+
+// drawCommand makes a capture where there is none yet: a first evening is planned from what a fleet file says of its load.
+func drawCommand() *cobra.Command {
+	var file, out string
+	var d load.Drawn
+	c := &cobra.Command{Use: "draw --fleet FLEET --standing N --out PATH", Short: "Write a capture drawn from a fleet file's classes and editions", Args: cobra.NoArgs}
+	c.Flags().StringVar(&file, "fleet", "", "the `FLEET` file")
+	c.Flags().StringVar(&out, "out", "drawn", "what the capture's file begins with")
+	c.Flags().Float64Var(&d.Standing, "standing", 0, "sessions that want a connection, in the mean")
+	c.Flags().Float64Var(&d.Swing, "swing", 0, "the rate climbs from 1-swing to 1+swing times its mean")
+	c.Flags().DurationVar(&d.Length, "length", time.Minute, "of the load")
+	c.Flags().Uint64Var(&d.Seed, "seed", 1, "of all chance")
+	c.MarkFlagRequired("fleet")
+	c.MarkFlagRequired("standing")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		switch {
+		case !(d.Standing >= 0 && d.Standing <= 1e6):
+			return fmt.Errorf("--standing %v: 0 to 1000000 are wanted", d.Standing)
+		case !(d.Swing >= 0 && d.Swing <= 1):
+			return fmt.Errorf("--swing %v: 0 to 1 is wanted", d.Swing)
+		case d.Length < time.Second || d.Length > 24*time.Hour:
+			return fmt.Errorf("--length %v: 1s to 24h are wanted", d.Length)
+		}
+		f, err := fleet.Read(file)
+		if err != nil {
+			return err
+		}
+		l := load.Draw(f, d)
+		names, err := l.Write(f, out)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s\n%d sessions in %v, %.0f standing, %.1f cores asked in the mean, without groups\n", strings.Join(names, "\n"), len(l.Sessions), d.Length, l.Standing(), l.Cores(f))
+		return nil
+	}
 	return c
 }
 
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -39,6 +39,7 @@
 	Key      []byte  // for the hashes of clients and groups
 	Queue    int     // records that may wait for the writer
 	Header   Header
+	Began    time.Time // of offset 0; zero: now
 	// Fault hears, on the writer's goroutine, what could not be written; capturing goes on with the next block.
 	Fault func(error)
 }
@@ -70,8 +71,11 @@
 // NewWriter creates the first file and starts the one goroutine that writes, which lives until Close.
 func NewWriter(o Options) (*Writer, error) {
 	zip := zipper()
-	w := &Writer{o: o, queue: make(chan Record, o.Queue), done: make(chan struct{}), zip: zip, began: time.Now(),
+	w := &Writer{o: o, queue: make(chan Record, o.Queue), done: make(chan struct{}), zip: zip, began: o.Began,
 		hosts: map[string]Host{}, skipped: map[uint64]bool{}, limit: math.MaxUint64}
+	if w.began.IsZero() {
+		w.began = time.Now()
+	}
 	if o.Share < 1 {
 		w.limit = uint64(o.Share * math.MaxUint64)
 	}
@@ -105,6 +109,12 @@
 	}
 }
 
+// PutWait hands a record over and waits for room. It is for tools; a node must not wait.
+func (w *Writer) PutWait(r Record) { w.queue <- r }
+
+// Files are the files that are kept, oldest first. They are whole after Close.
+func (w *Writer) Files() []string { return w.files }
+
 // Dropped is how many records were dropped so far and not told in a file yet.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
--- a/internal/load/capture.go
+++ b/internal/load/capture.go
@@ -128,6 +128,7 @@
 				s := c.host(r.ID)
 				s.Kind, s.Zone = r.Kind, r.Zone
 			case capture.Dropped:
+				note(r.At)
 				c.Dropped += r.Count
 			}
 		})
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -112,7 +112,8 @@
 }
 
 // Draw makes a load after a fleet's classes, editions and groups: Poisson arrivals of groups, lives and sizes as the file
-// says. The sessions that stand at its beginning arrive over the first two seconds.
+// says. The sessions that stand at its beginning arrive over the first third of a mean life, a sixth of the length at most:
+// all at once they would be a storm that no evening begins with.
 func Draw(f *fleet.Fleet, d Drawn) *Load {
 	rng := rand.New(rand.NewPCG(d.Seed, 77))
 	shares, uses, places := make([]float64, len(f.Classes)), make([]float64, len(f.Editions)), make([]float64, len(f.Centres))
@@ -171,8 +172,9 @@
 		size = f.Group.Size
 	}
 	standing := int(d.Standing * (1 - d.Swing) / size)
+	over := min(meanLife/3, d.Length.Seconds()/6)
 	for range standing {
-		group(time.Duration(rng.Float64()*2*float64(time.Second)), true)
+		group(time.Duration(rng.Float64()*over*float64(time.Second)), true)
 	}
 	top := d.Standing / size / meanLife * (1 + d.Swing)
 	for t := rng.ExpFloat64() / top; t < d.Length.Seconds(); t += rng.ExpFloat64() / top {
--- a/internal/planner/world.go
+++ b/internal/planner/world.go
@@ -4,7 +4,6 @@
 package planner
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -34,25 +33,65 @@
 }
 
 type event struct {
-	at   time.Duration
-	seq  uint64
 	fn   func()
 	core *edge.Core // whose events are handed on after fn
 }
 
-type events []*event
+// events is a heap by time, and by order of coming at one time. It has four children a place and no interface between:
+// half of a long run is spent here.
+type events []slot
 
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+type slot struct {
+	at  time.Duration
+	seq uint64
+	e   *event
 }
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(*event)) }
-func (q *events) Pop() any {
-	e := (*q)[len(*q)-1]
-	(*q)[len(*q)-1] = nil
-	*q = (*q)[:len(*q)-1]
-	return e
+
+func (a slot) before(b slot) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
+
+func (q *events) push(x slot) {
+	h := append(*q, x)
+	i := len(h) - 1
+	for i > 0 {
+		up := (i - 1) / 4
+		if !x.before(h[up]) {
+			break
+		}
+		h[i] = h[up]
+		i = up
+	}
+	h[i] = x
+	*q = h
+}
+
+func (q *events) pop() slot {
+	h := *q
+	top, x := h[0], h[len(h)-1]
+	h[len(h)-1] = slot{}
+	h = h[:len(h)-1]
+	*q = h
+	if len(h) == 0 {
+		return top
+	}
+	i := 0
+	for {
+		least := 4*i + 1
+		if least >= len(h) {
+			break
+		}
+		for k := least + 1; k < min(4*i+5, len(h)); k++ {
+			if h[k].before(h[least]) {
+				least = k
+			}
+		}
+		if !h[least].before(x) {
+			break
+		}
+		h[i] = h[least]
+		i = least
+	}
+	h[i] = x
+	return top
 }
 
 // epoch is when the simulated clock starts: the module's clock is Unix time, in which 0 means "long ago".
@@ -91,15 +130,16 @@
 
 func (w *world) at(t time.Duration, core *edge.Core, fn func()) *event {
 	w.seq++
-	e := &event{max(t, w.now), w.seq, fn, core}
-	heap.Push(&w.queue, e)
+	e := &event{fn, core}
+	w.queue.push(slot{max(t, w.now), w.seq, e})
 	return e
 }
 
 func (w *world) run(until time.Duration) {
 	for len(w.queue) > 0 && w.queue[0].at <= until {
-		e := heap.Pop(&w.queue).(*event)
-		w.now = e.at
+		next := w.queue.pop()
+		w.now = next.at
+		e := next.e
 		if e.fn == nil {
 			continue
 		}
@@ -227,10 +267,7 @@
 
 // simulate plays the whole load.
 func (w *world) simulate() {
-	for i := range w.load.Sessions {
-		s := &w.load.Sessions[i]
-		w.at(s.At, nil, func() { w.arrive(s, w.worths[i]) })
-	}
+	w.arrivals(0)
 	for _, n := range w.nodes {
 		n.core.Start(w.list())
 	}
@@ -248,6 +285,17 @@
 	w.run(w.load.Length)
 }
 
+// arrivals has the sessions come from number i on, one event at a time: the queue stays small.
+func (w *world) arrivals(i int) {
+	if i < len(w.load.Sessions) {
+		s := &w.load.Sessions[i]
+		w.at(s.At, nil, func() {
+			w.arrive(s, w.worths[i])
+			w.arrivals(i + 1)
+		})
+	}
+}
+
 // lose takes a centre away: its connections break, its nodes are gone for the front at once, and the others' lists tell of
 // its servers when discovery does.
 func (w *world) lose(centre int) {
