--- a/cmd/spurwinchctl/plan.go
+++ b/cmd/spurwinchctl/plan.go
@@ -116,7 +116,7 @@
 }
 
 func percent(f planner.Figure) string {
-	return fmt.Sprintf("%5.1f%%  (%.1f to %.1f)", 100*f.Mean, 100*f.Low, 100*f.High)
+	return fmt.Sprintf("%5.1f%%  (%.1f to %.1f; one evening ±%.1f)", 100*f.Mean, 100*f.Low, 100*f.High, 100*f.SD)
 }
 
 func (p *planning) describe(out io.Writer) {
@@ -202,10 +202,12 @@
 	var p planning
 	var target float64
 	var most int
+	var window time.Duration
 	c := &cobra.Command{Use: "size --load CAPTURE --fleet FLEET --target 0.98", Short: "The least servers of each kind that a target needs", Args: cobra.NoArgs}
 	p.flags(c)
 	c.Flags().Float64Var(&target, "target", 0.98, "service to reach, over 0 and under 1")
 	c.Flags().IntVar(&most, "most", 2000, "servers to try at most")
+	c.Flags().DurationVar(&window, "window", 10*time.Minute, "a load longer than 1.5 times this is searched on its busiest stretch of it (0: the whole)")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if !(target > 0 && target < 1) {
 			return fmt.Errorf("--target %v: a part over 0 and under 1 is wanted", target)
@@ -214,7 +216,8 @@
 			return err
 		}
 		bar := newProgress(c)
-		s, err := planner.LeastServers(p.conf, p.load, p.options(), target, p.reps, most, func(t string) { bar.say("%s", t) })
+		s, err := planner.LeastServers(p.conf, p.load, planner.SizeOptions{Options: p.options(), Target: target, Reps: p.reps, Most: most,
+			Window: window, Tell: func(t string) { bar.say("%s", t) }})
 		if err != nil {
 			return err
 		}
@@ -242,25 +245,35 @@
 }
 
 func printSizing(out io.Writer, s planner.Sizing) {
-	fmt.Fprintf(out, "\nTarget: service of %.1f%%\n", 100*s.Target)
+	fmt.Fprintf(out, "\nTarget: service of %.1f%%, over the load from %.0f to %.0f s\n", 100*s.Target, s.FromS, s.ToS)
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', 0)
 	for _, t := range s.Tried {
-		fmt.Fprintf(w, "  %d servers\t%s\t%s\n", t.Servers, percent(t.Service), kindText(t.Kinds))
+		fmt.Fprintf(w, "  %d servers\t%s\t%s\n", t.Servers, sizeText(t), kindText(t.Kinds))
 	}
 	w.Flush()
 	if !s.Reached {
 		fmt.Fprintf(out, "Not reachable: %s\n", s.Why)
 		return
 	}
-	fmt.Fprintf(out, "\nLeast: %d servers (%s), service %s\n", s.Least.Servers, kindText(s.Least.Kinds), percent(s.Least.Service))
+	fmt.Fprintf(out, "\nLeast: %d servers (%s), service %s\n", s.Least.Servers, kindText(s.Least.Kinds), sizeText(s.Least))
 	var names []string
 	for k := range s.OneBelow {
 		names = append(names, k)
 	}
 	sort.Strings(names)
 	for _, k := range names {
-		fmt.Fprintf(out, "  one %s less: %s\n", k, percent(s.OneBelow[k].Service))
+		fmt.Fprintf(out, "  one %s less: %s\n", k, sizeText(s.OneBelow[k]))
 	}
+	if s.Whole != nil {
+		fmt.Fprintf(out, "  the least over the whole load: %s\n", percent(*s.Whole))
+	}
+}
+
+func sizeText(s planner.Size) string {
+	if s.AtMost {
+		return fmt.Sprintf("under %.1f%%, ended early", 100*s.Service.Mean)
+	}
+	return percent(s.Service)
 }
 
 func kindText(m map[string]int) string {
--- a/cmd/spurwinchctl/validate.go
+++ b/cmd/spurwinchctl/validate.go
@@ -204,7 +204,7 @@
 // least compares the least number of servers for the target with what replays of that many, and of its neighbours, show.
 func (v *validating) least(t planner.Trial, wanted *load.Load, r *verdict, seed uint64, play func(*fleet.Fleet, string, uint64, replay.Options) (replay.Result, error), say func(string, ...any)) error {
 	say("fleet %d (%s): least servers", r.Fleet, t.What)
-	n, err := planner.LeastTotal(t.Fleet, wanted, planner.Options{Seed: seed}, v.target, v.reps, 200)
+	n, err := planner.LeastTotal(t.Fleet, wanted, planner.SizeOptions{Options: planner.Options{Seed: seed}, Target: v.target, Reps: v.reps, Most: 200})
 	if err != nil {
 		return err
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -510,6 +510,9 @@
 	Until  time.Time // absolute: given up then
 }
 
+// Standing says that the attempt is for a connection that was open at its host before the node started.
+func (a *Attempt) Standing() bool { return a.request.At != "" }
+
 // ConnectBy is when the attempt's connection must be up.
 func (a *Attempt) ConnectBy() time.Time {
 	by := a.Until
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -264,7 +264,7 @@
 		servers += s.Count
 	}
 	if servers > mostServers {
-		file.Fault("servers", "%d servers: %d at most", servers, mostServers)
+		file.Fault("servers.0", "%d servers: %d at most", servers, mostServers)
 	}
 	nodes := 0
 	if len(f.Nodes) == 0 {
@@ -280,7 +280,7 @@
 		nodes += n.Count
 	}
 	if nodes == 0 && len(f.Nodes) > 0 {
-		file.Fault("node", "no node at all: one or more are wanted")
+		file.Fault("node.0", "no node at all: one or more are wanted")
 	}
 	classes := map[string]bool{}
 	if len(f.Classes) == 0 {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,6 +23,8 @@
 	Client  uint64
 	Group   uint64  // 0: none
 	Load    float64 // in usual connections; 0: not told
+	// Standing says that the connection stands when the load begins: it was set up before.
+	Standing bool
 }
 
 // Load is sessions in the order of their arrival.
@@ -32,7 +34,15 @@
 }
 
 func (l *Load) sort() {
-	slices.SortStableFunc(l.Sessions, func(a, b Session) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(l.Sessions, func(a, b Session) int {
+		if a.Standing != b.Standing { // what stands comes first
+			if a.Standing {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.At, b.At)
+	})
 }
 
 // Standing is the mean number of sessions that want a connection over the load's length.
@@ -63,6 +73,56 @@
 	return sum / l.Length.Seconds()
 }
 
+// Cut is the part of a load from one time to another. Sessions that had come before stand at its beginning.
+func (l *Load) Cut(from, to time.Duration) *Load {
+	out := &Load{Length: min(to, l.Length) - from}
+	for _, s := range l.Sessions {
+		if s.At >= to || s.At+s.Life <= from {
+			continue
+		}
+		if s.At < from {
+			s.Life -= from - s.At
+			s.At, s.Standing = from, true
+		}
+		s.At -= from
+		out.Sessions = append(out.Sessions, s)
+	}
+	out.sort()
+	return out
+}
+
+// Busiest is the beginning of the stretch of a length in which most is asked for, in steps of an eighth of it.
+func (l *Load) Busiest(f *fleet.Fleet, length time.Duration) time.Duration {
+	step := max(length/8, time.Second)
+	n := int(l.Length/step) + 1
+	change := make([]float64, n+1) // of the load asked for, at the beginning of each step
+	for _, s := range l.Sessions {
+		x := s.Load
+		if x == 0 {
+			x = f.Classes[s.Class].Load
+		}
+		change[min(n, int(s.At/step))] += x
+		change[min(n, int((s.At+s.Life)/step))] -= x
+	}
+	asked := make([]float64, n)
+	sum := 0.0
+	for i := range asked {
+		sum += change[i]
+		asked[i] = sum
+	}
+	best, most := 0, -1.0
+	for i := 0; i+8 <= n; i++ {
+		x := 0.0
+		for _, a := range asked[i : i+8] {
+			x += a
+		}
+		if x > most {
+			best, most = i, x
+		}
+	}
+	return min(time.Duration(best)*step, max(0, l.Length-length))
+}
+
 // Scale is the load times a factor. Whole copies of all sessions are added, and of a part of the clients, groups of theirs
 // with them: more farms come, each as large as before. A copy arrives up to spread sooner or later than its original, so
 // that copies don't come in pairs.
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -87,6 +87,19 @@
 	a.GotSec[min(max(0, int(at/time.Second)), len(a.GotSec)-1)][class] += worth
 }
 
+// Lost is all the worth that is wanted, and what of it was not well served up to a time.
+func (a *Account) Lost(until time.Duration) (all, lost float64) {
+	for i := range a.WantSec {
+		for k := range a.Want {
+			all += a.WantSec[i][k]
+			if time.Duration(i+1)*time.Second <= until {
+				lost += a.WantSec[i][k] - a.GotSec[i][k]
+			}
+		}
+	}
+	return all, lost
+}
+
 // ratio is 1 where nothing was wanted: nobody was served badly.
 func ratio(got, want float64) float64 {
 	if want <= 0 {
--- a/internal/planner/client.go
+++ b/internal/planner/client.go
@@ -38,14 +38,32 @@
 func (c *client) class() *fleet.Class { return &c.w.fleet.Classes[c.s.Class] }
 
 // arrive begins a session.
-func (w *world) arrive(s *load.Session, worth float64) {
+func (w *world) arrive(s *load.Session, worth float64, standing bool) {
 	c := &client{w: w, s: s, worth: worth}
 	e := max(0, s.Edition)
 	w.limits.hit(w, limitShare, nil, float64(w.held[e]+1)/w.quota[e])
 	w.held[e]++
 	w.stats.Sessions++
 	w.at(s.At+s.Life, nil, c.leave)
-	c.come()
+	if !standing {
+		c.come()
+		return
+	}
+	// It stands at a server drawn by what servers bear, groups together, and came by a node of its centre.
+	who := s.Group
+	if who == 0 {
+		who = s.Client
+	}
+	best, most := w.hosts[0], math.Inf(-1)
+	for i, h := range w.hosts {
+		u := (float64(load.Mix(who^load.Mix(uint64(i)))>>11) + 0.5) / (1 << 53)
+		if x := math.Log(u) / h.cores(); x > most {
+			best, most = h, x
+		}
+	}
+	if n := c.pick(); n != nil {
+		w.at(w.now, n, func() { c.openAt(n, best.id) })
+	}
 }
 
 // leave ends the session.
@@ -62,11 +80,21 @@
 
 // come has the client connect to a node of its centre, or of another one where its own has none.
 func (c *client) come() {
-	w := c.w
 	if c.gone {
 		return
 	}
-	var near, far []*node
+	n := c.pick()
+	if n == nil {
+		c.again(0)
+		return
+	}
+	c.w.at(c.w.now+time.Duration(c.w.fleet.Network.Client), n, func() { c.open(n) })
+}
+
+// pick is a node of the client's centre that runs, or of another one where its own has none; nil where none runs.
+func (c *client) pick() *node {
+	w := c.w
+	near, far := w.near[:0], w.far[:0]
 	for _, n := range w.nodes {
 		if n.dead {
 			continue
@@ -78,17 +106,23 @@
 	if len(near) == 0 {
 		near = far
 	}
+	w.near, w.far = near[:0], far[:0]
 	if len(near) == 0 {
-		c.again(0)
-		return
+		return nil
 	}
-	n := near[w.rng.IntN(len(near))]
-	w.at(w.now+time.Duration(w.fleet.Network.Client), n.core, func() { c.open(n) })
+	return near[w.rng.IntN(len(near))]
 }
 
-func (c *client) open(n *node) {
+func (c *client) open(n *node) { c.openAt(n, "") }
+
+// openAt hands the request to the node; at names the server where the connection stands already.
+func (c *client) openAt(n *node, at choice.ServerID) {
 	w := c.w
-	if c.gone || n.dead {
+	if c.gone {
+		return
+	}
+	if n.dead { // it died while the client was on its way
+		c.again(0)
 		return
 	}
 	w.stats.Requests++
@@ -107,7 +141,7 @@
 		told = c.s.Load * w.fleet.CoreLoad()
 	}
 	c.request = n.core.Open(edge.Spec{ID: choice.RequestID(strconv.Itoa(w.ids)), Class: c.s.Class, Tenant: c.s.Edition, Key: c.s.Client,
-		Group: c.s.Group, Load: told, Deadline: epoch.Add(w.now + time.Duration(c.class().Patience))}, c)
+		Group: c.s.Group, Load: told, At: at, Deadline: epoch.Add(w.now + time.Duration(c.class().Patience))}, c)
 }
 
 // settled gives the client's descriptor back.
@@ -142,8 +176,18 @@
 	t := &try{c: c, a: a, node: n}
 	c.try = t
 	n.open++
+	if a.Standing() { // set up before the load began
+		w.at(w.now, n, func() {
+			if !t.closed {
+				t.conn = &conn{host: h, client: c, wander: load.NewWander(w.opts.Seed^c.s.Client, c.class(), c.s.Load)}
+				h.add(t.conn)
+				a.Established()
+			}
+		})
+		return t
+	}
 	way := w.ways[n.centre][h.centre]
-	w.at(w.now+2*way, n.core, func() {
+	w.at(w.now+2*way, n, func() {
 		if t.closed {
 			return
 		}
@@ -163,7 +207,7 @@
 				h.remove(k)
 				return
 			}
-			w.at(w.now+way, n.core, func() {
+			w.at(w.now+way, n, func() {
 				switch {
 				case t.closed:
 				case k == nil:
@@ -223,9 +267,12 @@
 // broken says that the server lost the connection: the node hears of it a way later, and ends the client's side.
 func (c *client) broken() {
 	t := c.try
+	if t.conn == nil { // the set-up itself ends the server: the attempt's outcome tells
+		return
+	}
 	w, n := c.w, t.node
 	w.stats.Breaks++
-	w.at(w.now+w.ways[n.centre][t.conn.host.centre], n.core, func() {
+	w.at(w.now+w.ways[n.centre][t.conn.host.centre], n, func() {
 		if t.closed || n.dead || c.gone {
 			return
 		}
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -22,9 +22,11 @@
 	Editions []float64
 	Series   []float64 // by second; NaN where nothing was wanted
 	Account  *load.Account
-	Requests []int // by second
-	Limits   []Seen
-	Stats    Stats
+	// EndedEarly: the floor was out of reach; the service is the most that there could have been.
+	EndedEarly bool
+	Requests   []int // by second
+	Limits     []Seen
+	Stats      Stats
 }
 
 // Play simulates one replication.
@@ -41,22 +43,28 @@
 	r := Run{Limits: w.limits.list(), Stats: w.stats, Account: w.account, Requests: w.requests, Series: w.account.Series()}
 	r.Service, r.Classes, r.Editions = w.account.Service()
 	r.Editions = r.Editions[:len(w.fleet.Editions)]
+	if w.ended > 0 {
+		r.Service, r.EndedEarly = w.ended, true
+	}
 	r.Worst, r.WorstAt = w.account.Worst(window)
 	return r
 }
 
-// Figure is a mean over replications with its 95% interval by Student's t.
+// Figure is a mean over replications with its 95% interval by Student's t. One evening by itself varies by the standard
+// deviation.
 type Figure struct {
 	Mean float64 `json:"mean"`
 	Low  float64 `json:"low95"`
 	High float64 `json:"high95"`
+	SD   float64 `json:"sd"`
 }
 
 func figure(xs []float64) Figure {
 	m, s := stat.MeanStdDev(xs, nil)
-	f := Figure{m, m, m}
+	f := Figure{Mean: m, Low: m, High: m}
 	if n := float64(len(xs)); n > 1 {
 		half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * s / math.Sqrt(n)
+		f.SD = s
 		f.Low, f.High = max(0, m-half), min(1, m+half)
 	}
 	return f
--- a/internal/planner/host.go
+++ b/internal/planner/host.go
@@ -28,6 +28,7 @@
 	piled   float64 // core seconds
 	setups  int     // in its queue
 	worth   [][]float64
+	top     float64    // asked, in the mean of about a second
 	seen    [3]float64 // the report as it was refreshed last
 	refresh time.Duration
 	asked   float64 // load asked over what it can do, in the mean of the last steps
@@ -66,10 +67,13 @@
 // cores is what it can do now, in yardstick cores.
 func (h *host) cores() float64 { return h.kind.Cores * h.speed * h.warm() }
 
-// advance moves all servers on by a step, and counts what was wanted and what was well served meanwhile.
+// advance moves all servers on by a step, and counts what was well served meanwhile.
 func (w *world) advance() {
 	dt := step.Seconds()
 	job := w.fleet.General.MessageWork.Seconds()
+	editions := len(w.quota)
+	clear(w.got)
+	asked, all := 0.0, 0.0
 	for _, h := range w.hosts {
 		if h.dead {
 			continue
@@ -79,17 +83,17 @@
 		h.work = 0
 		from := h.piled
 		h.piled = max(0, h.piled+in-able*dt+math.Sqrt(in*job)*w.rng.NormFloat64())
-		ask := in / (able * dt)
-		h.asked += (ask - h.asked) * 0.2
-		for k := range h.worth {
-			aim := (w.fleet.Classes[k].MessageAim.Seconds() - job/h.speed) * able
-			part := below(from, h.piled, aim)
-			if part == 0 {
-				continue
-			}
-			for e, x := range h.worth[k] {
-				if x > 1e-12 {
-					w.account.Served(w.now-step/2, k, e, x*part*dt)
+		h.asked += (in/(able*dt) - h.asked) * 0.2
+		h.top += (h.asked - h.top) * 0.05 // one step's noise breaks nothing
+		asked, all = asked+h.top*able, all+able
+		if len(h.conns) > 0 {
+			for k := range h.worth {
+				aim := (w.fleet.Classes[k].MessageAim.Seconds() - job/h.speed) * able
+				if part := below(from, h.piled, aim); part > 0 {
+					got := w.got[k*editions : (k+1)*editions]
+					for e, x := range h.worth[k] {
+						got[e] += x * part
+					}
 				}
 			}
 		}
@@ -98,12 +102,19 @@
 			noise := func() float64 { return max(0.1, 1+w.fleet.Reports.Noise*w.rng.NormFloat64()) }
 			h.seen = [3]float64{1000 * job / h.speed, min(1, h.asked) * noise(), h.asked * noise()}
 		}
-		w.limits.host(w, h)
+		w.limits.hit(w, limitServer, h, h.top)
 		if s := time.Duration(h.kind.ShedAfter).Seconds(); s > 0 && h.piled > s*able {
 			h.shed()
 		}
 	}
-	w.limits.fleet(w)
+	for i, x := range w.got {
+		if x > 1e-9 {
+			w.account.Served(w.now-step/2, i/editions, i%editions, x*dt)
+		}
+	}
+	if all > 0 {
+		w.limits.hit(w, limitFleet, nil, asked/all)
+	}
 }
 
 // below is the part of a step in which what is piled up, going evenly from one amount to another, is under a bound.
@@ -154,7 +165,10 @@
 				return
 			}
 			k := &conn{host: h, client: c, wander: load.NewWander(w.opts.Seed^c.s.Client, class, c.s.Load)}
-			h.add(k)
+			if h.add(k); h.dead {
+				done(choice.Reset, nil)
+				return
+			}
 			done(choice.Served, k)
 		})
 	})
--- a/internal/planner/limits.go
+++ b/internal/planner/limits.go
@@ -35,8 +35,6 @@
 
 type limits struct {
 	seen [limitCount]Seen
-	mean float64
-	tops map[*host]float64 // load asked over a second and more
 }
 
 // hit notes that so much of a limit is used now.
@@ -64,29 +62,6 @@
 	return fmt.Sprintf("%s (%s, %s)", h.id, h.kind.Name, w.fleet.Centres[h.centre].Name)
 }
 
-// host notes how much of itself a server is asked for, in the mean of about a second: one step's noise breaks nothing.
-func (l *limits) host(w *world, h *host) {
-	if l.tops == nil {
-		l.tops = map[*host]float64{}
-	}
-	x := l.tops[h]
-	x += (h.asked - x) * 0.05
-	l.tops[h] = x
-	l.hit(w, limitServer, h, x)
-}
-
-func (l *limits) fleet(w *world) {
-	ask, able := 0.0, 0.0
-	for _, h := range w.hosts {
-		if !h.dead {
-			ask, able = ask+l.tops[h]*h.cores(), able+h.cores()
-		}
-	}
-	if able > 0 {
-		l.hit(w, limitFleet, nil, ask/able)
-	}
-}
-
 func (l *limits) list() []Seen {
 	var out []Seen
 	for k := range l.seen {
--- a/internal/planner/size.go
+++ b/internal/planner/size.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"sort"
+	"time"
 
 	"spurwinch/internal/fleet"
 	"spurwinch/internal/load"
@@ -101,6 +102,7 @@
 	Servers int            `json:"servers"`
 	Kinds   map[string]int `json:"kinds"`
 	Service Figure         `json:"service"`
+	AtMost  bool           `json:"at_most"` // the search had enough once it was clear that the target is out of reach
 }
 
 // Sizing is the answer to how many servers a target needs.
@@ -109,10 +111,26 @@
 	Reached  bool            `json:"reached"`
 	Least    Size            `json:"least"`
 	OneBelow map[string]Size `json:"one_below"` // by kind: the least fleet with one server of the kind less
-	Tried    []Size          `json:"tried"`     // by servers
+	Tried    []Size          `json:"tried"`     // by servers, in the file's proportions
+	FromS    float64         `json:"from_s"`    // the stretch of the load that was searched on
+	ToS      float64         `json:"to_s"`
+	Whole    *Figure         `json:"whole,omitempty"` // service of the least fleet over the whole load, where that is longer
 	Why      string          `json:"why,omitempty"`
 }
 
+// SizeOptions say how a size is searched for.
+type SizeOptions struct {
+	Options
+	Target float64
+	Reps   int
+	Most   int           // servers
+	Window time.Duration // a longer load is searched on its busiest stretch of this length
+	Tell   func(string)
+}
+
+// slackBelow is how far under the target a run may be sure to end before it is ended early.
+const slackBelow = 0.05
+
 func kinds(f *fleet.Fleet) map[string]int {
 	out := map[string]int{}
 	for _, s := range f.Servers {
@@ -121,132 +139,153 @@
 	return out
 }
 
-// LeastServers finds the least fleet whose service reaches the target, in the proportions of the file first, then less one
-// server of a kind at a time for as long as the target holds.
-func LeastServers(f *fleet.Fleet, l *load.Load, o Options, target float64, reps, most int, tell func(string)) (Sizing, error) {
-	out := Sizing{Target: target, OneBelow: map[string]Size{}}
-	known := map[string]Figure{}
-	service := func(c *fleet.Fleet) (Figure, error) {
-		key := fmt.Sprint(c.Servers)
-		if v, ok := known[key]; ok {
-			return v, nil
-		}
-		if c.Count() == 0 {
-			return Figure{}, nil
-		}
+// search evaluates fleets once each.
+type search struct {
+	SizeOptions
+	load  *load.Load
+	known map[string]Size
+}
+
+func (s *search) size(f *fleet.Fleet) (Size, error) {
+	key := fmt.Sprint(f.Servers)
+	if v, ok := s.known[key]; ok {
+		return v, nil
+	}
+	out := Size{Servers: f.Count(), Kinds: kinds(f)}
+	if out.Servers > 0 {
 		// Arithmetic first: what can't work needs no simulation.
-		if b := Bounds(c, l); b.Service < target {
-			known[key] = Figure{b.Service, 0, b.Service}
-			return known[key], nil
-		}
-		r, err := Replicate(c, l, o, reps, nil)
-		known[key] = r.Service
-		if tell != nil {
-			tell(fmt.Sprintf("%d servers: service %.3f", c.Count(), r.Service.Mean))
+		if b := Bounds(f, s.load); b.Service < s.Target-slackBelow {
+			out.Service, out.AtMost = Figure{Mean: b.Service, High: b.Service}, true
+		} else {
+			o := s.Options
+			o.Floor = s.Target - slackBelow
+			r, err := Replicate(f, s.load, o, s.Reps, nil)
+			if err != nil {
+				return out, err
+			}
+			out.Service = r.Service
+			for _, run := range r.Runs {
+				out.AtMost = out.AtMost || run.EndedEarly
+			}
 		}
-		return r.Service, err
 	}
+	s.known[key] = out
+	if s.Tell != nil {
+		s.Tell(fmt.Sprintf("%d servers: service %.1f%%", out.Servers, 100*out.Service.Mean))
+	}
+	return out, nil
+}
+
+// total finds the least number of servers in the file's proportions; ok is false where the most are too few.
+func (s *search) total(f *fleet.Fleet) (least *fleet.Fleet, tried []Size, ok bool, err error) {
 	try := func(n int) (bool, error) {
-		c := f.Resize(n)
-		v, err := service(c)
-		out.Tried = append(out.Tried, Size{n, kinds(c), v})
-		return v.Mean >= target, err
+		v, err := s.size(f.Resize(n))
+		tried = append(tried, v)
+		return v.Service.Mean >= s.Target, err
 	}
-	lo, hi := 0, max(1, f.Count())
+	lo, hi := 0, max(1, min(f.Count(), s.Most))
 	for {
-		ok, err := try(hi)
+		enough, err := try(hi)
 		if err != nil {
-			return out, err
+			return nil, tried, false, err
 		}
-		if ok {
+		if enough {
 			break
 		}
-		if lo = hi; hi >= most {
-			out.Why = fmt.Sprintf("not with %d servers either: something other than their number limits the service", hi)
-			out.sort()
-			out.Least = out.Tried[len(out.Tried)-1]
-			return out, nil
+		if hi >= s.Most {
+			return f.Resize(hi), tried, false, nil
 		}
-		hi = min(most, hi*3/2+1)
+		lo, hi = hi, min(s.Most, hi*3/2+1)
 	}
 	for hi-lo > 1 {
 		mid := (lo + hi) / 2
-		ok, err := try(mid)
+		enough, err := try(mid)
 		if err != nil {
-			return out, err
+			return nil, tried, false, err
 		}
-		if ok {
+		if enough {
 			hi = mid
 		} else {
 			lo = mid
 		}
 	}
-	best := f.Resize(hi)
+	return f.Resize(hi), tried, true, nil
+}
+
+func newSearch(f *fleet.Fleet, l *load.Load, o SizeOptions) (*search, time.Duration) {
+	from := time.Duration(0)
+	if o.Window > 0 && l.Length > o.Window*3/2 {
+		from = l.Busiest(f, o.Window)
+		l = l.Cut(from, from+o.Window)
+	}
+	return &search{SizeOptions: o, load: l, known: map[string]Size{}}, from
+}
+
+// LeastServers finds the least fleet whose service reaches the target: in the proportions of the file first, then less one
+// server of a kind at a time for as long as the target holds. So one less of any kind misses it.
+func LeastServers(f *fleet.Fleet, l *load.Load, o SizeOptions) (Sizing, error) {
+	s, from := newSearch(f, l, o)
+	out := Sizing{Target: o.Target, OneBelow: map[string]Size{}, FromS: from.Seconds(), ToS: (from + s.load.Length).Seconds()}
+	best, tried, ok, err := s.total(f)
+	out.Tried = tried
+	sort.Slice(out.Tried, func(i, j int) bool { return out.Tried[i].Servers < out.Tried[j].Servers })
+	if err != nil {
+		return out, err
+	}
+	if out.Least, err = s.size(best); err != nil {
+		return out, err
+	}
+	if !ok {
+		out.Why = fmt.Sprintf("not with %d servers either: something other than their number limits the service", best.Count())
+		if c := Bounds(best, s.load).Cannot; len(c) > 0 {
+			out.Why += ": " + c[0]
+		}
+		return out, nil
+	}
 	for again := true; again; {
 		again = false
-		for i := range best.Servers {
-			if best.Servers[i].Count == 0 {
+		clear(out.OneBelow)
+		for k := range f.Kinds {
+			name, most := f.Kinds[k].Name, -1
+			for i, x := range best.Servers {
+				if x.Kind == name && x.Count > 0 && (most < 0 || x.Count > best.Servers[most].Count) {
+					most = i
+				}
+			}
+			if most < 0 {
 				continue
 			}
 			c := best.Clone()
-			c.Servers[i].Count--
-			v, err := service(c)
+			c.Servers[most].Count--
+			v, err := s.size(c)
 			if err != nil {
 				return out, err
 			}
-			if v.Mean >= target {
-				best, again = c, true
+			if v.Service.Mean >= s.Target {
+				best, out.Least, again = c, v, true
 				break
 			}
-			k := best.Servers[i].Kind
-			if old, ok := out.OneBelow[k]; !ok || v.Mean > old.Service.Mean || old.Servers != c.Count() {
-				out.OneBelow[k] = Size{c.Count(), kinds(c), v}
-			}
+			out.OneBelow[name] = v
 		}
 	}
-	for k, s := range out.OneBelow {
-		if s.Servers != best.Count()-1 {
-			delete(out.OneBelow, k)
+	out.Reached = true
+	if s.load != l {
+		r, err := Replicate(best, l, o.Options, min(o.Reps, 4), nil)
+		if err != nil {
+			return out, err
 		}
+		out.Whole = &r.Service
 	}
-	v, err := service(best)
-	out.Reached, out.Least = true, Size{best.Count(), kinds(best), v}
-	out.sort()
-	return out, err
-}
-
-func (s *Sizing) sort() {
-	sort.Slice(s.Tried, func(i, j int) bool { return s.Tried[i].Servers < s.Tried[j].Servers })
+	return out, nil
 }
 
-// LeastTotal finds the least number of servers in the file's proportions whose service reaches the target; most+1 where
-// none does.
-func LeastTotal(f *fleet.Fleet, l *load.Load, o Options, target float64, reps, most int) (int, error) {
-	lo, hi := 0, f.Count()
-	for {
-		r, err := Replicate(f.Resize(hi), l, o, reps, nil)
-		if err != nil {
-			return 0, err
-		}
-		if r.Service.Mean >= target {
-			break
-		}
-		if lo = hi; hi >= most {
-			return most + 1, nil
-		}
-		hi = min(most, hi*3/2+1)
-	}
-	for hi-lo > 1 {
-		mid := (lo + hi) / 2
-		r, err := Replicate(f.Resize(mid), l, o, reps, nil)
-		if err != nil {
-			return 0, err
-		}
-		if r.Service.Mean >= target {
-			hi = mid
-		} else {
-			lo = mid
-		}
+// LeastTotal finds the least number of servers in the file's proportions whose service reaches the target; one more than
+// the most where none does.
+func LeastTotal(f *fleet.Fleet, l *load.Load, o SizeOptions) (int, error) {
+	s, _ := newSearch(f, l, o)
+	best, _, ok, err := s.total(f)
+	if err != nil || !ok {
+		return o.Most + 1, err
 	}
-	return hi, nil
+	return best.Count(), nil
 }
--- a/internal/planner/world.go
+++ b/internal/planner/world.go
@@ -30,11 +30,13 @@
 	LoseAt time.Duration
 	// AllCold starts all servers with the load.
 	AllCold bool
+	// Floor ends a run that can no longer reach this service; what it would have got at most stands for its service.
+	Floor float64
 }
 
 type event struct {
 	fn   func()
-	core *edge.Core // whose events are handed on after fn
+	node *node // whose core's events are handed on after fn; those of a dead one are nobody's
 }
 
 // events is a heap by time, and by order of coming at one time. It has four children a place and no interface between:
@@ -116,6 +118,10 @@
 	quota    []float64
 	limits   limits
 	ids      int
+	ended    float64 // the most that a run ended early could have got; 0: it ran on
+	near     []*node // room for picking one
+	far      []*node
+	got      []float64 // worth a second well served in the step in hand, by class and edition
 	ways     [][]time.Duration
 	stats    Stats
 	requests []int // by second
@@ -128,9 +134,9 @@
 	Fallen                                  int // cold servers that were pushed over
 }
 
-func (w *world) at(t time.Duration, core *edge.Core, fn func()) *event {
+func (w *world) at(t time.Duration, n *node, fn func()) *event {
 	w.seq++
-	e := &event{fn, core}
+	e := &event{fn, n}
 	w.queue.push(slot{max(t, w.now), w.seq, e})
 	return e
 }
@@ -144,8 +150,8 @@
 			continue
 		}
 		e.fn()
-		if e.core != nil {
-			e.core.Flush()
+		if e.node != nil && !e.node.dead {
+			e.node.core.Flush()
 		}
 	}
 	w.now = until
@@ -160,7 +166,7 @@
 func (c clock) Now() time.Time { return epoch.Add(c.w.now) }
 
 func (c clock) At(at time.Time, fn func()) func() {
-	e := c.w.at(at.Sub(epoch), c.n.core, func() {
+	e := c.w.at(at.Sub(epoch), c.n, func() {
 		if !c.n.dead {
 			fn()
 		}
@@ -185,6 +191,7 @@
 	w.account.Wanted(l, w.worths)
 	w.requests = make([]int, len(w.account.WantSec))
 	editions := max(1, len(f.Editions))
+	w.got = make([]float64, len(f.Classes)*editions)
 	w.held, w.quota = make([]int, editions), make([]float64, editions)
 	for i := range w.quota {
 		if w.quota[i] = math.Inf(1); len(f.Editions) > 0 {
@@ -256,25 +263,29 @@
 	way := w.ways[n.centre][h.centre]
 	w.at(w.now+way, nil, func() {
 		if h.dead {
-			w.at(w.now+way, n.core, func() { done(choice.ConnectFailed, nil) })
+			w.at(w.now+way, n, func() { done(choice.ConnectFailed, nil) })
 			return
 		}
 		h.work += w.fleet.Reports.ProbeWork.Seconds()
 		report := h.report()
-		w.at(w.now+way, n.core, func() { done(choice.Served, report) })
+		w.at(w.now+way, n, func() { done(choice.Served, report) })
 	})
 }
 
 // simulate plays the whole load.
 func (w *world) simulate() {
-	w.arrivals(0)
 	for _, n := range w.nodes {
 		n.core.Start(w.list())
 	}
+	first := 0
+	for ; first < len(w.load.Sessions) && w.load.Sessions[first].Standing; first++ {
+		w.arrive(&w.load.Sessions[first], w.worths[first], true)
+	}
+	w.arrivals(first)
 	var tick func()
 	tick = func() {
 		w.advance()
-		if w.now+step <= w.load.Length {
+		if w.now+step <= w.load.Length && !w.hopeless() {
 			w.at(w.now+step, nil, tick)
 		}
 	}
@@ -285,12 +296,26 @@
 	w.run(w.load.Length)
 }
 
+// hopeless ends a run early, once a second, when all that is still to come could not bring the service to the floor.
+func (w *world) hopeless() bool {
+	if w.opts.Floor <= 0 || w.now%time.Second != 0 {
+		return false
+	}
+	all, lost := w.account.Lost(w.now)
+	if all > 0 && 1-lost/all < w.opts.Floor {
+		w.ended = 1 - lost/all
+		w.queue = nil
+		return true
+	}
+	return false
+}
+
 // arrivals has the sessions come from number i on, one event at a time: the queue stays small.
 func (w *world) arrivals(i int) {
 	if i < len(w.load.Sessions) {
 		s := &w.load.Sessions[i]
 		w.at(s.At, nil, func() {
-			w.arrive(s, w.worths[i])
+			w.arrive(s, w.worths[i], false)
 			w.arrivals(i + 1)
 		})
 	}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -48,6 +49,8 @@
 	faults Faults
 }
 
+var typeError = regexp.MustCompile(`^toml: line (\d+) \(last key ("[^"]*")\): (.*)$`)
+
 // Load reads a file's text.
 func Load(path string) ([]byte, error) {
 	src, err := os.ReadFile(path)
@@ -72,8 +75,13 @@
 			what = strings.TrimPrefix(strings.ReplaceAll(parse.Error(), "\n", " "), "toml: ")
 		}
 		f.faults = append(f.faults, Fault{path, line, "toml: " + what})
-	case err != nil:
-		f.faults = append(f.faults, Fault{path, 0, strings.ReplaceAll(err.Error(), "\n", " ")})
+	case err != nil: // a value of a wrong type: the line is in the text only
+		text, line := strings.ReplaceAll(err.Error(), "\n", " "), 0
+		if m := typeError.FindStringSubmatch(text); m != nil {
+			line, _ = strconv.Atoi(m[1])
+			text = "toml: key " + m[2] + ": " + m[3]
+		}
+		f.faults = append(f.faults, Fault{path, line, text})
 	default:
 		seen := map[string]bool{}
 		for _, k := range md.Undecoded() {
