--- a/cmd/spurwinchctl/plan.go
+++ b/cmd/spurwinchctl/plan.go
@@ -115,7 +115,7 @@
 
 func planCommand() *cobra.Command {
 	c := &cobra.Command{Use: "plan", Short: "Forecast what a fleet makes of a captured load"}
-	c.AddCommand(forecastCommand(), sizeCommand(), loseCommand(), validateCommand())
+	c.AddCommand(forecastCommand(), sizeCommand(), loseCommand(), validateCommand(), costCommand())
 	return c
 }
 
@@ -281,9 +281,10 @@
 
 func sizeText(s planner.Size) string {
 	if s.AtMost {
-		return fmt.Sprintf("under %.1f%%, ended early", 100*s.Service.Mean)
+		return fmt.Sprintf("under %.2f%%, not played to its end", 100*s.Service.Mean)
 	}
-	return percent(s.Service)
+	f := s.Service // to the hundredth: sizes differ by less than a tenth
+	return fmt.Sprintf("%5.2f%%  (%.1f to %.1f; one evening ±%.1f)", 100*f.Mean, 100*f.Low, 100*f.High, 100*f.SD)
 }
 
 func kindText(m map[string]int) string {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -168,6 +168,7 @@
 	Seed     uint64
 	Length   time.Duration
 	Standing float64 // sessions that want a connection, in the mean of the plateau
+	Stand    bool    // the first ones stand when the load begins, in place of arriving
 	Swing    float64 // of the rate: it climbs from 1-Swing to 1+Swing times the mean over the length
 }
 
@@ -201,7 +202,7 @@
 			life *= rng.Float64()
 		}
 		out.Sessions = append(out.Sessions, Session{At: at, Life: max(100*time.Millisecond, time.Duration(life*1e9)), Class: class,
-			Edition: edition, Centre: centre, Client: rng.Uint64() | 1, Group: group})
+			Edition: edition, Centre: centre, Client: rng.Uint64() | 1, Group: group, Standing: residual && d.Stand})
 	}
 	// A group is a farm with its visitors: they come within some seconds of one another.
 	group := func(at time.Duration, residual bool) {
@@ -219,7 +220,7 @@
 		centre := Pick(rng, places)
 		for i := range n {
 			t := at
-			if i > 0 {
+			if i > 0 && !(residual && d.Stand) {
 				t += time.Duration(rng.ExpFloat64() * 2 * float64(time.Second))
 			}
 			if t < d.Length {
@@ -233,6 +234,9 @@
 	}
 	standing := int(d.Standing * (1 - d.Swing) / size)
 	over := min(meanLife/3, d.Length.Seconds()/6)
+	if d.Stand {
+		over = 0
+	}
 	for range standing {
 		group(time.Duration(rng.Float64()*over*float64(time.Second)), true)
 	}
--- a/internal/planner/lose.go
+++ b/internal/planner/lose.go
@@ -33,6 +33,7 @@
 
 const (
 	leastStorm = 3 * time.Second
+	quietFor   = 5   // seconds without more than that
 	calm       = 1.5 // times the usual requests a second, over which the storm still is
 )
 
@@ -83,8 +84,12 @@
 			continue
 		}
 		out.PeakAfter = math.Max(out.PeakAfter, hit[s])
-		if hit[s] > calm*usual[s]+2 {
-			storm = max(storm, time.Duration(s+1)*time.Second-o.LoseAt)
+	}
+	// The storm is over at the beginning of the first quiet stretch.
+	quiet := 0
+	for s := at; s < len(hit) && quiet < quietFor; s++ {
+		if quiet++; hit[s] > calm*usual[s]+1 {
+			quiet, storm = 0, max(storm, time.Duration(s+1)*time.Second-o.LoseAt)
 		}
 	}
 	storm = min(storm, l.Length-o.LoseAt)
--- a/internal/planner/size.go
+++ b/internal/planner/size.go
@@ -75,8 +75,11 @@
 	// A single server's load is a matter of a moment, and a share beyond is worth less but breaks nothing: they are named
 	// only where nothing else was reached.
 	rank := func(s Seen) int {
-		if s.Limit == limitNames[limitServer] || s.Limit == limitNames[limitShare] {
+		switch s.Limit {
+		case limitNames[limitServer]:
 			return 1
+		case limitNames[limitShare]:
+			return 2
 		}
 		return 0
 	}
