--- a/cmd/spurwinchctl/plan.go
+++ b/cmd/spurwinchctl/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -9,6 +10,7 @@
 	"runtime/debug"
 	"sort"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -20,7 +22,7 @@
 )
 
 // mostMemory is what the collector works to stay under; four runs of 50,000 connections at once take most of it.
-const mostMemory = 800 << 20
+const mostMemory = 940 << 20
 
 // planning is what the plan commands share.
 type planning struct {
@@ -43,7 +45,7 @@
 	f.StringVar(&p.fleet, "fleet", "", "the `FLEET` file")
 	f.Float64Var(&p.scale, "scale", 1, "times the captured load")
 	f.Uint64Var(&p.seed, "seed", 1, "of all chance: the same seed gives the same answer")
-	f.IntVar(&p.reps, "reps", 0, "replications behind each figure, each with its own chance (default: 8, or 4 over 100000 sessions)")
+	f.IntVar(&p.reps, "reps", 0, "replications behind each figure, each with its own chance (default: 8, 4 over 50000 sessions, 2 over 200000)")
 	f.BoolVar(&p.json, "json", false, "print JSON")
 	f.StringVar(&p.plot, "plot", "", "draw to `FILE.svg` or FILE.png")
 	f.BoolVar(&p.cold, "all-cold", false, "all servers start with the load")
@@ -61,6 +63,7 @@
 	if p.plot != "" && !strings.HasSuffix(p.plot, ".svg") && !strings.HasSuffix(p.plot, ".png") {
 		return fmt.Errorf("--plot %s: a name that ends in .svg or .png is wanted", p.plot)
 	}
+	debug.SetGCPercent(400) // as long as the limit is far; the collector took a third of a long run
 	debug.SetMemoryLimit(mostMemory)
 	if p.conf, err = fleet.Read(p.fleet); err != nil {
 		return err
@@ -81,8 +84,13 @@
 		p.load = p.load.Scale(p.scale, p.seed)
 	}
 	if p.reps == 0 {
-		if p.reps = 8; len(p.load.Sessions) > 100000 {
+		switch n := len(p.load.Sessions); { // large loads vary less, and take longer
+		case n > 200000:
+			p.reps = 2
+		case n > 50000:
 			p.reps = 4
+		default:
+			p.reps = 8
 		}
 	}
 	if len(p.load.Sessions) == 0 {
@@ -95,9 +103,9 @@
 
 // progress tells on standard error how far long work is, where that is a terminal.
 type progress struct {
-	out  io.Writer
-	on   bool
-	what string
+	out io.Writer
+	on  bool
+	mu  sync.Mutex
 }
 
 func newProgress(c *cobra.Command) *progress {
@@ -106,6 +114,8 @@
 }
 
 func (p *progress) say(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.on {
 		fmt.Fprintf(p.out, "\r\033[K"+format, args...)
 	}
@@ -145,15 +155,22 @@
 		}
 		bar := newProgress(c)
 		n := 0
-		bar.say("replication 1 of %d", p.reps)
-		f, err := planner.Replicate(p.conf, p.load, p.options(), p.reps, func() { n++; bar.say("replication %d of %d", n+1, p.reps) })
-		if err != nil {
-			return err
+		// What breaks first is looked for beside the replications: on a large load those leave a core free.
+		type answer struct {
+			b   planner.Broken
+			err error
 		}
-		b, err := planner.FirstToBreak(p.conf, p.load, p.options(), func(m float64) { bar.say("what breaks first: %.2f times the load", m) })
-		if err != nil {
+		breaks := make(chan answer, 1)
+		go func() {
+			b, err := planner.FirstToBreak(p.conf, p.load, p.options(), func(m float64) { bar.say("what breaks first: %.2f times the load", m) })
+			breaks <- answer{b, err}
+		}()
+		f, err := planner.Replicate(p.conf, p.load, p.options(), p.reps, func() { n++; bar.say("%d of %d replications done", n, p.reps) })
+		first := <-breaks
+		if err = errors.Join(err, first.err); err != nil {
 			return err
 		}
+		b := first.b
 		bar.done()
 		if p.plot != "" {
 			if err := p.plotLoad(f, bar); err != nil {
--- a/cmd/spurwinchctl/plot.go
+++ b/cmd/spurwinchctl/plot.go
@@ -58,6 +58,11 @@
 	}
 	errs.Color = ink
 	p.Add(line, dots, errs)
+	// What differs must be seen: the axis begins a little under the least figure.
+	p.Y.Min = 100.0
+	for i, f := range bars {
+		p.Y.Min = max(0, math.Floor(min(p.Y.Min, 100*f.Low-2, pts[i].Y-2)/5)*5)
+	}
 	return nil
 }
 
@@ -69,6 +74,7 @@
 	}
 	l.Color, l.Dashes = alarm, []vg.Length{vg.Points(4), vg.Points(3)}
 	p.Add(l)
+	p.Y.Min = min(p.Y.Min, math.Floor((y-2)/5)*5)
 	p.Legend.Add(name, l)
 	p.Legend.Top, p.Legend.Left, p.Legend.YOffs = false, true, vg.Points(6)
 	p.Legend.XOffs = vg.Points(8)
--- a/cmd/spurwinchctl/validate.go
+++ b/cmd/spurwinchctl/validate.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"gonum.org/v1/gonum/stat"
 
 	"spurwinch/internal/fleet"
 	"spurwinch/internal/load"
@@ -24,29 +25,31 @@
 
 // verdict is one fleet's forecast beside what a replay measured.
 type verdict struct {
-	Fleet     int                   `json:"fleet"`
-	What      string                `json:"what"`
-	Servers   int                   `json:"servers"`
-	Sessions  int                   `json:"sessions"`
-	Asked     float64               `json:"asked"` // cores in the mean over cores, without groups
-	Forecast  float64               `json:"forecast"`
-	Measured  float64               `json:"measured"`
-	Error     float64               `json:"error"`   // of the measured
-	Classes   map[string][2]float64 `json:"classes"` // forecast, measured
-	Target    float64               `json:"target"`
-	LeastSaid int                   `json:"least_forecast"`
-	LeastWas  int                   `json:"least_measured"`
-	LagMS     float64               `json:"lag_99_ms"`
-	Broken    string                `json:"broken,omitempty"`
+	Fleet      int                   `json:"fleet"`
+	What       string                `json:"what"`
+	Servers    int                   `json:"servers"`
+	Sessions   int                   `json:"sessions"`
+	Asked      float64               `json:"asked"` // cores in the mean over cores, without groups
+	Forecast   float64               `json:"forecast"`
+	SD         float64               `json:"forecast_sd"` // of one evening
+	Measured   float64               `json:"measured"`
+	MeasuredSD float64               `json:"measured_sd"` // of one replay
+	Error      float64               `json:"error"`       // of the measured
+	Classes    map[string][2]float64 `json:"classes"`     // forecast, measured
+	Target     float64               `json:"target"`
+	LeastSaid  int                   `json:"least_forecast"`
+	LeastWas   int                   `json:"least_measured"`
+	LagMS      float64               `json:"lag_99_ms"`
+	Broken     string                `json:"broken,omitempty"`
 }
 
 type validating struct {
-	fleets, reps, only, parallel int
-	seed                         uint64
-	length                       time.Duration
-	base, node, keep             string
-	size, json                   bool
-	target                       float64
+	fleets, reps, only, parallel, replays int
+	seed                                  uint64
+	length                                time.Duration
+	base, node, keep                      string
+	size, json                            bool
+	target                                float64
 }
 
 func validateCommand() *cobra.Command {
@@ -59,6 +62,7 @@
 	f.Uint64Var(&v.seed, "seed", 1, "what the fleets are drawn from")
 	f.IntVar(&v.reps, "reps", 8, "replications behind each forecast")
 	f.DurationVar(&v.length, "length", 30*time.Second, "of each load; replays take as long")
+	f.IntVar(&v.replays, "replays", 1, "replays behind each measured figure; one by itself varies")
 	f.IntVar(&v.parallel, "parallel", 2, "replays at once; on a machine too busy they measure the machine")
 	f.StringVar(&v.base, "fleet", "", "`FLEET` file that the small ones are drawn after (default: the one built in)")
 	f.StringVar(&v.node, "node", "", "the spurwinch `PROGRAM` (default: the one beside this program)")
@@ -74,6 +78,8 @@
 	switch {
 	case v.fleets < 1 || v.fleets > 1000:
 		return fmt.Errorf("--fleets %d: 1 to 1000 are wanted", v.fleets)
+	case v.replays < 1 || v.replays > 100:
+		return fmt.Errorf("--replays %d: 1 to 100 are wanted", v.replays)
 	case v.length < 10*time.Second || v.length > 10*time.Minute:
 		return fmt.Errorf("--length %v: 10s to 10m are wanted", v.length)
 	case v.parallel < 1 || v.parallel > 64:
@@ -186,15 +192,29 @@
 	if err != nil {
 		return r, err
 	}
-	was, err := play(t.Fleet, "replay", seed+1, replay.Options{Lose: t.Lose, LoseAt: t.LoseAt})
-	if err != nil {
-		return r, err
-	}
-	r.Forecast, r.Measured = said.Service.Mean, was.Service
-	r.Error = math.Abs(r.Forecast-r.Measured) / max(r.Measured, 0.01)
+	// One replay is one evening: it varies by itself, by the forecast's ±. Several tell chance from error.
+	var was []float64
 	for k, c := range t.Fleet.Classes {
-		r.Classes[c.Name] = [2]float64{said.Classes[c.Name].Mean, was.Classes[k]}
+		r.Classes[c.Name] = [2]float64{said.Classes[t.Fleet.Classes[k].Name].Mean, 0}
+	}
+	for n := range v.replays {
+		res, err := play(t.Fleet, fmt.Sprintf("replay-%d", n), seed+1+uint64(1000*n), replay.Options{Lose: t.Lose, LoseAt: t.LoseAt})
+		if err != nil {
+			return r, err
+		}
+		was = append(was, res.Service)
+		for k, c := range t.Fleet.Classes {
+			x := r.Classes[c.Name]
+			x[1] += res.Classes[k] / float64(v.replays)
+			r.Classes[c.Name] = x
+		}
 	}
+	r.Forecast, r.SD = said.Service.Mean, said.Service.SD
+	r.Measured, r.MeasuredSD = stat.MeanStdDev(was, nil)
+	if v.replays == 1 {
+		r.MeasuredSD = 0
+	}
+	r.Error = math.Abs(r.Forecast-r.Measured) / max(r.Measured, 0.01)
 	if !v.size {
 		return r, nil
 	}
@@ -243,12 +263,12 @@
 	out := c.OutOrStdout()
 	fmt.Fprintf(out, "Forecasts against replays on loopback: seed %d, loads of %v, %d replications behind each forecast\n\n", v.seed, v.length, v.reps)
 	w := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "fleet\twhat\tservers\tsessions\tload asked\tforecast\tmeasured\terror\tleast said\tmeasured\tlag 99%\t")
+	fmt.Fprintln(w, "fleet\twhat\tservers\tsessions\tload asked\tforecast\t±\tmeasured\t±\terror\tleast said\tmeasured\tlag 99%\t")
 	var errs []float64
 	off := 0
 	for _, r := range all {
-		fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%.0f%%\t%.1f%%\t%.1f%%\t%.1f%%\t%d\t%d\t%.1f ms\t\n", r.Fleet, r.What, r.Servers, r.Sessions, 100*r.Asked,
-			100*r.Forecast, 100*r.Measured, 100*r.Error, r.LeastSaid, r.LeastWas, r.LagMS)
+		fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%.0f%%\t%.1f%%\t%.1f\t%.1f%%\t%.1f\t%.1f%%\t%d\t%d\t%.1f ms\t\n", r.Fleet, r.What, r.Servers, r.Sessions, 100*r.Asked,
+			100*r.Forecast, 100*r.SD, 100*r.Measured, 100*r.MeasuredSD, 100*r.Error, r.LeastSaid, r.LeastWas, r.LagMS)
 		errs = append(errs, r.Error)
 		if d := r.LeastSaid - r.LeastWas; d > 1 || d < -1 {
 			off++
--- a/internal/planner/size.go
+++ b/internal/planner/size.go
@@ -27,7 +27,7 @@
 	exact        = 0.05 // of the multiple
 	enough       = 3    // times that a limit is found reached before it counts
 	least        = 0.8  // service under which a load counts as too much though no limit was reached
-	breakWindow  = 2 * time.Minute
+	breakWindow  = time.Minute
 )
 
 // FirstToBreak finds the least multiple of the load at which some limit is reached or service is much the worse for it, and
