Module: a node that holds next to nothing guesses costs and group sizes from what is told

Printed at the refusals: learned costs of 0.4 to 0.98 of a host for one connection; the true one is about 0.06. Counted over the fleet, 21 groups stand on 28 hosts together at the start and on 63 after 15 s; each pair pays for the group once more.

Lines at fault: price() set all reports against own load x nodes, which is nothing or 80; spread() took one own connection of a group for 80 and went on 7 hosts; the order of a group's hosts was weighted by sizes that each node had learned differently.

Change: the tenants' shares, told as connections, give the first cost, with the weight of 4 own connections on all servers; a group's size has a prior of half of groupShare; a group's order of hosts has no learned weights. coldSafety is 0.5 in place of 0.3: all the leave that the nodes hold at once is then one budget, counted as 2 x coldSafety.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	costKeep    = 0.98            // of a kind's cost at each report: costs are slow, noise is not
 	firstCost   = 0.02            // load of a mean connection before anything is learned
 	costPrior   = 3.0             // own mean connections where a server's own cost outweighs its kind's
+	fleetPrior  = 4.0             // the same on all servers, for what is told before anything is learned
 	probeSpend  = 0.006           // service worth spending on probes, a first try
 	reportLag   = time.Second     // about as long as a placement takes to show in a report
 	mirrorPrior = 4.0             // mean connections of evidence that a server bears the average
@@ -32,7 +33,7 @@
 	crowded     = 0.85 // predicted load from which on more servers are sampled, and in the end none used
 	maxRounds   = 8    // samples for one placement at most
 	moveChance  = 0.4  // of asking whether to move, for each note that messages miss their aim (one a second)
-	coldSafety  = 0.3  // part of the cold budget used: nodes' estimates differ, clients repeat
+	coldSafety  = 0.5  // part of the cold budget used: what all nodes may hold at once is all of it then
 	avgKeep     = 0.97 // of the average, at each report
 	gateGain    = 2.0  // how fast the gate closes and opens, a second and load over or under crowded
 	peek        = 0.15 // of probing a server for each request that the gate turns away: it must see to open
@@ -153,18 +154,27 @@
 			s.kind.told, s.kind.servers = s.kind.told+s.told, s.kind.servers+1
 		}
 	}
-	num, den, sum := 0.5, 0.5*b.unit/firstCost, 0.0
+	// What this node holds is a sample of the fleet, on a large one of a few connections or none: then
+	// the told cost stands, not reported load over next to nothing.
+	first, servers := b.firstCost(), 0.0
+	num, den, sum := 0.5, 0.5*b.unit/first, 0.0
 	for _, k := range b.kindList {
+		servers += k.servers
+	}
+	for _, k := range b.kindList {
+		prior := 0.0
 		if !b.tellsHeld { // one server's own load is noise on a large fleet: take the kind's
 			k.den = k.n * float64(b.set.Nodes) * k.told / max(k.servers, 1)
+			prior = k.n * float64(b.set.Nodes) * fleetPrior * b.unit / max(servers, 1)
 		}
-		num, den = num+k.num, den+k.den
+		num, den = num+k.num+prior*first/b.unit, den+k.den+prior
 	}
 	all := num / den
 	b.bases = 0
 	for _, s := range b.servers {
 		k := costPrior * b.unit * float64(b.set.Nodes)
-		kind := (s.kind.num + k*all) / (s.kind.den + k)
+		n := max(1, s.kind.n/max(s.kind.servers, 1)) // reports of one server that were summed
+		kind := (s.kind.num + k*n*all) / (s.kind.den + k*n)
 		s.cost = (s.num + k*kind) / (s.den + k)
 		s.base = all / s.cost
 		if b.set.Sizes == LiveSize {
@@ -176,7 +186,6 @@
 		if s.State == Ready {
 			b.bases += s.base
 		}
-		s.coarse = math.Exp2(math.Round(2*math.Log2(s.base)) / 2) // nodes learned it differently
 		sum += s.cost * s.told
 	}
 	if !b.anyKnown && len(b.servers) > 0 {
@@ -184,6 +193,19 @@
 	}
 }
 
+// firstCost is the load of a mean connection before anything is learned: the tenants' shares, where told as
+// connections, together are about what all servers bear.
+func (b *Balancer) firstCost() float64 {
+	shares := 0.0
+	for _, t := range b.set.Tenants {
+		shares += max(0, t.Connections)
+	}
+	if n := float64(len(b.servers)); shares > 0 && finite(shares) && n > 0 {
+		return clamp(n/shares, firstCost/4, 0.5)
+	}
+	return firstCost
+}
+
 // predict is told load x cost, anchored at the last report; that fades to the average: silence is no news.
 func (b *Balancer) predict(s *server) float64 {
 	if !b.anyKnown {
@@ -240,9 +262,9 @@
 func (b *Balancer) weight(r *request, s *server, load, avg float64) float64 {
 	if r.bind != 0 && !r.wide {
 		if b.predict(s)+s.cost*load > b.spillAt() {
-			return s.coarse * floorShare
+			return floorShare
 		}
-		return s.coarse
+		return 1 // nodes learned its size differently, and must choose alike
 	}
 	diff := kP*relative(b.predict(s)+s.cost*load, avg) + s.trim
 	return s.base * b.warm(s) * clamp(1-gain*diff, floorShare, topShare)
@@ -405,8 +427,11 @@
 // spread is on how many servers a request's group goes: as few as bear it, since each pays for the group
 // once; but one large group must not fill server after server while others idle.
 func (b *Balancer) spread(r *request) int {
-	all := b.groups[r.bind] * float64(b.set.Nodes) * b.meanCost()
-	return int(clamp(math.Ceil(all/groupShare), 1, float64(len(b.servers))))
+	// What this node holds is a sample of the group: one connection at one of many nodes tells little of its
+	// size, and nodes that guess differently scatter it. The first guess is half of groupShare.
+	cost := max(b.meanCost(), 1e-9) * b.unit
+	size := (b.groups[r.bind]/b.unit + 1) / (1/float64(b.set.Nodes) + 2*cost/groupShare)
+	return int(clamp(math.Ceil(size*cost/groupShare), 1, float64(len(b.servers))))
 }
 
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
--- a/choice/state.go
+++ b/choice/state.go
@@ -24,7 +24,6 @@
 	known           bool
 	num, den        float64 // learned: reported load over fleet's told load
 	cost, base      float64
-	coarse          float64 // the base for draws by hash
 	errSum, prevErr float64
 	trim            float64 // the slow part of the PID, set each tick
 	strikes         int
