Module: each host of a large fleet has a keeper among the nodes, asked by datagrams

Lines at fault: place() probes for each request at each node; coldCredit() splits the budget by the told number of nodes; steer() moves a gate by reports that this node alone saw.

Change: where a full host holds less than a connection of each node, messages are allowed, and an exchange costs less than a probe, each host has a keeper, found by hash. It alone asks for reports, counts what it lent since, spends the cold budget, and says how much to move off a full host. A group that doesn't stand on a host needs more room there. No answer within 150 ms: the next keeper, and after two the old path. UDP socket on the loop; strangers, long, cut off, late and repeated messages are dropped and counted.

Tests: a burst at 80 nodes overruns hosts without keepers.

--- a/choice/api.go
+++ b/choice/api.go
@@ -109,6 +109,7 @@
 	Attempts       int // most attempts for one request
 	MayProbe       bool
 	MayCancel      bool
+	MayTell        bool // nodes may send one another messages
 	SecondCopies   bool // two attempts of one request may be out at once; the module never uses it
 	RetryAdvice    bool // clients are told how long to stay away
 	MaxRetryAdvice time.Duration
@@ -130,6 +131,7 @@
 type Tariffs struct {
 	Probe     float64
 	Move      float64
+	Peer      float64 // 256 bytes of messages to other nodes
 	CrossZone float64
 	LateFail  float64
 	Waste     float64
@@ -231,7 +233,7 @@
 	ClientGone struct{ ID RequestID }
 	// TimerFired brings back a SetTimer.
 	TimerFired struct{ Token string }
-	// PeerMessage is a message of another node. The module sends none and ignores those it gets.
+	// PeerMessage is a message of another node, by its number. What can't be read, is late or repeats is dropped.
 	PeerMessage struct {
 		From int
 		Data []byte
@@ -300,6 +302,11 @@
 	}
 	// Follow asks discovery for changes from now on.
 	Follow struct{}
+	// Tell sends another node a message of at most 256 bytes, by its number. It may come late or never.
+	Tell struct {
+		To   int
+		Data []byte
+	}
 )
 
 func (Send) action()     {}
@@ -310,3 +317,4 @@
 func (Move) action()     {}
 func (SetTimer) action() {}
 func (Follow) action()   {}
+func (Tell) action()     {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,7 +8,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -40,66 +39,13 @@
 	full        = 1.2  // most that a server counts in the average: few slow ones must not shut the gate
 	spill       = 0.15 // predicted load over the average from which on a group's next server is taken
 	firstEject  = 2 * time.Second
-	patrolAfter = 3 * time.Second  // without a report of a server with own connections
-	rateMemory  = 10 * time.Second // arrivals: long against gaps between them, short against a day
+	patrolAfter = 3 * time.Second        // without a report of a server with own connections
+	muteAfter   = 150 * time.Millisecond // a keeper's answer, with a probe of its own before it
+	maxMuted    = 2                      // lost questions until a request is placed without keepers
+	groupMemory = 40 * time.Second       // about as long as a connection lives: then its group may be gone
+	rateMemory  = 10 * time.Second       // arrivals: long against gaps between them, short against a day
 )
 
-// Step takes what happened and returns what to do, in order.
-func (b *Balancer) Step(now time.Duration, events []Event) []Action {
-	b.now, b.out = max(b.now, now), nil
-	b.recent = fade(b.rate, b.now-b.rateAt, rateMemory)
-	if !b.started {
-		b.started = true // phases differ by seed, so that nodes do not steer in step
-		b.out = append(b.out, SetTimer{"tick", time.Duration(b.rng.Float64() * float64(tick))})
-		if b.set.Subscribe {
-			b.out = append(b.out, Follow{})
-		}
-	}
-	for _, e := range events {
-		switch e := e.(type) {
-		case ServerList:
-			b.list(e)
-		case Request:
-			b.arrive(e)
-		case OpenConnection:
-			b.adopt(e)
-		case Established:
-			if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Attempt == r.attempts-1 {
-				r.open, r.on.strikes = true, 0
-			}
-		case AttemptEnded:
-			b.ended(e)
-		case ProbeResult:
-			b.probed(e)
-		case LoadNote:
-			b.reload(e)
-		case DelayNote:
-			b.delayed(e)
-		case ClientGone:
-			b.forget(b.reqs[e.ID])
-		case TimerFired:
-			b.fired(e.Token)
-		}
-	}
-	return b.out
-}
-
-func (b *Balancer) fired(token string) {
-	kind, id, _ := strings.Cut(token, " ")
-	r := b.reqs[RequestID(id)]
-	switch {
-	case token == "tick":
-		b.steer()
-		b.out = append(b.out, SetTimer{"tick", tick})
-	case token == "ask":
-		b.out = append(b.out, Follow{})
-	case kind == "hold" && r != nil && r.waiting > 0:
-		b.dispatch(r)
-	case kind == "end" && r != nil && !r.open: // own the deadline: an answer while the client still waits
-		b.answer(r)
-	}
-}
-
 // ask asks discovery again, early enough for Rules.AskWithin after some failures, nodes not all at once.
 func (b *Balancer) ask() {
 	b.asks++
@@ -135,6 +81,12 @@
 	if load += piled; !b.set.TellsDelay {
 		load = max(load, b.asLoad(late)) // where no notes come, reports alone tell of slow messages
 	}
+	b.learn(s, load)
+}
+
+// learn anchors the predicted load and takes it into the average.
+func (b *Balancer) learn(s *server, load float64) {
+	s.lent = fade(s.lent, b.now-s.reportAt, reportLag) // as its keeper: the report shows what was lent before
 	b.anchor(s, load)
 	b.anyKnown = true
 	// Of reports asked for only: predictions lean on it, delay notes come from the overloaded alone.
@@ -170,6 +122,9 @@
 		num, den = num+k.num+prior*first/b.unit, den+k.den+prior
 	}
 	all := num / den
+	b.keeps = b.set.Limits.MayTell && b.set.Limits.MayProbe && b.set.Reports != NoReports &&
+		first*float64(b.set.Nodes) > 1 &&
+		b.set.Tariffs.Peer*(questionBytes+answerBytes)/256 <= b.set.Tariffs.Probe
 	b.bases = 0
 	for _, s := range b.servers {
 		k := costPrior * b.unit * float64(b.set.Nodes)
@@ -253,6 +208,13 @@
 		s.prevErr = err
 		if age := b.now - s.reportAt; !b.set.TellsDelay && s.told > 0 && s.State == Ready &&
 			(age > patrolAfter || s.report > crowded-2*spill && age > tick/2) {
+			if b.keeps {
+				if b.now-s.reliefAt > tick {
+					s.reliefAt = b.now
+					b.question(relieveMe, s, nil, s.told/b.unit)
+				}
+				continue
+			}
 			b.probe(s) // guards connections whose server filled up later, where nobody tells of slow messages
 		}
 	}
@@ -296,9 +258,14 @@
 	// over its warm-up, as in a storm of retries the usual traffic says nothing of what a server can do.
 	fill := s.cost * b.unit * rules.WarmUp.Seconds() * float64(b.set.Nodes)
 	able := min(b.usual(s)/max(b.avg, 0.5), 1/fill)
+	if b.keeps { // its keeper spends the budget for all
+		able = float64(b.set.Nodes) / fill
+	}
 	rate := coldSafety * rules.FallMultiple * warm * able
 	s.credit, s.creditAt = s.credit+rate*(b.now-s.creditAt).Seconds(), b.now
-	if s.credit > 1+2*rate*rules.FallTime.Seconds() {
+	if b.keeps {
+		s.credit = min(s.credit, 1+rate*rules.FallTime.Seconds())
+	} else if s.credit > 1+2*rate*rules.FallTime.Seconds() {
 		s.credit = math.Mod(s.credit, 1)
 	}
 	return s.credit >= 1
@@ -361,14 +328,10 @@
 		b.out = append(b.out, Fail{q.ID})
 		return
 	}
-	r := &request{Request: q, load: b.loadOf(q), deadline: b.now + q.Left}
+	r := &request{Request: q, load: b.loadOf(q), bind: b.bindOf(q), deadline: b.now + q.Left}
 	b.reqs[q.ID] = r
-	if b.set.Grouped {
-		r.bind = q.Group
-	} else if b.set.PassThru { // packets that come to another node are sent where that node's draw went
-		r.bind = q.Key
-	}
-	if len(b.servers) > 0 && !q.MidFlow && b.rng.Float64() > math.Pow(b.gate, b.meanWorth/b.worth(r)) {
+	if len(b.servers) > 0 && !q.MidFlow && !b.keeps &&
+		b.rng.Float64() > math.Pow(b.gate, b.meanWorth/b.worth(r)) {
 		if s := b.servers[b.rng.IntN(len(b.servers))]; s.State == Ready && b.rng.Float64() < peek {
 			b.probe(s)
 		}
@@ -386,7 +349,8 @@
 		c.Scope != ScopeAll && s.Zone != r.may.Zone || c.Scope == ScopeCell && s.Cell != r.may.Cell) {
 		return false
 	}
-	return s.State == Ready && !slices.Contains(r.tried, s) && b.coldCredit(s)
+	return s.State == Ready && !slices.Contains(r.tried, s) &&
+		(b.keeps && r.rounds < maxMuted || b.coldCredit(s))
 }
 
 // sample draws n more servers by weight. A group draws by a hash in place of chance, and without a bonus
@@ -436,6 +400,10 @@
 
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
 func (b *Balancer) place(r *request) {
+	if b.keeps && r.rounds < maxMuted {
+		b.consult(r)
+		return
+	}
 	n := int(clamp(math.Round(probeSpend/max(b.set.Tariffs.Probe, 1e-9)), 2, 4))
 	if r.bind != 0 { // its next servers only
 		n = b.spread(r)
@@ -472,9 +440,14 @@
 	} else if s.State == Ready {
 		b.strike(s)
 	}
-	if !b.set.TellsDelay && e.Outcome == Served {
+	if !b.set.TellsDelay && e.Outcome == Served && !b.keeps {
 		b.relieve(s)
 	}
+	waiting := s.questions
+	s.questions = nil
+	for _, q := range waiting {
+		b.decide(q, s)
+	}
 	excess := 1 - crowded/s.report
 	if r := s.mover; r != nil && r.open && r.on == s && (e.Outcome != Served || b.rng.Float64() < excess) {
 		b.out = append(b.out, Move{r.ID})
@@ -493,11 +466,113 @@
 // what stays earns again, what goes earned nothing. Not where no other is much better.
 func (b *Balancer) relieve(s *server) {
 	if p, most := b.predict(s), max(crowded, b.least()+2*spill); p > most { // p may be under 0
-		all := b.openOn(s)
-		for _, r := range all[:min(len(all), int((1-most/p)*float64(len(all))+b.rng.Float64()))] {
-			b.out = append(b.out, Move{r.ID})
+		b.move(s, 1-most/p)
+	}
+}
+
+// Keepers. Where a node has under one connection of a server, what it sees there is late and mostly noise.
+// There each server has a keeper, a node that all find by hashes: it asks for reports, counts what it lent
+// since the last one, and spends the cold budget for all. The next node follows one that is silent.
+func (b *Balancer) keeper(s *server) int {
+	best, most := b.set.Node, uint64(0)
+	for n, until := range b.silent {
+		if key := mix(s.hash ^ mix(uint64(n)+1)); key >= most && b.now >= until {
+			best, most = n, key
 		}
 	}
+	return best
+}
+
+// consult asks the keeper of the next server in a request's order whether it bears one more.
+func (b *Balancer) consult(r *request) {
+	var next *server
+	least := math.Inf(1)
+	for _, s := range b.servers {
+		if b.now < max(s.badUntil, s.denied) || slices.Contains(r.picks, s) || !b.eligible(r, s) {
+			continue
+		}
+		key := -math.Log(b.chance(r, s))
+		if r.bind == 0 {
+			key /= b.weight(r, s, r.load, b.avg)
+		}
+		if key < least {
+			next, least = s, key
+		}
+	}
+	if next == nil || len(r.picks) >= maxRounds {
+		b.answer(r)
+		return
+	}
+	r.picks = append(r.picks, next)
+	b.question(mayISend, next, r, r.load)
+}
+
+// decide lets a connection come while the server bears it; a group it doesn't pay for yet must leave room.
+func (b *Balancer) decide(q question, s *server) {
+	warm := b.warm(s)
+	p := s.report + s.cost*b.unit*s.lent/warm
+	a := message{kind: no, load: p}
+	limit := crowded
+	if at, here := s.groups[q.group]; q.group != 0 && (!here || b.now-at > groupMemory) {
+		limit -= spill
+	}
+	switch {
+	case b.now < s.badUntil:
+		a.kind = bad
+	case q.kind == relieveMe:
+		if p > crowded+spill {
+			a.part = 1 - crowded/p
+			s.lent -= a.part * q.load
+		}
+	case p+s.cost*b.unit*q.load/warm <= limit && b.coldCredit(s):
+		a.kind = yes
+		s.lent, s.credit = s.lent+q.load, s.credit-q.load
+		s.stands(q.group, b.now)
+	}
+	b.reply(q, a)
+}
+
+// knows reports whether a keeper can tell without asking its server.
+func (b *Balancer) knows(s *server) bool {
+	return s.known && b.now-s.reportAt < freshFor || b.now < s.badUntil
+}
+
+// lost goes on without an answer: the keeper may be gone, and after some no keeper is asked.
+func (b *Balancer) lost(q asked) {
+	b.silent[q.to] = b.now + firstEject
+	if r := q.r; r != nil && b.reqs[r.ID] == r && r.on == nil {
+		r.rounds, r.picks = r.rounds+1, slices.DeleteFunc(r.picks, func(s *server) bool { return s == q.s })
+		b.place(r)
+	}
+}
+
+// answered carries out what a keeper said.
+func (b *Balancer) answered(q asked, a message) {
+	if a.kind == bad && q.to != b.set.Node {
+		b.strike(q.s)
+	} else if q.to != b.set.Node {
+		b.learn(q.s, a.load)
+	}
+	switch r := q.r; {
+	case r == nil:
+		b.move(q.s, a.part)
+	case b.reqs[r.ID] != r || r.on != nil:
+	case a.kind == yes:
+		b.send(r, q.s)
+	default:
+		if a.load > crowded {
+			q.s.denied = b.now + freshFor
+		}
+		b.consult(r)
+	}
+}
+
+// move moves a part of a server's connections, in whole ones by chance.
+func (b *Balancer) move(s *server, part float64) {
+	all := b.openOn(s)
+	for _, r := range all[:min(len(all), int(part*float64(len(all))+b.rng.Float64()))] {
+		b.out = append(b.out, Move{r.ID})
+	}
 }
 
 // dispatch sends to one of the sampled servers, drawn by weight; where all are crowded it samples on.
@@ -550,7 +625,7 @@
 	r.picks, r.rounds, r.sentAt = nil, 0, b.now
 	b.bind(r, s)
 	b.rate, b.rateAt = fade(b.rate, b.now-b.rateAt, rateMemory)+r.load/b.unit, b.now
-	if b.warm(s) < 1 {
+	if b.warm(s) < 1 && !b.keeps {
 		s.credit -= r.load / b.unit
 	}
 	b.out = append(b.out, Send{r.ID, s.ID, limit})
--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -65,3 +66,239 @@
 		t.Errorf("a group of 80 nodes goes to %d of 13 hosts: %v", len(used), used)
 	}
 }
+
+// crowd is many nodes before a few hosts in simulated time. Messages take 20 ms, reports are 200 ms old.
+type crowd struct {
+	t     testing.TB
+	nodes []*Balancer
+	now   time.Duration
+	queue later
+	seq   int
+	load  func(host ServerID, held int) float64
+	held  map[ServerID]int
+	seen  map[ServerID][]int // held, at each 10 ms
+	sent  map[ServerID]int
+	asks  int
+	tells int
+	said  int // bytes
+	end   map[string]int
+	dead  map[int]bool
+}
+
+type occurrence struct {
+	at   time.Duration
+	seq  int
+	node int
+	e    Event
+}
+
+type later []occurrence
+
+func (l later) Len() int { return len(l) }
+func (l later) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
+}
+func (l later) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *later) Push(x any)   { *l = append(*l, x.(occurrence)) }
+func (l *later) Pop() any {
+	o := (*l)[len(*l)-1]
+	*l = (*l)[:len(*l)-1]
+	return o
+}
+
+func newCrowd(t testing.TB, s Settings, seed uint64, list ServerList, load func(ServerID, int) float64) *crowd {
+	c := &crowd{t: t, now: time.Hour, load: load, held: map[ServerID]int{}, seen: map[ServerID][]int{},
+		sent: map[ServerID]int{}, end: map[string]int{}, dead: map[int]bool{}}
+	for n := range s.Nodes {
+		s.Node = n
+		b, err := New(s, seed*1000+uint64(n), c.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.nodes = append(c.nodes, b)
+		c.later(n, 0, list)
+	}
+	return c
+}
+
+func (c *crowd) later(node int, after time.Duration, e Event) {
+	c.seq++
+	heap.Push(&c.queue, occurrence{c.now + after, c.seq, node, e})
+}
+
+func (c *crowd) run(d time.Duration) {
+	for to := c.now + d; len(c.queue) > 0 && c.queue[0].at <= to; {
+		o := heap.Pop(&c.queue).(occurrence)
+		c.now = o.at
+		if c.dead[o.node] {
+			continue
+		}
+		for _, a := range c.nodes[o.node].Step(c.now, []Event{o.e}) {
+			c.carryOut(o.node, a)
+		}
+	}
+}
+
+func (c *crowd) carryOut(node int, a Action) {
+	switch a := a.(type) {
+	case SetTimer:
+		c.later(node, max(a.After, 1), TimerFired{a.Token})
+	case Tell:
+		c.tells++
+		c.said += len(a.Data)
+		c.later(a.To, ms(20), PeerMessage{node, a.Data})
+	case Probe:
+		c.asks++
+		l := c.seen[a.Server]
+		held := 0
+		if len(l) > 0 {
+			held = l[max(0, len(l)-20)]
+		}
+		c.later(node, ms(10), ProbeResult{Server: a.Server, Report: []float64{c.load(a.Server, held), 0}})
+	case Send:
+		c.held[a.Server]++
+		c.sent[a.Server]++
+		c.later(node, ms(5), Established{ID: a.ID, Server: a.Server})
+		c.end["sent"]++
+	case Refuse:
+		c.end["refused"]++
+	case Fail:
+		c.end["failed"]++
+	}
+}
+
+// arrivals has n requests come at nodes drawn by seed, over a time.
+func (c *crowd) arrivals(n int, over time.Duration, group func(i int) uint64) {
+	steps := ms(10)
+	done := 0
+	for t := time.Duration(0); t < over; t += steps {
+		for ; done < int(int64(n)*int64(t+steps)/int64(over)); done++ {
+			node := int(mix(uint64(done)+99) % uint64(len(c.nodes)))
+			c.later(node, 0, Request{ID: RequestID(fmt.Sprint("r", done)), Left: 2 * time.Second, Tenant: -1, Group: group(done)})
+		}
+		for id := range c.held {
+			c.seen[id] = append(c.seen[id], c.held[id])
+		}
+		c.run(steps)
+	}
+	c.run(3 * time.Second)
+}
+
+func keeping() Settings {
+	s := vast()
+	s.Limits.MayTell = true
+	s.Tariffs.Peer = 0.01
+	return s
+}
+
+// TestManyNodesDoNotOverrunAHost has eighty nodes place a burst on hosts that are half full, each by reports 200 ms old.
+func TestManyNodesDoNotOverrunAHost(t *testing.T) {
+	worst := func(s Settings) (over, refused int) {
+		for seed := range uint64(3) {
+			c := newCrowd(t, s, seed, fleet(13), func(_ ServerID, held int) float64 { return 0.5 + 0.06*float64(held) })
+			c.run(2 * time.Second)
+			c.arrivals(150, ms(500), func(i int) uint64 { return uint64(1 + i%20) })
+			for _, n := range c.held {
+				over = max(over, n)
+			}
+			refused += c.end["refused"]
+		}
+		return over, refused
+	}
+	// A host is full at 0.85, with 5 more connections; half a connection of rounding on the wire, and one of chance.
+	if over, refused := worst(keeping()); over > 7 || refused == 0 {
+		t.Errorf("with keepers a host gets %d connections, %d refused; it bears 5", over, refused)
+	}
+	if over, _ := worst(vast()); over <= 7 {
+		t.Errorf("without keepers a host gets only %d connections: the test shows nothing", over)
+	}
+}
+
+// TestColdHostGetsItsBudgetAndNoMore has a storm at eighty nodes while all warm hosts are nearly full.
+func TestColdHostGetsItsBudgetAndNoMore(t *testing.T) {
+	list := fleet(13)
+	list.Servers[4].Started = time.Hour - time.Second
+	s := keeping()
+	c := newCrowd(t, s, 5, list, func(id ServerID, held int) float64 {
+		if id == list.Servers[4].ID {
+			return 0.1 * float64(held)
+		}
+		return 0.84
+	})
+	c.run(2 * time.Second)
+	c.arrivals(600, 4*time.Second, func(int) uint64 { return 0 })
+	got := c.sent[list.Servers[4].ID]
+	// 4 s at FallMultiple times the part that is warm, of the rate that fills it over its warm-up (1/0.08 connections in 10 s).
+	budget := s.Rules.FallMultiple * 0.65 * 1.25 * 4
+	if got == 0 || float64(got) > budget {
+		t.Errorf("a cold host gets %d connections in a storm; its budget is %.1f", got, budget)
+	}
+}
+
+// TestRequestsOutliveTheirKeepers has seven in ten nodes fall silent: what comes to the others is served all the same.
+func TestRequestsOutliveTheirKeepers(t *testing.T) {
+	c := newCrowd(t, keeping(), 3, fleet(13), func(ServerID, int) float64 { return 0.3 })
+	c.run(2 * time.Second)
+	for n := range c.nodes {
+		c.dead[n] = n%10 < 7
+	}
+	c.arrivals(100, 2*time.Second, func(i int) uint64 { return uint64(i % 7) })
+	if c.end["refused"]+c.end["failed"] > 0 || c.end["sent"] == 0 {
+		t.Errorf("after the loss of most nodes: %v", c.end)
+	}
+}
+
+// TestNothingIsToldWhereItIsForbidden also covers fleets so small that a node sees enough by itself.
+func TestNothingIsToldWhereItIsForbidden(t *testing.T) {
+	few := keeping()
+	few.Nodes = 4
+	dear := keeping()
+	dear.Tariffs.Peer = 1
+	for name, s := range map[string]Settings{"forbidden": vast(), "few nodes": few, "dear messages": dear} {
+		c := newCrowd(t, s, 1, fleet(13), func(ServerID, int) float64 { return 0.3 })
+		c.arrivals(50, time.Second, func(i int) uint64 { return uint64(i) })
+		if c.tells > 0 || c.end["sent"] == 0 {
+			t.Errorf("%s: %d messages, %v", name, c.tells, c.end)
+		}
+	}
+}
+
+// TestBadMessagesAreDropped guards against messages that are cut off, of another version, late, repeated, or from nobody.
+func TestBadMessagesAreDropped(t *testing.T) {
+	f := newReferee(t, keeping(), 1)
+	f.now = time.Hour
+	f.step(fleet(13))
+	s := f.b.servers[3]
+	good := message{kind: mayISend, token: clockOf(f.b), server: uint32(s.hash >> 32), load: 1}
+	late, other := good, good.encode()
+	late.token -= latest + 1
+	other[0] = 2<<4 | byte(mayISend)
+	for i, m := range []PeerMessage{{1, nil}, {1, good.encode()[:13]}, {1, append(good.encode(), 0)}, {1, other}, {1, late.encode()},
+		{-1, good.encode()}, {80, good.encode()}, {0, good.encode()}, {1, message{kind: yes, token: good.token}.encode()},
+		{1, make([]byte, 300)}} {
+		if out := f.step(m); len(out) > 0 || f.b.Dropped() != i+1 {
+			t.Errorf("message %d: %d dropped, actions %v", i, f.b.Dropped(), out)
+		}
+	}
+	if out := f.step(PeerMessage{1, good.encode()}); len(out) != 1 {
+		t.Fatalf("a good message: %v", out)
+	}
+	if out := f.step(PeerMessage{1, good.encode()}); len(out) > 0 {
+		t.Errorf("a repeat: %v", out)
+	}
+}
+
+// FuzzMessage checks that no bytes of another node crash the module, and that what is read is in its range.
+func FuzzMessage(f *testing.F) {
+	f.Add(message{kind: mayISend, token: 1, server: 2, group: 3, load: 1}.encode())
+	f.Add(message{kind: yes, token: 1, load: 0.5, part: 1}.encode())
+	f.Fuzz(func(t *testing.T, p []byte) {
+		m, ok := decode(p)
+		if ok && (m.load < 0 || m.load > 16 || m.part < 0 || m.part > 1 || string(m.encode()) != string(p)) {
+			t.Errorf("%v read as %+v", p, m)
+		}
+		r := newReferee(t, keeping(), 1)
+		r.step(fleet(3))
+		r.step(PeerMessage{1, p})
+	})
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -32,6 +32,13 @@
 	creditAt        time.Duration
 	probing         bool
 	mover           *request // may leave once the probe confirms that the server is overloaded
+	// As its keeper.
+	lent      float64 // load that nodes were let send and that reports don't show yet
+	questions []question
+	groups    map[uint32]time.Duration // groups that stand there, when last heard of
+	// Of its keeper.
+	denied   time.Duration // not asked for again until then
+	reliefAt time.Duration
 }
 
 // costs is what reports said of a kind of machine.
@@ -88,6 +95,13 @@
 	groups    map[uint64]float64 // own told load by group
 	tellsHeld bool               // reports tell the connections held
 	minAim    time.Duration      // shortest wanted message time
+	keeps     bool               // servers have keepers
+	asked     map[uint32]asked   // questions out, by token
+	silent    []time.Duration    // by node: until when it is taken to be gone
+	lastToken uint32
+	seen      []seenKey
+	seenAt    int
+	dropped   int
 }
 
 // New makes the balancer of one node. It acts first on its first Step.
@@ -112,6 +126,7 @@
 		s.TellsDelay = true
 	}
 	s.Nodes, s.Limits.Attempts = max(1, s.Nodes), max(1, s.Limits.Attempts)
+	b.asked, b.silent = map[uint32]asked{}, make([]time.Duration, s.Nodes)
 	b.set, b.held, b.meanWorth = s, make([]int, len(s.Tenants)), s.Classes[0].Worth
 	return b, nil
 }
@@ -129,9 +144,23 @@
 	if s == nil || b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
 		return
 	}
-	r := &request{Request: e.Request, load: b.loadOf(e.Request), on: s, open: true, attempts: 1}
+	r := &request{Request: e.Request, load: b.loadOf(e.Request), bind: b.bindOf(e.Request), on: s, open: true, attempts: 1}
 	b.reqs[e.ID] = r
 	b.bind(r, s)
+	if b.keeps && r.bind != 0 {
+		b.question(itStands, s, r, r.load)
+	}
+}
+
+// bindOf is what a request draws by in place of chance.
+func (b *Balancer) bindOf(q Request) uint64 {
+	switch {
+	case b.set.Grouped:
+		return q.Group
+	case b.set.PassThru: // packets that come to another node are sent where that node's draw went
+		return q.Key
+	}
+	return 0
 }
 
 func (b *Balancer) release(r *request) {
@@ -223,7 +252,8 @@
 		}
 		s := b.servers[i]
 		if !ok || s.Started != n.Started { // a restarted process is cold and knows nothing of the old one
-			*s = server{hash: s.hash, told: s.told, credit: b.rng.Float64(), creditAt: b.now}
+			*s = server{hash: s.hash, told: s.told, credit: b.rng.Float64(), creditAt: b.now,
+				questions: s.questions, probing: s.probing}
 		}
 		s.Server = n
 		if !(n.Size > 0) || !finite(n.Size) {
@@ -272,6 +302,14 @@
 	return low
 }
 
+// stands remembers that a group stands on a server that this node keeps.
+func (s *server) stands(group uint32, now time.Duration) {
+	if s.groups == nil || len(s.groups) >= mostGroups {
+		s.groups = map[uint32]time.Duration{}
+	}
+	s.groups[group] = now
+}
+
 // bind puts a request's load on a server.
 func (b *Balancer) bind(r *request, s *server) {
 	r.on = s
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 
+	"spurwinch/choice"
 	"spurwinch/internal/cluster"
 	"spurwinch/internal/wire"
 )
@@ -24,6 +25,10 @@
 	MemoryMB  int
 	Known     *cluster.List
 	Settings  wire.Settings
+	// PeerListen is where datagrams of other nodes arrive, Peers the addresses of all nodes by their numbers, this one's
+	// among them. Both are empty where nodes may not speak to one another.
+	PeerListen string
+	Peers      []netip.AddrPort
 }
 
 type file struct {
@@ -36,8 +41,10 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    *cluster.List   `json:"known"`
-	Settings json.RawMessage `json:"settings"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	Known      *cluster.List   `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
 }
 
 // FromEnvironment reads the GW_* variables and the file that GW_CONFIG names. A variable beats the file.
@@ -60,6 +67,9 @@
 	if n.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
 		return n, fmt.Errorf("%s: settings: %w", path, err)
 	}
+	if n.PeerListen, n.Peers, err = peers(path, f, n.Settings.Settings); err != nil {
+		return n, err
+	}
 	if f.Known != nil {
 		if _, err := f.Known.Hosts(); err != nil {
 			return n, fmt.Errorf("%s: known: %w", path, err)
@@ -73,6 +83,26 @@
 	return n, nil
 }
 
+// peers reads the addresses of the other nodes. Without them, or where the settings forbid messages, there are none.
+func peers(path string, f file, s choice.Settings) (listen string, all []netip.AddrPort, err error) {
+	if !s.Limits.MayTell || len(f.Peers) < 2 || f.PeerListen == "" {
+		return "", nil, nil
+	}
+	if len(f.Peers) != s.Nodes {
+		return "", nil, fmt.Errorf("%s: peers has %d addresses, settings.groupSize says %d", path, len(f.Peers), s.Nodes)
+	}
+	for i, a := range append([]string{f.PeerListen}, f.Peers...) {
+		ap, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return "", nil, fmt.Errorf("%s: %q is not IP:PORT in peer_listen or peers", path, a)
+		}
+		if i > 0 {
+			all = append(all, ap)
+		}
+	}
+	return f.PeerListen, all, nil
+}
+
 func read(path string) (f file, err error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,6 +131,8 @@
 	Seed     uint64
 	Prober   Prober
 	Follow   func() // asks discovery for changes from now on
+	// Tell sends a message to another node by its number; nil: there are no others to speak to.
+	Tell func(to int, message []byte)
 	// Leave is how long the clients of a draining host have to leave it; they are moved one by one over that time.
 	// 0: hosts send their clients away themselves.
 	Leave time.Duration
@@ -245,6 +247,10 @@
 		}
 	case choice.SetTimer:
 		c.o.Clock.At(now.Add(a.After), func() { c.tell(choice.TimerFired{Token: a.Token}) })
+	case choice.Tell:
+		if c.o.Tell != nil {
+			c.o.Tell(a.To, a.Data)
+		}
 	case choice.Follow:
 		if c.o.Follow != nil {
 			c.o.Follow()
@@ -317,6 +323,14 @@
 	c.tell(l)
 }
 
+// Heard takes a message of another node.
+func (c *Core) Heard(from int, message []byte) {
+	c.tell(choice.PeerMessage{From: from, Data: message})
+}
+
+// Unbelieved counts the messages of other nodes that the module dropped.
+func (c *Core) Unbelieved() int { return c.balancer.Dropped() }
+
 // Request is one request of a client, from its taking until its connection has ended.
 type Request struct {
 	Spec
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	loop    *loop.Loop
 	cores   []*edge.Core
 	reloads []func()
+	leaves  []func() // when the planned stop begins
 	closers []func()
 	exit    time.Duration
 }
@@ -60,6 +61,7 @@
 			return nil, err
 		}
 		p.cores, seed, p.exit = append(p.cores, front.core), n.Seed, platformExit
+		p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
 		p.reloads = append(p.reloads, func() { front.reload(config.DiscoveryNow(getenv("GW_CONFIG"))) })
 	}
 	if len(o.Clusters) > 0 {
@@ -82,6 +84,9 @@
 
 // Leave begins the planned stop, which ends the loop.
 func (p *Program) Leave() {
+	for _, fn := range p.leaves {
+		fn()
+	}
 	for _, core := range p.cores {
 		zap.L().Info("leaving", zap.Stringer("core", core))
 		core.Drain(func() { zap.L().Info("left", zap.Stringer("core", core)) })
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"spurwinch/internal/config"
+	"spurwinch/internal/loop"
+)
+
+const mostMessage = 256 // bytes of a datagram; the protocol's
+
+// peers carries messages between the nodes of a tier. Counts tell what was dropped before the module saw it.
+type peers struct {
+	socket  *loop.Datagrams
+	addrs   []netip.AddrPort
+	numbers map[netip.AddrPort]int
+	self    int
+	at      netip.AddrPort // of the socket
+
+	sent, lost, taken, strangers, long int
+}
+
+// listenPeers opens the socket, where there are peers. heard gets each message with its sender's number.
+func listenPeers(l *loop.Loop, n config.Node, heard func(from int, message []byte)) (*peers, error) {
+	p := &peers{addrs: n.Peers, numbers: map[netip.AddrPort]int{}, self: n.Settings.Node}
+	if len(n.Peers) == 0 {
+		return p, nil
+	}
+	for i, a := range n.Peers {
+		p.numbers[a] = i
+	}
+	var err error
+	p.socket, p.at, err = l.ListenDatagrams(n.PeerListen, mostMessage, func(from netip.AddrPort, b []byte) {
+		number, known := p.numbers[from]
+		switch {
+		case !known || number == p.self: // a stranger could have this node believe anything
+			p.strangers++
+		case len(b) > mostMessage:
+			p.long++
+		default:
+			p.taken++
+			heard(number, append([]byte(nil), b...))
+		}
+	})
+	return p, err
+}
+
+func (p *peers) tell(to int, message []byte) {
+	if p.socket == nil || to < 0 || to >= len(p.addrs) || len(message) > mostMessage {
+		return
+	}
+	p.sent++
+	if err := p.socket.Send(p.addrs[to], message); err != nil {
+		p.lost++
+	}
+}
+
+// report logs the counts, once at the planned stop.
+func (p *peers) report(dropped int) {
+	if p.socket != nil {
+		zap.L().Info("peer_messages", zap.Int("sent", p.sent), zap.Int("lost", p.lost), zap.Int("taken", p.taken),
+			zap.Int("strangers", p.strangers), zap.Int("long", p.long), zap.Int("dropped", dropped))
+	}
+}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -21,8 +21,9 @@
 
 // platform is the platform's front with its core.
 type platform struct {
-	core  *edge.Core
-	watch *cluster.Watch
+	core   *edge.Core
+	watch  *cluster.Watch
+	others *peers
 }
 
 // reload moves the watch to the address that the configuration names now. All else stays: the list as last told, the
@@ -44,11 +45,17 @@
 	n.Settings.TellsDelay = false
 	hosts := upstream.New(l, n.Settings.ReportFields)
 	var watch *cluster.Watch
+	var others *peers
+	n.Settings.Limits.MayTell = len(n.Peers) > 0
 	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
-		Follow: func() { watch.Follow() }, Observer: observer})
+		Follow: func() { watch.Follow() }, Observer: observer,
+		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
 		return nil, at, err
 	}
+	if others, err = listenPeers(l, n, core.Heard); err != nil {
+		return nil, at, err
+	}
 	sockets := n.Sockets
 	if sockets <= 0 {
 		sockets = defaultSockets
@@ -80,5 +87,5 @@
 	if len(known) > 0 {
 		front.Ready()
 	}
-	return &platform{core, watch}, at, nil
+	return &platform{core, watch, others}, at, nil
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -64,6 +64,7 @@
 	MaxRetryAfterS  float64 `json:"maxRetryAfterS"`
 	MayCancel       bool    `json:"mayCancel"`
 	MayProbe        bool    `json:"mayProbe"`
+	MayTell         bool    `json:"mayTell"`
 	RetryAfter      bool    `json:"retryAfter"`
 	SecondCopies    bool    `json:"secondCopies"`
 	SendCap         int     `json:"sendCap"`
@@ -83,6 +84,7 @@
 	CrossZone float64 `json:"crossZone"`
 	LateFail  float64 `json:"lateFail"`
 	Moves     float64 `json:"moves"`
+	Peer      float64 `json:"peer"`
 	Probe     float64 `json:"probe"`
 	Waste     float64 `json:"waste"`
 }
@@ -141,13 +143,13 @@
 		Nodes: in.GroupSize, Node: in.Index, Zone: in.AZ, Grouped: in.Domain.Groups, TellsDelay: in.Domain.TellsDelay,
 		PassThru: in.Domain.Mode == "pass", Park: seconds(in.Domain.ParkS), Subscribe: in.Membership == "on_request",
 		OverQuotaWorth: in.OverShare, WorthByWork: in.WorthBy == "work", Round: seconds(in.RoundS),
-		Limits: choice.Limits{Attempts: lim.SendCap, MayProbe: lim.MayProbe, MayCancel: lim.MayCancel,
+		Limits: choice.Limits{Attempts: lim.SendCap, MayProbe: lim.MayProbe, MayCancel: lim.MayCancel, MayTell: lim.MayTell,
 			SecondCopies: lim.SecondCopies, RetryAdvice: lim.RetryAfter, MaxRetryAdvice: seconds(lim.MaxRetryAfterS),
 			ConnectTimeout: seconds(lim.ConnectTimeoutS)},
 		Rules: choice.Rules{AnswerSlack: seconds(inv.AnswerSlackS), AskWithin: seconds(inv.AskWithinS),
 			DrainGrace: seconds(inv.StopSendingWithinS), ColdShare: inv.ColdShare, WarmUp: seconds(inv.RampTimeS),
 			FallMultiple: inv.FallMultiple, FallTime: seconds(inv.FallS)},
-		Tariffs: choice.Tariffs{Probe: in.Tariffs.Probe, Move: in.Tariffs.Moves, CrossZone: in.Tariffs.CrossZone,
+		Tariffs: choice.Tariffs{Probe: in.Tariffs.Probe, Move: in.Tariffs.Moves, Peer: in.Tariffs.Peer, CrossZone: in.Tariffs.CrossZone,
 			LateFail: in.Tariffs.LateFail, Waste: in.Tariffs.Waste},
 	}
 	var ok bool
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -67,6 +67,8 @@
 	Token  string  `json:"token,omitempty"`
 	AfterS float64 `json:"afterS,omitempty"`
 	Active bool    `json:"active,omitempty"`
+	Peer   *int    `json:"peer,omitempty"`
+	Data   []byte  `json:"payload,omitempty"`
 }
 
 type reply struct {
@@ -313,6 +315,8 @@
 	case choice.SetTimer:
 		// an absent afterS is not allowed, so the shortest wait is a microsecond
 		s.Op, s.Token, s.AfterS = "Defer", a.Token, max(a.After.Seconds(), 1e-6)
+	case choice.Tell:
+		s.Op, s.Peer, s.Data = "Say", &a.To, a.Data
 	case choice.Follow:
 		s.Op, s.Active = "Follow", true
 	}
