Discovery: a whole list without hosts is a failed call and drops no known host

Seen by a recorded exchange: the first three did not, an empty whole list had the node forget all hosts (Watch.answered handed it on as any whole list).

Change: once a host was told, a whole list without any fails the call; the module asks again, the known hosts stand. The exchange fails without it.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -74,6 +75,7 @@
 	news    func(choice.ListKind, []edge.UpstreamHost)
 	version int64
 	have    bool // version is one of discovery's
+	hosts   bool // some host was ever told
 	conn    *loop.Conn
 	up      bool
 	calling bool
@@ -87,7 +89,7 @@
 func New(l *loop.Loop, addr string, known *List, news func(choice.ListKind, []edge.UpstreamHost)) *Watch {
 	w := &Watch{loop: l, addr: addr, news: news}
 	if known != nil {
-		w.version, w.have = known.Version, true
+		w.version, w.have, w.hosts = known.Version, true, len(known.Servers) > 0
 	}
 	return w
 }
@@ -163,10 +165,15 @@
 	if err == nil {
 		hosts, err = l.Hosts()
 	}
+	if err == nil && l.Full && len(hosts) == 0 && w.hosts {
+		// Guards against a discovery that lost its state, which would have a whole fleet forgotten at once.
+		err = errors.New("whole, but without hosts; the known ones stand")
+	}
 	if err != nil {
 		w.failed("list: " + err.Error())
 		return
 	}
+	w.hosts = w.hosts || len(hosts) > 0
 	w.stop()
 	w.calling = false
 	if w.in.close {
