Messages: loads and parts are rounded on the wire, and survive being read and written again

Seen by fuzzing: a load of 255 sixteenths was written again as 254, and parts were cut off and not rounded, so a keeper's figure came up to a sixteenth too low. Line at fault: sixteenths() in choice/message.go.

--- a/choice/message.go
+++ b/choice/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"strconv"
 )
 
@@ -48,13 +49,13 @@
 func (m message) encode() []byte {
 	out := binary.BigEndian.AppendUint16([]byte{messageVersion<<4 | byte(m.kind)}, m.token)
 	if m.kind >= yes {
-		return append(out, sixteenths(m.load), byte(clamp(m.part, 0, 1)*255))
+		return append(out, sixteenths(m.load), byte(math.Round(clamp(m.part, 0, 1)*255)))
 	}
 	out = append(out, byte(m.server>>16), byte(m.server>>8), byte(m.server))
 	return append(binary.BigEndian.AppendUint16(out, m.group), sixteenths(m.load))
 }
 
-func sixteenths(v float64) byte { return byte(clamp(v, 0, 15.9) * 16) }
+func sixteenths(v float64) byte { return byte(clamp(math.Round(v*16), 0, 255)) }
 
 // decode reads a message; ok is false for any but a whole one of this version.
 func decode(p []byte) (m message, ok bool) {
