Keepers: a yes is not taken for a host that began to drain meanwhile

Seen on reading the change once more: answered() sent on a keeper's yes without looking at the host again, though its list may have changed in the 150 ms that an answer may take. Now the host must still be eligible, else the next keeper is asked. The test fails without it ('sent to a host that drains'). The crowd of the tests keeps its events in a sorted slice in place of a heap.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -560,7 +560,7 @@
 	case r == nil:
 		b.move(q.s, a.part)
 	case b.reqs[r.ID] != r || r.on != nil:
-	case a.kind == yes:
+	case a.kind == yes && b.eligible(r, q.s): // it may have begun to drain meanwhile
 		b.send(r, q.s)
 	default:
 		if a.load > crowded {
--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -1,8 +1,8 @@
 package choice
 
 import (
-	"container/heap"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -69,45 +69,26 @@
 
 // crowd is many nodes before a few hosts in simulated time. Messages take 20 ms, reports are 200 ms old.
 type crowd struct {
-	t     testing.TB
 	nodes []*Balancer
 	now   time.Duration
-	queue later
-	seq   int
+	queue []occurrence // by time
 	load  func(host ServerID, held int) float64
 	held  map[ServerID]int
 	seen  map[ServerID][]int           // held, at each 10 ms
 	times map[ServerID][]time.Duration // of sends
-	asks  int
 	tells int
-	said  int // bytes
 	end   map[string]int
 	dead  map[int]bool
 }
 
 type occurrence struct {
 	at   time.Duration
-	seq  int
 	node int
 	e    Event
 }
 
-type later []occurrence
-
-func (l later) Len() int { return len(l) }
-func (l later) Less(i, j int) bool {
-	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
-}
-func (l later) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
-func (l *later) Push(x any)   { *l = append(*l, x.(occurrence)) }
-func (l *later) Pop() any {
-	o := (*l)[len(*l)-1]
-	*l = (*l)[:len(*l)-1]
-	return o
-}
-
 func newCrowd(t testing.TB, s Settings, seed uint64, list ServerList, load func(ServerID, int) float64) *crowd {
-	c := &crowd{t: t, now: time.Hour, load: load, held: map[ServerID]int{}, seen: map[ServerID][]int{},
+	c := &crowd{now: time.Hour, load: load, held: map[ServerID]int{}, seen: map[ServerID][]int{},
 		times: map[ServerID][]time.Duration{}, end: map[string]int{}, dead: map[int]bool{}}
 	for n := range s.Nodes {
 		s.Node = n
@@ -122,13 +103,15 @@
 }
 
 func (c *crowd) later(node int, after time.Duration, e Event) {
-	c.seq++
-	heap.Push(&c.queue, occurrence{c.now + after, c.seq, node, e})
+	o := occurrence{c.now + after, node, e}
+	i, _ := slices.BinarySearchFunc(c.queue, o.at+1, func(o occurrence, at time.Duration) int { return int(o.at - at) })
+	c.queue = slices.Insert(c.queue, i, o)
 }
 
 func (c *crowd) run(d time.Duration) {
 	for to := c.now + d; len(c.queue) > 0 && c.queue[0].at <= to; {
-		o := heap.Pop(&c.queue).(occurrence)
+		o := c.queue[0]
+		c.queue = c.queue[1:]
 		c.now = o.at
 		if c.dead[o.node] {
 			continue
@@ -145,13 +128,10 @@
 		c.later(node, max(a.After, 1), TimerFired{a.Token})
 	case Tell:
 		c.tells++
-		c.said += len(a.Data)
 		c.later(a.To, ms(20), PeerMessage{node, a.Data})
 	case Probe:
-		c.asks++
-		l := c.seen[a.Server]
 		held := 0
-		if len(l) > 0 {
+		if l := c.seen[a.Server]; len(l) > 0 {
 			held = l[max(0, len(l)-20)]
 		}
 		c.later(node, ms(10), ProbeResult{Server: a.Server, Report: []float64{c.load(a.Server, held), 0}})
@@ -314,3 +294,24 @@
 		r.step(PeerMessage{1, p})
 	})
 }
+
+// TestAYesForAHostThatDrainsIsNotTaken has a host begin to drain while its keeper's answer is on the way.
+func TestAYesForAHostThatDrainsIsNotTaken(t *testing.T) {
+	f := newReferee(t, keeping(), 1)
+	f.now = time.Hour
+	f.step(fleet(13))
+	for _, a := range f.step(Request{ID: "r", Group: 7, Left: 2 * time.Second, Tenant: -1}) {
+		if a, ok := a.(Tell); ok {
+			q, _ := decode(a.Data)
+			drained := f.b.byHash(q.server).Server
+			drained.State = Draining
+			f.step(ServerList{Kind: ListChange, Servers: []Server{drained}})
+			f.step(PeerMessage{a.To, message{kind: yes, token: q.token}.encode()})
+			if slices.Contains(f.sends(), drained.ID) {
+				t.Error("sent to a host that drains")
+			}
+			return
+		}
+	}
+	t.Error("no keeper was asked")
+}
