Operators' door with ready and telemetry; the core counts what becomes of requests

Change: internal/admin, a bounded HTTP/1.1 door on the loop (ListenApart: its connections are not among those that clients are bounded by); internal/stats, plain counters; the core counts answers for all fronts, refusals for want of descriptors go through it (Core.Refuse), a client that breaks the protocol counts as failed (Request.Broken), an attempt counts when its last byte is with the kernel. A write that failed counted as sent whole (Conn.Sent): the attempt read as reset, not as never made.

--- a/choice/state.go
+++ b/choice/state.go
@@ -287,6 +287,17 @@
 	return all
 }
 
+// Avoided counts the listed servers that get nothing new now: those that drain, and those out after failures.
+func (b *Balancer) Avoided(now time.Duration) int {
+	n := 0
+	for _, s := range b.servers {
+		if s.State == Draining || s.State == Ready && now < s.badUntil {
+			n++
+		}
+	}
+	return n
+}
+
 // least is the least predicted load of the servers that may be used, or one so low that the rest makes no difference to
 // relieve: on a large fleet the whole search, at each report, would be most of a node's time.
 func (b *Balancer) least() float64 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Mgmt      string // where operators ask; empty: nowhere
 	Seed      uint64
 	Sockets   int // descriptors that the process may hold; 0: not told
 	MemoryMB  int
@@ -35,6 +36,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Mgmt      string `json:"mgmt"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -58,8 +60,8 @@
 		return Node{}, err
 	}
 	n := Node{Name: or(getenv("GW_NAME"), f.Name), Listen: or(getenv("GW_LISTEN"), f.Listen),
-		Discovery: or(getenv("GW_DISCOVERY"), f.Discovery), Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, Known: f.Known}
-	for _, a := range []struct{ what, addr string }{{"listen", n.Listen}, {"discovery", n.Discovery}} {
+		Discovery: or(getenv("GW_DISCOVERY"), f.Discovery), Mgmt: or(getenv("GW_MGMT"), f.Mgmt), Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, Known: f.Known}
+	for _, a := range []struct{ what, addr string }{{"listen", n.Listen}, {"discovery", n.Discovery}, {"mgmt", or(n.Mgmt, "127.0.0.1:0")}} {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
 			return n, fmt.Errorf("%s: %s address %q is not IP:PORT", path, a.what, a.addr)
 		}
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -71,6 +71,9 @@
 	f.waiting = nil
 }
 
+// Taking reports whether clients are taken and placed now.
+func (f *Front) Taking() bool { return f.ready && !f.core.Draining() }
+
 // Accept takes a new connection. The loop has made room for it, as far as others had not said yet what they want. Beyond
 // the limit some are still taken, for PING and to refuse politely; then none, which guards the descriptors that
 // discovery, probes and attempts in hand need.
@@ -164,15 +167,11 @@
 		s.malformed(why)
 		return
 	}
-	if s.front.core.Holds(spec.ID) {
-		s.malformed("the id of a request that is still open")
-		return
-	}
 	s.cancelTimer()
 	if s.front.loop.Open()+2 > s.front.most {
 		// Guards against running out of descriptors half way: a request taken needs one more for its host.
 		zap.L().Warn("connection_limit_refused", zap.String("front", "platform"), zap.Int("open_connections", s.front.loop.Open()))
-		s.finish(busy(time.Second))
+		s.front.core.Refuse(spec, s, time.Second)
 		return
 	}
 	s.conn.Spoke()
@@ -259,7 +258,7 @@
 	zap.L().Warn("client_line_unreadable", zap.String("sent", why))
 	s.finish([]byte("ERR\r\n"))
 	if s.request != nil {
-		s.request.Gone()
+		s.request.Broken()
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"spurwinch/choice"
+	"spurwinch/internal/stats"
 
 	"go.uber.org/zap"
 )
@@ -138,6 +139,8 @@
 	Leave time.Duration
 	// Observer hears of all that passes through; nil: nobody does.
 	Observer Observer
+	// Figures are the process's, counted here for all fronts; nil: nobody asks for them.
+	Figures *stats.Figures
 }
 
 const (
@@ -159,6 +162,7 @@
 	draining bool
 	minAim   time.Duration
 	seq      uint64
+	counts   []*stats.Class // by class
 }
 
 type host struct {
@@ -178,7 +182,11 @@
 		return nil, err
 	}
 	c.balancer = b
+	if c.o.Figures == nil {
+		c.o.Figures = &stats.Figures{}
+	}
 	for _, k := range o.Settings.Classes {
+		c.counts = append(c.counts, c.o.Figures.Class(k.Name))
 		if k.MessageAim > 0 && (c.minAim == 0 || k.MessageAim < c.minAim) {
 			c.minAim = k.MessageAim
 		}
@@ -377,6 +385,28 @@
 	}
 }
 
+// count is the counter of the request's class.
+func (r *Request) count() *stats.Class { return r.core.counts[r.Class] }
+
+// Refuse refuses a request that the node has no room to take: the client hears of it like Open's.
+func (c *Core) Refuse(s Spec, client Client, after time.Duration) {
+	r := &Request{Spec: s, core: c, client: client, arrived: c.o.Clock.Now()}
+	c.seq++
+	r.seq = c.seq
+	r.answer(LocalReply{Refused: true, After: after})
+}
+
+// Gauges tells what the core holds now.
+func (c *Core) Gauges() stats.Gauges {
+	g := stats.Gauges{InFlight: len(c.requests), HostsExcluded: c.balancer.Avoided(c.clock(c.o.Clock.Now()))}
+	for _, h := range c.hosts {
+		if h.State != choice.Gone {
+			g.HostsKnown++
+		}
+	}
+	return g
+}
+
 // Open takes a new request. The client hears of it through c's methods, at the earliest when this has returned.
 func (c *Core) Open(s Spec, client Client) *Request {
 	c.seq++
@@ -458,8 +488,10 @@
 	}
 	r.over = true
 	if l.Refused {
+		r.count().Refused++
 		r.observe(Refused)
 	} else {
+		r.count().Failed++
 		r.observe(Failed)
 	}
 	r.client.LocalReply(l)
@@ -477,6 +509,14 @@
 	}
 }
 
+// Broken says that the client broke the protocol and its front has answered it so.
+func (r *Request) Broken() {
+	if !r.over && !r.open {
+		r.count().Failed++
+	}
+	r.Gone()
+}
+
 // Gone says that the client left, before its answer or on an open connection.
 func (r *Request) Gone() {
 	if r.over {
@@ -517,6 +557,7 @@
 	upstream UpstreamRequest
 	stop     func()
 	started  time.Time
+	written  bool
 	ended    bool
 
 	Number int
@@ -536,6 +577,14 @@
 	return by
 }
 
+// Written says that the attempt's last byte is with the kernel: from here on it counts.
+func (a *Attempt) Written() {
+	if !a.written {
+		a.written = true
+		a.request.core.o.Figures.Attempts++
+	}
+}
+
 // Connected tells what the way to the host takes, so that it isn't held against the host.
 func (a *Attempt) Connected() {
 	took := a.request.core.o.Clock.Now().Sub(a.started)
@@ -551,6 +600,7 @@
 		return
 	}
 	r.open = true
+	r.count().Served++
 	r.observeTry(a, choice.Served)
 	r.observe(Up)
 	r.stood = r.core.o.Clock.Now()
@@ -605,7 +655,8 @@
 	switch r.observeTry(a, o); {
 	case r.open:
 		r.observeEnd(ByHost)
-	case o == choice.Served:
+	case o == choice.Served && !r.over:
+		r.count().Served++
 		r.observe(Served)
 	}
 	if r.At == "" || r.open {
@@ -700,8 +751,8 @@
 	return 0
 }
 
-// Holds reports whether a request of this id is open.
-func (c *Core) Holds(id choice.RequestID) bool { return c.requests[id] != nil }
+// Draining reports whether the core turns new requests away.
+func (c *Core) Draining() bool { return c.draining }
 
 // Held counts the requests and connections that the core holds.
 func (c *Core) Held() int { return len(c.requests) }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"spurwinch/choice"
+	"spurwinch/internal/stats"
 )
 
 // world is a clock without waiting, a set of hosts with moods, and the clients of one core.
@@ -17,6 +18,8 @@
 	now    time.Time
 	timers queue
 	core   *Core
+	want   [2]stats.Class // what clients saw, by class
+	wrote  uint64         // attempts
 	state  map[choice.ServerID]choice.ServerState
 	since  map[choice.ServerID]time.Time // of the state
 }
@@ -82,6 +85,7 @@
 	open     bool
 	moved    bool
 	gone     bool
+	over     bool // answered by the node, or its connection has ended
 }
 
 type try struct {
@@ -127,6 +131,11 @@
 	in := time.Duration(w.rng.IntN(900)) * time.Millisecond
 	mood := w.rng.IntN(10)
 	w.At(w.now.Add(in), func() {
+		if !y.givenUp && mood != 9 {
+			w.wrote++
+			a.Written()
+			a.Written() // as a front may that hears of it twice
+		}
 		switch {
 		case mood == 0 || y.givenUp: // silence; or an answer that comes too late, which must not count
 			if y.givenUp {
@@ -151,8 +160,10 @@
 				w.t.Errorf("%s: a second answer", c.r.ID)
 			}
 			c.open = true
+			w.want[c.r.Class].Served++
 			w.At(w.now.Add(time.Duration(w.rng.IntN(9000))*time.Millisecond), func() {
 				if !y.givenUp && !c.moved {
+					c.over = true
 					end(choice.Reset)
 				}
 			})
@@ -161,7 +172,13 @@
 	return y
 }
 
-func (c *client) LocalReply(LocalReply) {
+func (c *client) LocalReply(l LocalReply) {
+	c.over = true
+	if l.Refused {
+		c.w.want[c.r.Class].Refused++
+	} else {
+		c.w.want[c.r.Class].Failed++
+	}
 	if c.answers++; c.answers > 1 || c.gone {
 		c.w.t.Errorf("%s: %d answers, gone %v", c.r.ID, c.answers, c.gone)
 	}
@@ -174,17 +191,19 @@
 	if !c.open || c.moved {
 		c.w.t.Errorf("%s: moved twice, or not open", c.r.ID)
 	}
-	c.moved, c.out = true, nil
+	c.moved, c.out, c.over = true, nil, true
 }
 
 // TestRules plays random days against the core and the module: one final answer for each request, in time; four
-// attempts at most and never two at once; nothing new to a draining host after its grace; nothing held at the end.
+// attempts at most and never two at once; nothing new to a draining host after its grace; nothing held at the end. The
+// figures are what the clients saw.
 func TestRules(t *testing.T) {
 	for seed := range uint64(40) {
 		w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1.8e9, 0),
 			state: map[choice.ServerID]choice.ServerState{}, since: map[choice.ServerID]time.Time{}}
 		s := choice.Settings{Nodes: 1, Round: 5 * time.Millisecond, Classes: []choice.Class{{Name: "c", SetupAim: 800 * time.Millisecond,
-			Deadline: 4 * time.Second, MessageAim: 60 * time.Millisecond, Worth: 1}},
+			Deadline: 4 * time.Second, MessageAim: 60 * time.Millisecond, Worth: 1}, {Name: "u", SetupAim: 800 * time.Millisecond,
+			Deadline: 4 * time.Second, Worth: 1, Repeat: choice.Unsafe}},
 			Limits: choice.Limits{Attempts: 4, MayCancel: true, MayProbe: seed%2 == 0},
 			Rules: choice.Rules{AskWithin: 10 * time.Second, DrainGrace: 3 * time.Second, ColdShare: .2, WarmUp: 10 * time.Second,
 				FallMultiple: 4, FallTime: 2 * time.Second}}
@@ -192,7 +211,8 @@
 			s.Reports, s.Fields = choice.ProbeReports, []choice.Field{choice.Load}
 		}
 		var err error
-		if w.core, err = New(Options{Clock: w, Settings: s, Seed: seed, Prober: w, Leave: time.Duration(seed%3) * time.Second}); err != nil {
+		var figures stats.Figures
+		if w.core, err = New(Options{Clock: w, Figures: &figures, Settings: s, Seed: seed, Prober: w, Leave: time.Duration(seed%3) * time.Second}); err != nil {
 			t.Fatal(err)
 		}
 		var hosts []UpstreamHost
@@ -206,12 +226,17 @@
 			w.At(begin.Add(time.Duration(w.rng.IntN(22500))*time.Millisecond), func() {
 				c := &client{w: w, deadline: w.now.Add(time.Duration(200+w.rng.IntN(4000)) * time.Millisecond)}
 				all = append(all, c)
-				c.r = w.core.Open(Spec{ID: choice.RequestID(fmt.Sprint("r", i)), Tenant: -1, Deadline: c.deadline}, c)
+				c.r = w.core.Open(Spec{ID: choice.RequestID(fmt.Sprint("r", i)), Class: i % 5 / 4, Tenant: -1, Deadline: c.deadline}, c)
 				if w.rng.IntN(10) == 0 {
 					w.At(w.now.Add(time.Duration(w.rng.IntN(3000))*time.Millisecond), func() {
 						if c.answers == 0 || c.open && !c.moved {
-							c.gone = true
-							c.r.Gone()
+							c.gone, c.over = true, true
+							if w.rng.IntN(4) == 0 && !c.open { // its front has answered it, for what it sent
+								w.want[c.r.Class].Failed++
+								c.r.Broken()
+							} else {
+								c.r.Gone()
+							}
 						}
 					})
 				}
@@ -227,6 +252,18 @@
 				w.core.List(choice.ListChange, []UpstreamHost{h})
 			})
 		}
+		for at := begin; at.Before(begin.Add(21 * time.Second)); at = at.Add(700 * time.Millisecond) {
+			w.run(at)
+			flying := 0
+			for _, c := range all {
+				if !c.over {
+					flying++
+				}
+			}
+			if g := w.core.Gauges(); g.InFlight != flying || g.HostsKnown != len(hosts) {
+				t.Errorf("seed %d: gauges %+v, want %d in flight", seed, g, flying)
+			}
+		}
 		w.run(begin.Add(21 * time.Second))
 		left := false
 		w.core.Drain(func() { left = true })
@@ -234,6 +271,14 @@
 		if !left || w.core.Held() > 0 {
 			t.Errorf("seed %d: left %v, %d requests held after the planned stop", seed, left, w.core.Held())
 		}
+		for i, name := range []string{"c", "u"} {
+			if got := *figures.Class(name); got != w.want[i] {
+				t.Errorf("seed %d: class %s counts %+v, want %+v", seed, name, got, w.want[i])
+			}
+		}
+		if g := w.core.Gauges(); figures.Attempts != w.wrote || g.InFlight != 0 {
+			t.Errorf("seed %d: %d attempts counted of %d, gauges %+v", seed, figures.Attempts, w.wrote, g)
+		}
 		for _, c := range all {
 			if c.answers != 1 && !c.gone {
 				t.Errorf("seed %d: %s has %d answers", seed, c.r.ID, c.answers)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -4,7 +4,7 @@
 // An exchange is a text file, one step a line:
 //
 //	# a comment
-//	c open              connect to the program as c
+//	c open              connect to the program as c; c open NAME connects to the value NAME
 //	s accept h1         take the program's next connection at the listener h1 (* for any whose name starts with h) as s
 //	c > TEXT            send TEXT and CRLF; >> sends it without
 //	c < TEXT            the next bytes that come must be TEXT and CRLF; << without
@@ -121,7 +121,11 @@
 	}
 	switch op {
 	case "open":
-		c, err := net.Dial("tcp", p.Addr)
+		addr := p.Addr
+		if arg != "" {
+			addr = p.Values[arg]
+		}
+		c, err := net.Dial("tcp", addr)
 		if err == nil {
 			p.conns[name] = c.(*net.TCPConn)
 		}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -51,7 +51,9 @@
 	ending    bool
 	shut      bool // our end is sent
 	closed    bool
-	events    int // what the poller watches: a sum of watchRead and watchWrite
+	unsent    bool // a write failed: not all that was to be written is with the kernel
+	apart     bool // not among the loop's open ones
+	events    int  // what the poller watches: a sum of watchRead and watchWrite
 	stopTimer func()
 	place     *list.Element // in the queue of those that may go for others
 	lastBy    time.Time     // ending: closed by then whatever still comes
@@ -110,6 +112,7 @@
 			p = p[n:]
 		}
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+			c.unsent = true
 			c.later(os.NewSyscallError("write", err))
 			return
 		}
@@ -118,6 +121,7 @@
 		}
 	}
 	if len(c.out)+len(p) > mostWaiting {
+		c.unsent = true
 		c.later(errors.New("too much waits to be written"))
 		return
 	}
@@ -240,7 +244,9 @@
 	}
 	delete(c.l.fds, c.fd)
 	unix.Close(c.fd)
-	c.l.open--
+	if !c.apart {
+		c.l.open--
+	}
 }
 
 func (c *Conn) cancelTimer() {
@@ -379,4 +385,4 @@
 }
 
 // Sent reports whether all that was to be written is with the kernel. It stays true to the end of the connection.
-func (c *Conn) Sent() bool { return c.connected && len(c.out) == 0 }
+func (c *Conn) Sent() bool { return c.connected && len(c.out) == 0 && !c.unsent }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -212,6 +212,16 @@
 
 // Listen accepts connections at addr from now on; accept gives each its handler. A nil handler closes it.
 func (l *Loop) Listen(addr string, accept func(*Conn) Handler) (netip.AddrPort, error) {
+	return l.listen(addr, backlog, accept, false)
+}
+
+// ListenApart is Listen for connections that stand apart from clients and hosts: they don't count among the open ones,
+// make no room and never go for others. The caller bounds them; queue bounds those that wait to be accepted.
+func (l *Loop) ListenApart(addr string, queue int, accept func(*Conn) Handler) (netip.AddrPort, error) {
+	return l.listen(addr, queue, accept, true)
+}
+
+func (l *Loop) listen(addr string, queue int, accept func(*Conn) Handler, apart bool) (netip.AddrPort, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return ap, fmt.Errorf("listen address %q: %w", addr, err)
@@ -223,7 +233,7 @@
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err = unix.Bind(fd, sa); err == nil {
-		err = unix.Listen(fd, backlog)
+		err = unix.Listen(fd, queue)
 	}
 	if err == nil {
 		err = l.poller.AddRead(&netpoll.PollAttachment{FD: fd}, false)
@@ -236,11 +246,11 @@
 		ap = addrPort(sa)
 	}
 	l.listeners = append(l.listeners, fd)
-	l.fds[fd] = func(uint32) { l.accept(fd, accept) }
+	l.fds[fd] = func(uint32) { l.accept(fd, accept, apart) }
 	return ap, nil
 }
 
-func (l *Loop) accept(lfd int, accept func(*Conn) Handler) {
+func (l *Loop) accept(lfd int, accept func(*Conn) Handler, apart bool) {
 	for range acceptBurst {
 		fd, _, err := unix.Accept4(lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
@@ -262,9 +272,11 @@
 			return
 		}
 		setOptions(fd)
-		c := &Conn{l: l, fd: fd, connected: true}
-		l.open++
-		l.makeRoom()
+		c := &Conn{l: l, fd: fd, connected: true, apart: apart}
+		if !apart {
+			l.open++
+			l.makeRoom()
+		}
 		c.h = accept(c)
 		if c.h == nil {
 			c.Abort()
--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -30,7 +30,7 @@
 
 // wait puts a connection at the end of the queue of those that may go.
 func (c *Conn) wait() {
-	if !c.closed && c.place == nil {
+	if !c.closed && !c.apart && c.place == nil {
 		c.place = c.l.idle.PushBack(c)
 	}
 }
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -107,11 +107,16 @@
 				t.Fatal(err)
 			}
 		}
-		node, at, err := serve(l, n, nil)
+		program := &Program{loop: l}
+		node, at, err := serve(l, n, nil, &program.figures)
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.Addr = at.String()
+		program.cores, program.taking = []*edge.Core{node.core}, node.front.Taking
+		if err := program.openDoor("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		p.Addr, p.Values["door"] = at.String(), program.door.String()
 		p.Do = map[string]func(){
 			"wait":    func() { time.Sleep(400 * time.Millisecond) },
 			"long":    func() { time.Sleep(5 * time.Second) },
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -15,6 +15,7 @@
 	"spurwinch/internal/config"
 	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/stats"
 	"spurwinch/internal/wire"
 )
 
@@ -53,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil)
+	_, at, err := serve(l, n, nil, &stats.Figures{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -119,7 +120,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil)
+	_, at, err := serve(l, n, nil, &stats.Figures{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,7 +165,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil)
+	_, at, err := serve(l, n, nil, &stats.Figures{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,15 +4,18 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
 
+	"spurwinch/internal/admin"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/stats"
 )
 
 const (
@@ -30,12 +33,16 @@
 	leaves  []func() // when the planned stop begins
 	closers []func()
 	exit    time.Duration
+	figures stats.Figures
+	taking  func() bool // the platform's front takes clients
+	door    netip.AddrPort
 }
 
 // New puts a node together on a loop that is not running yet: the platform's front where GW_CONFIG is set or nothing else
 // is, and what the operator's file (if any) sets up beside it.
 func New(l *loop.Loop, getenv func(string) string, operator string) (*Program, error) {
 	p := &Program{loop: l, exit: operatorExit}
+	mgmt := getenv("GW_MGMT")
 	seed := uint64(time.Now().UnixNano())
 	var o config.Operator
 	if operator != "" {
@@ -56,11 +63,12 @@
 		if err != nil {
 			return nil, err
 		}
-		front, _, err := serve(l, n, observer)
+		front, _, err := serve(l, n, observer, &p.figures)
 		if err != nil {
 			return nil, err
 		}
 		p.cores, seed, p.exit = append(p.cores, front.core), n.Seed, platformExit
+		mgmt, p.taking = n.Mgmt, front.front.Taking
 		p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
 		p.reloads = append(p.reloads, func() { front.reload(config.DiscoveryNow(getenv("GW_CONFIG"))) })
 	}
@@ -72,9 +80,40 @@
 		p.cores = append(p.cores, more...)
 		p.reloads = append(p.reloads, op.reread)
 	}
+	if mgmt != "" {
+		if err := p.openDoor(mgmt); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
+func (p *Program) openDoor(addr string) (err error) {
+	if _, p.door, err = admin.Listen(p.loop, addr, p.ready, p.telemetry); err == nil {
+		zap.L().Info("listening", zap.String("protocol", "operators"), zap.Stringer("address", p.door))
+	}
+	return err
+}
+
+// ready tells operators whether this process takes clients.
+func (p *Program) ready() bool {
+	for _, core := range p.cores {
+		if core.Draining() {
+			return false
+		}
+	}
+	return p.taking == nil || p.taking()
+}
+
+// telemetry writes the figures behind buf.
+func (p *Program) telemetry(buf []byte) []byte {
+	var g stats.Gauges
+	for _, core := range p.cores {
+		g.Add(core.Gauges())
+	}
+	return p.figures.Append(buf, g)
+}
+
 // Reload reads the files again.
 func (p *Program) Reload() {
 	for _, fn := range p.reloads {
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		core, err = edge.New(edge.Options{Clock: l, Settings: settings, Observer: observer, Seed: seed + uint64(i),
+		core, err = edge.New(edge.Options{Clock: l, Settings: settings, Observer: observer, Figures: &p.figures, Seed: seed + uint64(i),
 			Prober: sessions{func() *edge.Core { return core }, c.Sessions / float64(c.Nodes)},
 			Follow: func() { watch.Follow() }, Leave: time.Duration(c.Leave)})
 		if err != nil {
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,6 +11,7 @@
 	"spurwinch/internal/downstream"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/stats"
 	"spurwinch/internal/upstream"
 )
 
@@ -22,6 +23,7 @@
 // platform is the platform's front with its core.
 type platform struct {
 	core   *edge.Core
+	front  *downstream.Front
 	watch  *cluster.Watch
 	others *peers
 }
@@ -38,7 +40,7 @@
 }
 
 // serve puts a node together on a loop that is not running yet.
-func serve(l *loop.Loop, n config.Node, observer edge.Observer) (*platform, netip.AddrPort, error) {
+func serve(l *loop.Loop, n config.Node, observer edge.Observer, figures *stats.Figures) (*platform, netip.AddrPort, error) {
 	var at netip.AddrPort
 	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
 	// of slow messages has no like here, and the module must do without.
@@ -48,7 +50,7 @@
 	var others *peers
 	n.Settings.Limits.MayTell = len(n.Peers) > 0
 	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
-		Follow: func() { watch.Follow() }, Observer: observer,
+		Follow: func() { watch.Follow() }, Observer: observer, Figures: figures,
 		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
 		return nil, at, err
@@ -87,5 +89,5 @@
 	if len(known) > 0 {
 		front.Ready()
 	}
-	return &platform{core, watch, others}, at, nil
+	return &platform{core, front, watch, others}, at, nil
 }
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -12,6 +12,7 @@
 	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/stats"
 	"spurwinch/internal/wire"
 )
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil)
+	_, at, err := serve(l, n, nil, &stats.Figures{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/stats/stats.go
@@ -0,0 +1,77 @@
+// Package stats holds the node's figures: plain counters with one owner, the loop's goroutine, and their text.
+package stats
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Class counts the final answers of one class's requests.
+type Class struct{ Served, Refused, Failed uint64 }
+
+// Figures are the counts of one process, from its start on.
+type Figures struct {
+	Attempts      uint64 // written whole to a host
+	ReloadsOK     uint64
+	ReloadsFailed uint64
+	classes       []named // by name
+}
+
+type named struct {
+	name string // as it stands in the text
+	*Class
+}
+
+// Gauges are what a node holds now.
+type Gauges struct{ InFlight, HostsKnown, HostsExcluded int }
+
+// Add sums the gauges of several cores.
+func (g *Gauges) Add(o Gauges) {
+	g.InFlight, g.HostsKnown, g.HostsExcluded = g.InFlight+o.InFlight, g.HostsKnown+o.HostsKnown, g.HostsExcluded+o.HostsExcluded
+}
+
+// Class is the counter of a class, the same one for a name as long as the process runs: a class that vanishes from the
+// settings and comes back goes on where it was.
+func (f *Figures) Class(name string) *Class {
+	name = clean(name)
+	i, ok := slices.BinarySearchFunc(f.classes, name, func(c named, name string) int { return strings.Compare(c.name, name) })
+	if !ok {
+		f.classes = slices.Insert(f.classes, i, named{name, &Class{}})
+	}
+	return f.classes[i].Class
+}
+
+// clean guards the text's form against names that hold its marks.
+func clean(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r <= ' ' || r >= 0x7f || r == ':' || r == '|' || r == '.' {
+			return '_'
+		}
+		return r
+	}, name)
+}
+
+// Append writes all figures behind buf, one a line.
+func (f *Figures) Append(buf []byte, g Gauges) []byte {
+	line := func(value uint64, kind string, name ...string) {
+		buf = append(buf, "gw"...)
+		for _, n := range name {
+			buf = append(append(buf, '.'), n...)
+		}
+		buf = strconv.AppendUint(append(buf, ':'), value, 10)
+		buf = append(append(append(buf, '|'), kind...), '\n')
+	}
+	for _, c := range f.classes {
+		line(c.Served, "c", "requests", c.name, "served")
+		line(c.Refused, "c", "requests", c.name, "refused")
+		line(c.Failed, "c", "requests", c.name, "failed")
+	}
+	line(f.Attempts, "c", "attempts")
+	line(uint64(max(0, g.InFlight)), "g", "in_flight")
+	line(uint64(max(0, g.HostsKnown)), "g", "hosts_known")
+	line(uint64(max(0, g.HostsExcluded)), "g", "hosts_excluded")
+	line(f.ReloadsOK, "c", "reloads_ok")
+	line(f.ReloadsFailed, "c", "reloads_failed")
+	return buf
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -75,6 +75,14 @@
 	r.attempt.Connected()
 	left := r.attempt.Until.Sub(r.cluster.loop.Now())
 	r.conn.Write(WithDeadline(r.first, left))
+	r.count()
+}
+
+// count counts the attempt once its line is written whole.
+func (r *Request) count() {
+	if r.conn.Sent() {
+		r.attempt.Written()
+	}
 }
 
 // OnData takes the host's lines.
@@ -276,6 +284,7 @@
 
 // OnDrained tells the client's side that it may go on.
 func (r *Request) OnDrained() {
+	r.count()
 	if r.up && !r.over {
 		r.sink.Drained()
 	}
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -141,6 +141,9 @@
 	if !s.headerDue {
 		last = "</" + s.upstream.in.prefix + ":stream>"
 	}
+	if s.request != nil {
+		s.request.Gone()
+	}
 	s.end(last)
 }
 
@@ -185,15 +188,17 @@
 	}
 	s.to = to
 	s.cancelTimer()
+	s.deadline = s.front.loop.Now().Add(d.Patience)
+	id := choice.RequestID(strconv.FormatUint(s.front.ids.Uint64(), 16))
+	spec := edge.Spec{ID: id, Class: d.Class, Tenant: -1, Key: s.front.ids.Uint64(), Deadline: s.deadline}
 	if s.front.loop.Open()+2 > s.front.limits.MostOpen {
 		// Guards against running out of descriptors half way: a session taken needs one more for its host.
 		zap.L().Warn("connection_limit_refused", zap.String("front", "xmpp"))
-		return resourceConstraint
+		d.Core.Refuse(spec, s, 0)
+		return ""
 	}
 	s.conn.Spoke()
-	s.deadline = s.front.loop.Now().Add(d.Patience)
-	id := choice.RequestID(strconv.FormatUint(s.front.ids.Uint64(), 16))
-	s.request = d.Core.Open(edge.Spec{ID: id, Class: d.Class, Tenant: -1, Key: s.front.ids.Uint64(), Deadline: s.deadline}, s)
+	s.request = d.Core.Open(spec, s)
 	return ""
 }
 
@@ -312,7 +317,7 @@
 		s.upstream.farewell()
 	}
 	if s.request != nil {
-		s.request.Gone()
+		s.request.Broken()
 	}
 }
 
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -33,6 +33,14 @@
 	h.up = true
 	h.attempt.Connected()
 	h.conn.Write(h.session.sent)
+	h.count()
+}
+
+// count counts the attempt once all that the client had sent is written.
+func (h *upstreamRequest) count() {
+	if h.up && h.conn.Sent() {
+		h.attempt.Written()
+	}
 }
 
 // OnData takes the host's bytes.
@@ -241,6 +249,7 @@
 
 // OnDrained goes on reading from the client.
 func (h *upstreamRequest) OnDrained() {
+	h.count()
 	if !h.session.over {
 		h.session.conn.Resume()
 	}
