A second process takes the listening sockets over from the running one

Change: internal/handover, a Unix socket in TMPDIR over which a starting process gets the listening and datagram sockets, the list, and room; loop.Listener, adopted, closed without loss, or yielding by the kernel's pick; Core.HandOver moves connections over the whole time of a stop. Descriptors are lent, not doubled; the collector's limit is halved while two run.

--- a/cmd/spurwinch/program_test.go
+++ b/cmd/spurwinch/program_test.go
@@ -18,7 +18,8 @@
 // program is the built program, started as the platform starts it.
 type program struct {
 	cmd  *exec.Cmd
-	addr string
+	addr string // of the first front
+	door string // the operators'; empty: none was set
 	done chan error
 }
 
@@ -42,21 +43,30 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { p.cmd.Process.Kill() })
-	lines := make(chan string, 1)
+	lines := make(chan string, 8)
 	go func() {
 		for s := bufio.NewScanner(log); s.Scan(); {
-			if _, at, ok := strings.Cut(s.Text(), `"address": "`); ok && strings.Contains(s.Text(), "listening") {
-				lines <- strings.TrimRight(at, `"}`)
+			if strings.Contains(s.Text(), "listening") {
+				lines <- s.Text()
 			}
 		}
 		p.done <- p.cmd.Wait()
 	}()
-	select {
-	case p.addr = <-lines:
-	case err := <-p.done:
-		t.Fatal("the program ended: ", err)
-	case <-time.After(30 * time.Second):
-		t.Fatal("the program does not listen")
+	doors := strings.Contains(strings.Join(env, " "), "GW_MGMT=")
+	for p.addr == "" || doors && p.door == "" {
+		select {
+		case line := <-lines:
+			_, at, _ := strings.Cut(line, `"address": "`)
+			if at = strings.TrimRight(at, `"}`); strings.Contains(line, `"operators"`) {
+				p.door = at
+			} else if p.addr == "" {
+				p.addr = at
+			}
+		case err := <-p.done:
+			t.Fatal("the program ended: ", err)
+		case <-time.After(30 * time.Second):
+			t.Fatal("the program does not listen")
+		}
 	}
 	return p
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -36,11 +36,11 @@
 // Listen opens the door at addr. ready says whether this process takes clients; figures writes the figures behind buf.
 func Listen(l *loop.Loop, addr string, ready func() bool, figures func(buf []byte) []byte) (*Door, netip.AddrPort, error) {
 	d := &Door{loop: l, ready: ready, figures: figures}
-	at, err := l.ListenApart(addr, MostCallers+4, d.accept)
+	k, err := l.ListenApart(addr, MostCallers+4, d.accept)
 	if err != nil {
-		return nil, at, fmt.Errorf("operators' door: %w", err)
+		return nil, netip.AddrPort{}, fmt.Errorf("operators' door: %w", err)
 	}
-	return d, at, nil
+	return d, k.Addr, nil
 }
 
 func (d *Door) accept(c *loop.Conn) loop.Handler {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -68,6 +68,21 @@
 	return out, nil
 }
 
+// ListOf is a whole list of hosts in discovery's form. A version under 0 is none of discovery's.
+func ListOf(version int64, hosts []edge.UpstreamHost) List {
+	l := List{Version: version, Full: true, Servers: []entry{}}
+	for _, h := range hosts {
+		e := entry{ID: string(h.ID), Addr: h.Addr, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, Weight: &h.Size, StartedMS: h.Started.Milliseconds()}
+		for name, s := range states {
+			if s == h.State {
+				e.State = name
+			}
+		}
+		l.Servers = append(l.Servers, e)
+	}
+	return l
+}
+
 // Watch follows discovery's list.
 type Watch struct {
 	loop    *loop.Loop
@@ -89,11 +104,19 @@
 func New(l *loop.Loop, addr string, known *List, news func(choice.ListKind, []edge.UpstreamHost)) *Watch {
 	w := &Watch{loop: l, addr: addr, news: news}
 	if known != nil {
-		w.version, w.have, w.hosts = known.Version, true, len(known.Servers) > 0
+		w.version, w.have, w.hosts = known.Version, known.Version >= 0, len(known.Servers) > 0
 	}
 	return w
 }
 
+// At tells which discovery is followed, and the version of the list that it has told; under 0: none yet.
+func (w *Watch) At() (addr string, version int64) {
+	if !w.have {
+		return w.addr, -1
+	}
+	return w.addr, w.version
+}
+
 // Follow starts a watch, unless one is on.
 func (w *Watch) Follow() {
 	if !w.calling {
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -39,6 +39,7 @@
 	patience []time.Duration // by class, where a line has no d
 	most     int             // connections, both sides, from which on clients are refused
 	ready    bool
+	onReady  func()
 	waiting  []*session // PINGs that came before the node was ready
 }
 
@@ -51,19 +52,26 @@
 	Tenants  map[string]int
 	Settings choice.Settings
 	MostOpen int
+	OnReady  func() // once, when the node can serve
 }
 
 // New makes a Front.
 func New(o Options) *Front {
-	f := &Front{loop: o.Loop, core: o.Core, upstream: o.Upstream, classes: o.Classes, tenants: o.Tenants, most: o.MostOpen}
+	f := &Front{loop: o.Loop, core: o.Core, upstream: o.Upstream, classes: o.Classes, tenants: o.Tenants, most: o.MostOpen, onReady: o.OnReady}
 	for _, c := range o.Settings.Classes {
 		f.patience = append(f.patience, c.Deadline)
 	}
 	return f
 }
 
+// Share sets the number of connections from which on clients are refused.
+func (f *Front) Share(most int) { f.most = most }
+
 // Ready says that the node can serve; until then PING has no answer.
 func (f *Front) Ready() {
+	if !f.ready && f.onReady != nil {
+		f.onReady()
+	}
 	f.ready = true
 	for _, s := range f.waiting {
 		s.pong()
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -36,7 +36,24 @@
 	now := c.o.Clock.Now()
 	end := now.Add(c.drainTime())
 	begin := now.Add(max(frontTime, c.drainTime()-moveTime-killMargin/5))
-	c.o.Clock.At(earlier(begin, end), func() { c.moveAll(end.Add(-killMargin / 5)) })
+	c.o.Clock.At(earlier(begin, end), func() {
+		c.draining = true
+		c.moveAll(end.Add(-killMargin / 5))
+	})
+	c.finish(end, done)
+}
+
+// HandOver is Drain where another process already takes the clients: what this one has taken is placed as ever, and its
+// connections go from now on, evenly over all the time there is, since each finds its node at once.
+func (c *Core) HandOver(done func()) {
+	end := c.o.Clock.Now().Add(c.drainTime())
+	c.leaveBy = end.Add(-killMargin / 5)
+	c.moveAll(c.leaveBy)
+	c.finish(end, done)
+}
+
+// finish leaves nothing held at end.
+func (c *Core) finish(end time.Time, done func()) {
 	c.o.Clock.At(end, func() {
 		c.draining = true
 		for _, r := range c.ordered() {
@@ -52,14 +69,12 @@
 
 // moveAll has the open connections go one by one until the given time.
 func (c *Core) moveAll(end time.Time) {
-	c.draining = true
 	all := c.ordered()
 	now := c.o.Clock.Now()
 	over := max(0, end.Sub(now))
+	all = slices.DeleteFunc(all, func(r *Request) bool { return !r.open })
 	for i, r := range all {
-		if r.open {
-			c.o.Clock.At(now.Add(over*time.Duration(i)/time.Duration(len(all))), r.move)
-		}
+		c.o.Clock.At(now.Add(over*time.Duration(i)/time.Duration(len(all))), r.move)
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,7 +6,9 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"spurwinch/choice"
@@ -160,6 +162,7 @@
 	hosts    map[choice.ServerID]*host
 	requests map[choice.RequestID]*Request
 	draining bool
+	leaveBy  time.Time // of a handover: when the last connections go
 	minAim   time.Duration
 	seq      uint64
 	counts   []*stats.Class // by class
@@ -331,6 +334,18 @@
 	c.tell(l)
 }
 
+// Listed are the hosts that are not gone, by id.
+func (c *Core) Listed() []UpstreamHost {
+	var all []UpstreamHost
+	for _, h := range c.hosts {
+		if h.State != choice.Gone {
+			all = append(all, h.UpstreamHost)
+		}
+	}
+	slices.SortFunc(all, func(a, b UpstreamHost) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 // Heard takes a message of another node.
 func (c *Core) Heard(from int, message []byte) {
 	c.tell(choice.PeerMessage{From: from, Data: message})
@@ -621,6 +636,8 @@
 	switch {
 	case r.core.draining:
 		r.core.o.Clock.At(now, r.move)
+	case !r.core.leaveBy.IsZero():
+		r.core.o.Clock.At(r.core.leaveBy, r.move)
 	case a.host.State != choice.Ready && r.core.o.Leave > 0: // its host began to drain while it was set up
 		r.core.o.Clock.At(now.Add(r.core.o.Leave/4), r.move)
 	}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -39,7 +39,7 @@
 	OnDrained() // all that waited to be written is with the kernel
 }
 
-// Conn is one TCP connection.
+// Conn is one stream connection.
 type Conn struct {
 	l         *Loop
 	fd        int
--- a/internal/loop/datagram.go
+++ b/internal/loop/datagram.go
@@ -13,8 +13,10 @@
 // Datagrams is a UDP socket on the loop. Nothing is kept for a later send: what the kernel doesn't take is lost, as on
 // the way.
 type Datagrams struct {
+	l      *Loop
 	fd     int
 	family int
+	heard  bool // datagrams are read
 }
 
 // ListenDatagrams takes datagrams at addr from now on. Of a datagram longer than most bytes, take gets most+1, so that it
@@ -29,13 +31,17 @@
 	if err != nil {
 		return nil, ap, fmt.Errorf("datagrams at %s: %w", addr, err)
 	}
-	if err = unix.Bind(fd, sa); err == nil {
-		err = l.poller.AddRead(&netpoll.PollAttachment{FD: fd}, false)
-	}
-	if err != nil {
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) // a process started beside this one sends from here too
+	if err = unix.Bind(fd, sa); err != nil {
 		unix.Close(fd)
 		return nil, ap, fmt.Errorf("datagrams at %s: %w", addr, err)
 	}
+	return l.AdoptDatagrams(fd, most, take)
+}
+
+// AdoptDatagrams is ListenDatagrams for a socket that is bound already.
+func (l *Loop) AdoptDatagrams(fd, most int, take func(from netip.AddrPort, p []byte)) (*Datagrams, netip.AddrPort, error) {
+	var ap netip.AddrPort
 	if sa, err := unix.Getsockname(fd); err == nil {
 		ap = addrPort(sa)
 	}
@@ -49,9 +55,31 @@
 			take(addrPort(from), buf[:n])
 		}
 	}
-	return &Datagrams{fd, family}, ap, nil
+	_, family := sockaddr(ap)
+	d := &Datagrams{l: l, fd: fd, family: family}
+	if err := d.Hear(true); err != nil {
+		unix.Close(fd)
+		return nil, ap, fmt.Errorf("datagrams at %s: %w", ap, err)
+	}
+	return d, ap, nil
 }
 
+// Hear says whether datagrams are read here. Where two processes hold one socket, only one of them may: each datagram
+// is read once.
+func (d *Datagrams) Hear(on bool) error {
+	if on == d.heard {
+		return nil
+	}
+	d.heard = on
+	if on {
+		return d.l.poller.AddRead(&netpoll.PollAttachment{FD: d.fd}, false)
+	}
+	return d.l.poller.Delete(d.fd)
+}
+
+// FD is the socket, for another process to hold as well.
+func (d *Datagrams) FD() int { return d.fd }
+
 // Send sends p, or loses it.
 func (d *Datagrams) Send(to netip.AddrPort, p []byte) error {
 	sa, family := sockaddr(to)
--- /dev/null
+++ b/internal/loop/listen.go
@@ -0,0 +1,232 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/panjf2000/gnet/v2/pkg/netpoll"
+	"golang.org/x/sys/unix"
+
+	"go.uber.org/zap"
+)
+
+const backlog = 1024
+
+// Listener is a listening socket on the loop. The socket may be held by another process as well; each connection is then
+// accepted by one of them.
+type Listener struct {
+	Addr netip.AddrPort
+	// Beside says that another process listened at the address when this socket was made.
+	Beside bool
+
+	l      *Loop
+	fd     int
+	accept func(*Conn) Handler
+	apart  bool
+	on     bool
+}
+
+// Listen accepts connections at addr from now on; accept gives each its handler. A nil handler closes it. A process of
+// the same user that listens there already in this way goes on.
+func (l *Loop) Listen(addr string, accept func(*Conn) Handler) (*Listener, error) {
+	return l.listen(addr, backlog, accept, false)
+}
+
+// ListenApart is Listen for connections that stand apart from clients and hosts: they don't count among the open ones,
+// make no room and never go for others. The caller bounds them; queue bounds those that wait to be accepted.
+func (l *Loop) ListenApart(addr string, queue int, accept func(*Conn) Handler) (*Listener, error) {
+	return l.listen(addr, queue, accept, true)
+}
+
+func (l *Loop) listen(addr string, queue int, accept func(*Conn) Handler, apart bool) (*Listener, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen address %q: %w", addr, err)
+	}
+	sa, family := sockaddr(ap)
+	k := &Listener{Addr: ap, l: l, accept: accept, apart: apart}
+	open := func(shared bool) (fd int, err error) {
+		if fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0); err != nil {
+			return -1, err
+		}
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+		if shared { // from the first start on: the kernel asks it of all who listen at an address
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}
+		if err = unix.Bind(fd, sa); err != nil {
+			unix.Close(fd)
+			return -1, err
+		}
+		return fd, nil
+	}
+	if !apart { // bound alone first, since a shared address doesn't tell whether somebody is there
+		fd, err := open(false)
+		if k.Beside = err == unix.EADDRINUSE; err == nil {
+			unix.Close(fd)
+		}
+	}
+	if k.fd, err = open(!apart); err != nil {
+		return nil, fmt.Errorf("listen %s: %w", addr, err)
+	}
+	if err = unix.Listen(k.fd, queue); err == nil {
+		err = k.start()
+	}
+	if err != nil {
+		unix.Close(k.fd)
+		return nil, fmt.Errorf("listen %s: %w", addr, err)
+	}
+	return k, nil
+}
+
+// Adopt is Listen for a socket that another process listens on and has handed over.
+func (l *Loop) Adopt(fd int, accept func(*Conn) Handler) (*Listener, error) {
+	k := &Listener{l: l, fd: fd, accept: accept}
+	if err := k.start(); err != nil {
+		return nil, fmt.Errorf("listening socket handed over: %w", err)
+	}
+	return k, nil
+}
+
+func (k *Listener) start() error {
+	sa, err := unix.Getsockname(k.fd)
+	if err != nil {
+		return err
+	}
+	k.Addr = addrPort(sa) // of a Unix socket: none
+	if err := k.l.poller.AddRead(&netpoll.PollAttachment{FD: k.fd}, false); err != nil {
+		return err
+	}
+	k.on = true
+	k.l.fds[k.fd] = func(uint32) { k.take() }
+	return nil
+}
+
+// FD is the socket, for another process to hold as well.
+func (k *Listener) FD() int { return k.fd }
+
+// Close ends accepting. Where another process holds the socket, what waits there is that one's.
+func (k *Listener) Close() {
+	if k.on {
+		k.on = false
+		k.l.poller.Delete(k.fd)
+		delete(k.l.fds, k.fd)
+		unix.Close(k.fd)
+	}
+}
+
+// Yield has the kernel give new connections to the newer of two listeners at the address; what waits here is still
+// accepted. It means nothing where this one is alone. Guards against connections that are reset with the queue of a
+// listener that closes.
+func (k *Listener) Yield() {
+	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}} // the second of the group
+	err := unix.SetsockoptSockFprog(k.fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+		&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+	if err != nil {
+		zap.L().Debug("listener_not_yielded", zap.Error(err))
+	}
+}
+
+func (k *Listener) take() {
+	l := k.l
+	for range acceptBurst {
+		if !k.on {
+			return
+		}
+		fd, _, err := unix.Accept4(k.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == unix.EMFILE || err == unix.ENFILE:
+			// Guards against a listener that spins, and clients that hang, when descriptors run out: the spare one
+			// serves to take the client off the queue and close on it.
+			if l.spare < 0 {
+				l.holdSpare()
+				return
+			}
+			unix.Close(l.spare)
+			if fd, _, err := unix.Accept4(k.fd, unix.SOCK_CLOEXEC); err == nil {
+				unix.Close(fd)
+			}
+			l.holdSpare()
+			zap.L().Warn("descriptors_exhausted")
+			continue
+		case err != nil:
+			return
+		}
+		setOptions(fd)
+		c := l.attach(fd, k.apart)
+		if !k.apart {
+			l.makeRoom()
+		}
+		c.h = k.accept(c)
+		if c.h == nil {
+			c.Abort()
+			continue
+		}
+		c.wait()
+		l.fds[fd] = c.ready
+		c.register()
+	}
+}
+
+func (l *Loop) attach(fd int, apart bool) *Conn {
+	if !apart {
+		l.open++
+	}
+	return &Conn{l: l, fd: fd, connected: true, apart: apart}
+}
+
+// ListenUnix accepts connections of this machine at path, apart from all others. The socket takes the path's place at
+// once and whole, whoever stood there.
+func (l *Loop) ListenUnix(path string, accept func(*Conn) Handler) (*Listener, error) {
+	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, os.NewSyscallError("socket", err)
+	}
+	first := fmt.Sprintf("%s.%d", path, os.Getpid())
+	os.Remove(first)
+	if err = unix.Bind(fd, &unix.SockaddrUnix{Name: first}); err == nil {
+		err = errors.Join(unix.Chmod(first, 0o600), unix.Listen(fd, 4))
+	}
+	k := &Listener{l: l, fd: fd, accept: accept, apart: true}
+	if err == nil {
+		err = os.Rename(first, path)
+	}
+	if err == nil {
+		err = k.start()
+	}
+	if err != nil {
+		os.Remove(first)
+		unix.Close(fd)
+		return nil, fmt.Errorf("listen %s: %w", path, err)
+	}
+	return k, nil
+}
+
+// Attach has the loop serve a connected stream socket, apart from all others.
+func (l *Loop) Attach(fd int, h Handler) *Conn {
+	unix.SetNonblock(fd, true)
+	c := l.attach(fd, true)
+	c.h = h
+	l.fds[fd] = c.ready
+	c.register()
+	return c
+}
+
+// SendRights writes p whole, with descriptors for the other process to hold as well, on a Unix socket.
+func (c *Conn) SendRights(p []byte, fds ...int) error {
+	if c.closed || len(c.out) > 0 {
+		return errors.New("the connection is not free")
+	}
+	n, err := unix.SendmsgN(c.fd, p, unix.UnixRights(fds...), nil, unix.MSG_NOSIGNAL)
+	if err == nil {
+		c.Write(p[n:])
+	}
+	return err
+}
+
+// SameUser reports whether a Unix connection's other side is a process of this user.
+func (c *Conn) SameUser() bool {
+	cred, err := unix.GetsockoptUcred(c.fd, unix.SOL_SOCKET, unix.SO_PEERCRED)
+	return err == nil && int(cred.Uid) == os.Getuid()
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -28,7 +28,6 @@
 const (
 	readSize    = 16 << 10 // most that one read takes
 	acceptBurst = 64       // connections taken in one go; the rest wait for the next round
-	backlog     = 1024
 )
 
 // Loop runs callbacks. All methods but Post belong to the loop's goroutine, or to the time before Run.
@@ -42,10 +41,10 @@
 	buf       [readSize]byte
 	spare     int // a descriptor kept back, to turn a client away when there is no other left
 	stopping  bool
-	listeners []int
 	open      int
 	idle      list.List // connections that may go for others, oldest first: see room.go
 	most      int       // connections from which on they go; 0: never
+	own       int       // the same, when no other process shares the node's descriptors
 	highWater int
 }
 
@@ -208,86 +207,6 @@
 	}
 }
 
-// Listening.
-
-// Listen accepts connections at addr from now on; accept gives each its handler. A nil handler closes it.
-func (l *Loop) Listen(addr string, accept func(*Conn) Handler) (netip.AddrPort, error) {
-	return l.listen(addr, backlog, accept, false)
-}
-
-// ListenApart is Listen for connections that stand apart from clients and hosts: they don't count among the open ones,
-// make no room and never go for others. The caller bounds them; queue bounds those that wait to be accepted.
-func (l *Loop) ListenApart(addr string, queue int, accept func(*Conn) Handler) (netip.AddrPort, error) {
-	return l.listen(addr, queue, accept, true)
-}
-
-func (l *Loop) listen(addr string, queue int, accept func(*Conn) Handler, apart bool) (netip.AddrPort, error) {
-	ap, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return ap, fmt.Errorf("listen address %q: %w", addr, err)
-	}
-	sa, family := sockaddr(ap)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return ap, fmt.Errorf("listen %s: %w", addr, err)
-	}
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err = unix.Bind(fd, sa); err == nil {
-		err = unix.Listen(fd, queue)
-	}
-	if err == nil {
-		err = l.poller.AddRead(&netpoll.PollAttachment{FD: fd}, false)
-	}
-	if err != nil {
-		unix.Close(fd)
-		return ap, fmt.Errorf("listen %s: %w", addr, err)
-	}
-	if sa, err := unix.Getsockname(fd); err == nil {
-		ap = addrPort(sa)
-	}
-	l.listeners = append(l.listeners, fd)
-	l.fds[fd] = func(uint32) { l.accept(fd, accept, apart) }
-	return ap, nil
-}
-
-func (l *Loop) accept(lfd int, accept func(*Conn) Handler, apart bool) {
-	for range acceptBurst {
-		fd, _, err := unix.Accept4(lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		switch {
-		case err == unix.EMFILE || err == unix.ENFILE:
-			// Guards against a listener that spins, and clients that hang, when descriptors run out: the spare one
-			// serves to take the client off the queue and close on it.
-			if l.spare < 0 {
-				l.holdSpare()
-				return
-			}
-			unix.Close(l.spare)
-			if fd, _, err := unix.Accept4(lfd, unix.SOCK_CLOEXEC); err == nil {
-				unix.Close(fd)
-			}
-			l.holdSpare()
-			zap.L().Warn("descriptors_exhausted")
-			continue
-		case err != nil:
-			return
-		}
-		setOptions(fd)
-		c := &Conn{l: l, fd: fd, connected: true, apart: apart}
-		if !apart {
-			l.open++
-			l.makeRoom()
-		}
-		c.h = accept(c)
-		if c.h == nil {
-			c.Abort()
-			continue
-		}
-		c.wait()
-		l.fds[fd] = c.ready
-		c.register()
-	}
-}
-
 // setOptions has small writes go out at once, and the kernel notice in minutes peers that vanished.
 func setOptions(fd int) {
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-		addr = at.String()
+		addr = at.Addr.String()
 	})
 	return addr
 }
@@ -200,7 +200,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-		addr = at.String()
+		addr = at.Addr.String()
 	})
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -21,13 +21,22 @@
 // connections fit the memory. 0: not told. Of several limits the tightest holds.
 func (l *Loop) Limit(idleAbove, most int, memory int64) {
 	if l.most == 0 || idleAbove < l.most {
-		l.most = idleAbove
+		l.most, l.own = idleAbove, idleAbove
 	}
 	if most > 0 && memory > 0 {
 		l.highWater = int(min(max(memory/waterShare/int64(most), leastWater), mostWater))
 	}
 }
 
+// Share lowers the limit while the node's descriptors are shared with another process; 0 ends that.
+func (l *Loop) Share(idleAbove int) {
+	l.most = l.own
+	if idleAbove > 0 && l.own > 0 {
+		l.most = min(l.own, idleAbove)
+	}
+	l.makeRoom()
+}
+
 // wait puts a connection at the end of the queue of those that may go.
 func (c *Conn) wait() {
 	if !c.closed && !c.apart && c.place == nil {
--- /dev/null
+++ b/internal/node/beside.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurwinch/internal/cluster"
+	"spurwinch/internal/handover"
+	"spurwinch/internal/loop"
+)
+
+const (
+	askTime    = 500 * time.Millisecond // for what a running process lends; it answers within a round of its loop
+	lentPart   = 4                      // a starting process gets the free descriptors but for this part of them
+	sharesTick = 100 * time.Millisecond // between looks at what an emptying process can lend further
+	alongside  = 10 * time.Second       // that a process which can't be asked is taken to be still there
+)
+
+// beside is this process's part in the node that it makes up with one started before or after it: what was lent, and
+// how the two share the node's descriptors and memory.
+type beside struct {
+	program   *Program
+	lent      *handover.Lent  // by the running process; nil: a start like any other
+	place     *handover.Place // nil: nobody finds this process
+	listeners map[string]*loop.Listener
+	total     int       // descriptors that the node may hold; 0: not told
+	memory    int       // MB; 0: not told
+	until     time.Time // another process is there till then that can't be asked
+	leaving   bool
+}
+
+// ask asks a process that runs already for what it lends, where there is one.
+func (b *beside) ask(path string) {
+	b.listeners = map[string]*loop.Listener{}
+	if path == "" {
+		return
+	}
+	var err error
+	if b.lent, err = handover.Ask(path, time.Now().Add(askTime)); err != nil {
+		zap.L().Debug("nothing_handed_over", zap.Error(err))
+	} else {
+		zap.L().Info("handed_over", zap.Int("sockets", len(b.lent.Sockets)), zap.Int("hosts", len(b.lent.List.Servers)), zap.Int("descriptors", b.lent.Room))
+	}
+}
+
+// known is the list to begin with: the running process's where there is one, since what was told to it was told to the node.
+func (b *beside) known(own *cluster.List, discovery string) *cluster.List {
+	if b.lent == nil || len(b.lent.List.Servers) == 0 {
+		return own
+	}
+	l := b.lent.List
+	if l.Full = true; b.lent.Discovery != discovery {
+		l.Version = -1
+	}
+	return &l
+}
+
+// listen opens a client listener: the running process's own socket where it has lent it, else one of this process.
+func (b *beside) listen(addr string, accept func(*loop.Conn) loop.Handler) (*loop.Listener, error) {
+	l := b.program.loop
+	if b.lent != nil {
+		if fd, ok := b.lent.Sockets[addr]; ok {
+			k, err := l.Adopt(fd, accept)
+			if err == nil {
+				b.listeners[addr] = k
+			}
+			return k, err
+		}
+	}
+	k, err := l.Listen(addr, accept)
+	if err != nil {
+		return nil, err
+	}
+	b.listeners[addr] = k
+	if k.Beside {
+		b.until = time.Now().Add(alongside)
+		zap.L().Warn("started_beside_unasked", zap.String("address", addr), zap.Duration("shared_for", alongside))
+	}
+	return k, nil
+}
+
+// open takes this process's place for the next one, once all is set up.
+func (b *beside) open(path string) {
+	if path != "" {
+		b.place = handover.Open(handover.Options{Loop: b.program.loop, Path: path, Lend: b.lend, Changed: b.share}, b.lent)
+	}
+	if !b.until.IsZero() {
+		b.program.loop.At(b.until, func() {
+			b.until = time.Time{}
+			b.share()
+		})
+	}
+	b.share()
+}
+
+// lend tells what the process gets that asks.
+func (b *beside) lend() handover.Lent {
+	p := b.program
+	what := handover.Lent{Sockets: map[string]int{}, Datagrams: -1}
+	for addr, k := range b.listeners {
+		what.Sockets[addr] = k.FD()
+	}
+	if n := p.platform; n != nil {
+		var version int64
+		what.Discovery, version = n.watch.At()
+		what.List = cluster.ListOf(version, n.core.Listed())
+		if n.others.socket != nil {
+			what.Datagrams = n.others.socket.FD()
+		}
+	}
+	if free := b.own() - b.held(); b.total > 0 && free > 0 {
+		what.Room = free - free/lentPart
+	}
+	return what
+}
+
+// held is what this process needs now: its connections, and what is not for them.
+func (b *beside) held() int { return b.program.loop.Open() + spareSockets }
+
+// own is the number of descriptors that this process may hold.
+func (b *beside) own() int {
+	n := b.total
+	switch {
+	case b.place != nil && b.place.Before():
+		n = min(n, b.place.Room())
+	case !b.until.IsZero():
+		n /= 2
+	}
+	if b.place != nil {
+		n -= b.place.LentRoom()
+	}
+	return n
+}
+
+// share keeps to this process's part of the node: all of it when it is alone.
+func (b *beside) share() {
+	p := b.program
+	linked, ready := false, false
+	alone := b.until.IsZero()
+	if b.place != nil {
+		linked, ready = b.place.After()
+		alone = alone && !linked && !b.place.Before()
+	}
+	if b.memory > 0 { // the collector works harder well before the node would be killed
+		limit := int64(b.memory) << 20 * 6 / 10
+		if !alone {
+			limit /= 2
+		}
+		debug.SetMemoryLimit(limit)
+	}
+	if n := p.platform; n != nil {
+		if b.total > 0 {
+			most := max(b.own()-spareSockets, 0)
+			n.front.Share(most)
+			if alone {
+				p.loop.Share(0)
+			} else {
+				p.loop.Share(max(most-b.total/8, 1))
+			}
+		}
+		// Whoever is to take the clients hears the other nodes, too.
+		n.others.hear(!ready && !(b.place != nil && b.place.Before() && !p.ready()))
+	}
+	if b.leaving && (ready || linked && !p.ready()) {
+		for _, k := range b.listeners {
+			k.Close()
+		}
+	}
+}
+
+// leave begins the planned stop, and reports whether another process takes the clients over.
+func (b *beside) leave() bool {
+	b.leaving = true
+	ready := false
+	if b.place != nil {
+		_, ready = b.place.After()
+		b.place.Close()
+		b.empty()
+	}
+	for _, k := range b.listeners {
+		k.Yield()
+	}
+	b.share()
+	return ready
+}
+
+// empty lends on what this process needs no more, as its connections go.
+func (b *beside) empty() {
+	if linked, _ := b.place.After(); linked && b.total > 0 {
+		own := b.held()
+		b.place.LendMore(b.total, own)
+	}
+	b.share()
+	b.program.loop.At(b.program.loop.Now().Add(sharesTick), b.empty)
+}
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return serveOperator(l, path, o, seed, &Program{loop: l})
+	return serveOperator(l, path, o, seed, newProgram(l))
 }
 
 // start runs a loop until the test ends.
@@ -107,12 +107,12 @@
 				t.Fatal(err)
 			}
 		}
-		program := &Program{loop: l}
-		node, at, err := serve(l, n, nil, &program.figures)
+		program := newProgram(l)
+		node, at, err := program.serve(n, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
-		program.cores, program.taking = []*edge.Core{node.core}, node.front.Taking
+		program.cores = []*edge.Core{node.core}
 		if err := program.openDoor("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -15,7 +15,6 @@
 	"spurwinch/internal/config"
 	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
-	"spurwinch/internal/stats"
 	"spurwinch/internal/wire"
 )
 
@@ -54,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil, &stats.Figures{})
+	_, at, err := newProgram(l).serve(n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil, &stats.Figures{})
+	_, at, err := newProgram(l).serve(n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -165,7 +164,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil, &stats.Figures{})
+	_, at, err := newProgram(l).serve(n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +13,7 @@
 	"spurwinch/internal/admin"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
+	"spurwinch/internal/handover"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/stats"
 )
@@ -27,21 +27,29 @@
 
 // Program is a node on its loop. Its methods belong to the loop's goroutine, or to the time before the loop runs.
 type Program struct {
-	loop    *loop.Loop
-	cores   []*edge.Core
-	reloads []func()
-	leaves  []func() // when the planned stop begins
-	closers []func()
-	exit    time.Duration
-	figures stats.Figures
-	taking  func() bool // the platform's front takes clients
-	door    netip.AddrPort
+	loop     *loop.Loop
+	cores    []*edge.Core
+	reloads  []func()
+	leaves   []func() // when the planned stop begins
+	closers  []func()
+	exit     time.Duration
+	figures  stats.Figures
+	platform *platform // nil: there is only an operator's file
+	beside   beside
+	door     netip.AddrPort
+}
+
+// newProgram is a node without fronts.
+func newProgram(l *loop.Loop) *Program {
+	p := &Program{loop: l, exit: operatorExit}
+	p.beside = beside{program: p, listeners: map[string]*loop.Listener{}}
+	return p
 }
 
 // New puts a node together on a loop that is not running yet: the platform's front where GW_CONFIG is set or nothing else
 // is, and what the operator's file (if any) sets up beside it.
 func New(l *loop.Loop, getenv func(string) string, operator string) (*Program, error) {
-	p := &Program{loop: l, exit: operatorExit}
+	p := newProgram(l)
 	mgmt := getenv("GW_MGMT")
 	seed := uint64(time.Now().UnixNano())
 	var o config.Operator
@@ -51,24 +59,32 @@
 			return nil, err
 		}
 	}
-	if getenv("GW_CONFIG") != "" || operator == "" {
-		n, err := config.FromEnvironment(getenv)
-		if err != nil {
+	var n config.Node
+	listen := ""
+	if len(o.Listeners) > 0 {
+		listen = o.Listeners[0].Addr
+	}
+	onPlatform := getenv("GW_CONFIG") != "" || operator == ""
+	if onPlatform {
+		var err error
+		if n, err = config.FromEnvironment(getenv); err != nil {
 			return nil, err
 		}
-		if n.MemoryMB > 0 { // the collector works harder well before the node would be killed
-			debug.SetMemoryLimit(int64(n.MemoryMB) << 20 * 6 / 10)
-		}
+		listen = n.Listen
+	}
+	place := handover.Path(getenv("TMPDIR"), listen)
+	p.beside.ask(place)
+	if onPlatform {
 		observer, err := p.record(o.Capture, n.Name, n.Settings.Settings, n.Settings.ReportFields)
 		if err != nil {
 			return nil, err
 		}
-		front, _, err := serve(l, n, observer, &p.figures)
+		front, _, err := p.serve(n, observer)
 		if err != nil {
 			return nil, err
 		}
 		p.cores, seed, p.exit = append(p.cores, front.core), n.Seed, platformExit
-		mgmt, p.taking = n.Mgmt, front.front.Taking
+		mgmt = n.Mgmt
 		p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
 		p.reloads = append(p.reloads, func() { front.reload(config.DiscoveryNow(getenv("GW_CONFIG"))) })
 	}
@@ -85,6 +101,10 @@
 			return nil, err
 		}
 	}
+	p.beside.open(place)
+	if p.platform == nil {
+		l.At(l.Now(), p.takes)
+	}
 	return p, nil
 }
 
@@ -95,6 +115,14 @@
 	return err
 }
 
+// takes is called once, when this process begins to take clients.
+func (p *Program) takes() {
+	if p.beside.place != nil {
+		p.beside.place.Ready()
+	}
+	p.beside.share()
+}
+
 // ready tells operators whether this process takes clients.
 func (p *Program) ready() bool {
 	for _, core := range p.cores {
@@ -102,7 +130,7 @@
 			return false
 		}
 	}
-	return p.taking == nil || p.taking()
+	return p.platform == nil || p.platform.front.Taking()
 }
 
 // telemetry writes the figures behind buf.
@@ -126,9 +154,18 @@
 	for _, fn := range p.leaves {
 		fn()
 	}
+	over := p.beside.leave()
 	for _, core := range p.cores {
-		zap.L().Info("leaving", zap.Stringer("core", core))
-		core.Drain(func() { zap.L().Info("left", zap.Stringer("core", core)) })
+		zap.L().Info("leaving", zap.Stringer("core", core), zap.Bool("handed_over", over))
+		left := func() { zap.L().Info("left", zap.Stringer("core", core)) }
+		if over {
+			core.HandOver(left)
+		} else {
+			core.Drain(left)
+		}
+	}
+	if over { // the platform has its process, and this one may go once its clients have their last bytes
+		p.exit = operatorExit
 	}
 	p.loop.At(p.loop.Now().Add(p.exit), p.loop.Stop)
 }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -75,12 +75,12 @@
 		HeaderTime: time.Duration(o.Limits.HeaderTime), MostOpen: o.Limits.Connections}, seed)
 	op.front = front
 	for _, ls := range o.Listeners {
-		ap, err := l.Listen(ls.Addr, front.Accept)
+		k, err := p.beside.listen(ls.Addr, front.Accept)
 		if err != nil {
 			return nil, nil, err
 		}
-		op.at = append(op.at, ap)
-		zap.L().Info("listening", zap.String("protocol", ls.Protocol), zap.Stringer("address", ap))
+		op.at = append(op.at, k.Addr)
+		zap.L().Info("listening", zap.String("protocol", ls.Protocol), zap.Stringer("address", k.Addr))
 	}
 	return all, op, nil
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -23,7 +23,8 @@
 }
 
 // listenPeers opens the socket, where there are peers. heard gets each message with its sender's number.
-func listenPeers(l *loop.Loop, n config.Node, heard func(from int, message []byte)) (*peers, error) {
+// lent is the socket of the process that runs already; under 0: there is none.
+func listenPeers(l *loop.Loop, n config.Node, lent int, heard func(from int, message []byte)) (*peers, error) {
 	p := &peers{addrs: n.Peers, numbers: map[netip.AddrPort]int{}, self: n.Settings.Node}
 	if len(n.Peers) == 0 {
 		return p, nil
@@ -31,8 +32,7 @@
 	for i, a := range n.Peers {
 		p.numbers[a] = i
 	}
-	var err error
-	p.socket, p.at, err = l.ListenDatagrams(n.PeerListen, mostMessage, func(from netip.AddrPort, b []byte) {
+	take := func(from netip.AddrPort, b []byte) {
 		number, known := p.numbers[from]
 		switch {
 		case !known || number == p.self: // a stranger could have this node believe anything
@@ -43,10 +43,25 @@
 			p.taken++
 			heard(number, append([]byte(nil), b...))
 		}
-	})
+	}
+	var err error
+	if lent >= 0 {
+		p.socket, p.at, err = l.AdoptDatagrams(lent, mostMessage, take)
+	} else {
+		p.socket, p.at, err = l.ListenDatagrams(n.PeerListen, mostMessage, take)
+	}
 	return p, err
 }
 
+// hear says whether this process reads what other nodes send.
+func (p *peers) hear(on bool) {
+	if p.socket != nil {
+		if err := p.socket.Hear(on); err != nil {
+			zap.L().Error("peers_not_heard", zap.Error(err))
+		}
+	}
+}
+
 func (p *peers) tell(to int, message []byte) {
 	if p.socket == nil || to < 0 || to >= len(p.addrs) || len(message) > mostMessage {
 		return
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -30,7 +30,7 @@
 	// Port 0 is none that a datagram can come from: this node's own place among the peers.
 	n.PeerListen, n.Peers = "127.0.0.1:0", []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:0"), friendAt}
 	var got []string
-	p, err := listenPeers(l, n, func(from int, m []byte) {
+	p, err := listenPeers(l, n, -1, func(from int, m []byte) {
 		if from == 1 {
 			got = append(got, string(m))
 		}
@@ -65,7 +65,7 @@
 
 // TestNoPeersNoSocket guards installations and settings without peers against a socket that nobody needs.
 func TestNoPeersNoSocket(t *testing.T) {
-	p, err := listenPeers(nil, config.Node{PeerListen: "127.0.0.1:0"}, nil)
+	p, err := listenPeers(nil, config.Node{PeerListen: "127.0.0.1:0"}, -1, nil)
 	if err != nil || p.socket != nil {
 		t.Errorf("%v, %v", p.socket, err)
 	}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -10,8 +10,6 @@
 	"spurwinch/internal/config"
 	"spurwinch/internal/downstream"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/loop"
-	"spurwinch/internal/stats"
 	"spurwinch/internal/upstream"
 )
 
@@ -39,9 +37,10 @@
 	n.watch.Move(discovery)
 }
 
-// serve puts a node together on a loop that is not running yet.
-func serve(l *loop.Loop, n config.Node, observer edge.Observer, figures *stats.Figures) (*platform, netip.AddrPort, error) {
+// serve puts the platform's front together on a loop that is not running yet.
+func (p *Program) serve(n config.Node, observer edge.Observer) (*platform, netip.AddrPort, error) {
 	var at netip.AddrPort
+	l := p.loop
 	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
 	// of slow messages has no like here, and the module must do without.
 	n.Settings.TellsDelay = false
@@ -50,12 +49,16 @@
 	var others *peers
 	n.Settings.Limits.MayTell = len(n.Peers) > 0
 	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
-		Follow: func() { watch.Follow() }, Observer: observer, Figures: figures,
+		Follow: func() { watch.Follow() }, Observer: observer, Figures: &p.figures,
 		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
 		return nil, at, err
 	}
-	if others, err = listenPeers(l, n, core.Heard); err != nil {
+	lentSocket := -1
+	if p.beside.lent != nil {
+		lentSocket = p.beside.lent.Datagrams
+	}
+	if others, err = listenPeers(l, n, lentSocket, core.Heard); err != nil {
 		return nil, at, err
 	}
 	sockets := n.Sockets
@@ -64,8 +67,9 @@
 	}
 	l.Limit(sockets-spareSockets-sockets/8, sockets, int64(n.MemoryMB)<<20)
 	front := downstream.New(downstream.Options{Loop: l, Core: core, Upstream: hosts, Classes: n.Settings.ClassByName,
-		Tenants: n.Settings.TenantByName, Settings: n.Settings.Settings, MostOpen: sockets - spareSockets})
-	watch = cluster.New(l, n.Discovery, n.Known, func(k choice.ListKind, news []edge.UpstreamHost) {
+		Tenants: n.Settings.TenantByName, Settings: n.Settings.Settings, MostOpen: sockets - spareSockets, OnReady: func() { l.At(l.Now(), p.takes) }})
+	known := p.beside.known(n.Known, n.Discovery)
+	watch = cluster.New(l, n.Discovery, known, func(k choice.ListKind, news []edge.UpstreamHost) {
 		core.List(k, news)
 		for _, h := range news {
 			if h.State == choice.Gone {
@@ -76,18 +80,22 @@
 			front.Ready()
 		}
 	})
-	if at, err = l.Listen(n.Listen, front.Accept); err != nil {
+	door, err := p.beside.listen(n.Listen, front.Accept)
+	if err != nil {
 		return nil, at, err
 	}
+	at = door.Addr
 	zap.L().Info("listening", zap.String("protocol", "platform"), zap.Stringer("address", at))
 	l.After(core.Flush)
-	var known []edge.UpstreamHost
-	if n.Known != nil {
-		known, _ = n.Known.Hosts()
+	var hostsKnown []edge.UpstreamHost
+	if known != nil {
+		hostsKnown, _ = known.Hosts()
 	}
-	core.Start(known)
-	if len(known) > 0 {
+	core.Start(hostsKnown)
+	if len(hostsKnown) > 0 {
 		front.Ready()
 	}
-	return &platform{core, front, watch, others}, at, nil
+	p.platform = &platform{core, front, watch, others}
+	p.beside.total, p.beside.memory = sockets, n.MemoryMB
+	return p.platform, at, nil
 }
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -12,7 +12,6 @@
 	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/loop"
-	"spurwinch/internal/stats"
 	"spurwinch/internal/wire"
 )
 
@@ -48,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, at, err := serve(l, n, nil, &stats.Figures{})
+	_, at, err := newProgram(l).serve(n, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
