SIGHUP takes whole new settings or none; classes keep their place, requests their class

Ruled out: the door's own answers (asked for 34 times, 0 late). Change: one decoder with required keys (wire.DecodeSettings, config.Again), stable indices (Settings.After), NewSettings as an event of the module, whose requests hold class and attempts; limits at SIGHUP; in a node of two processes Settings.Parts is 2.

--- a/choice/api.go
+++ b/choice/api.go
@@ -12,6 +12,7 @@
 type Settings struct {
 	Nodes     int    // nodes that share the fleet, this one among them
 	Node      int    // this node's number, from 0
+	Parts     int    // processes that share this node's part for now, alike; 0: one
 	Zone      string // this node's zone
 	Classes   []Class
 	Tenants   []Tenant
@@ -36,6 +37,7 @@
 // Class is a class of requests.
 type Class struct {
 	Name       string
+	Former     bool          // it left the settings: only what came before has it, and what was on the way then
 	SetupAim   time.Duration // wanted time to set a connection up
 	Deadline   time.Duration // the client's whole patience
 	MessageAim time.Duration // wanted time of a message on an open connection; 0 where not told
@@ -233,6 +235,9 @@
 	ClientGone struct{ ID RequestID }
 	// TimerFired brings back a SetTimer.
 	TimerFired struct{ Token string }
+	// NewSettings replaces the settings. Classes and tenants keep their indices; new ones come behind. Requests under way
+	// keep the class and the number of attempts that they came with.
+	NewSettings struct{ Settings }
 	// PeerMessage is a message of another node, by its number. What can't be read, is late or repeats is dropped.
 	PeerMessage struct {
 		From int
@@ -250,6 +255,7 @@
 func (DelayNote) event()      {}
 func (ClientGone) event()     {}
 func (TimerFired) event()     {}
+func (NewSettings) event()    {}
 func (PeerMessage) event()    {}
 
 // Outcome is how an attempt or a probe ended.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -124,7 +124,7 @@
 	}
 	all := num / den
 	b.keeps = b.set.Limits.MayTell && b.set.Limits.MayProbe && b.set.Reports != NoReports &&
-		first*float64(b.set.Nodes) > 1 &&
+		first*float64(len(b.silent)) > 1 &&
 		b.set.Tariffs.Peer*(questionBytes+answerBytes)/256 <= b.set.Tariffs.Probe
 	b.bases = 0
 	for _, s := range b.servers {
@@ -302,7 +302,7 @@
 	if b.set.Grouped { // who leaves its group makes one more server pay for it
 		chance /= 2
 	}
-	if r != nil && r.open && r.on == s && e.Took > b.set.Classes[r.Class].MessageAim &&
+	if r != nil && r.open && r.on == s && e.Took > r.class.MessageAim &&
 		b.rng.Float64() < chance {
 		s.mover = r
 		b.probe(s)
@@ -311,7 +311,7 @@
 
 // worth is what a request is worth for its load; the gate lets through more of what is worth more.
 func (b *Balancer) worth(r *request) float64 {
-	w := max(b.set.Classes[r.Class].Worth, 1e-3)
+	w := max(r.class.Worth, 1e-3)
 	if !b.set.WorthByWork {
 		w *= b.unit / r.load
 	}
@@ -331,7 +331,8 @@
 		b.out = append(b.out, Fail{q.ID})
 		return
 	}
-	r := &request{Request: q, load: b.loadOf(q), bind: b.bindOf(q), deadline: b.now + q.Left}
+	r := &request{Request: q, load: b.loadOf(q), bind: b.bindOf(q), deadline: b.now + q.Left,
+		class: &b.set.Classes[q.Class], most: b.set.Limits.Attempts}
 	b.reqs[q.ID] = r
 	if len(b.servers) > 0 && !q.MidFlow && !b.keeps &&
 		b.rng.Float64() > math.Pow(b.gate, b.meanWorth/b.worth(r)) {
@@ -347,7 +348,7 @@
 
 // eligible says whether a request may go to a server at all: drains, repeats, cold servers.
 func (b *Balancer) eligible(r *request, s *server) bool {
-	c := b.set.Classes[r.Class]
+	c := r.class
 	if r.may != nil && c.Repeat == Keyed && (b.now-r.mayAt >= c.Window-2*b.set.Round ||
 		c.Scope != ScopeAll && s.Zone != r.may.Zone || c.Scope == ScopeCell && s.Cell != r.may.Cell) {
 		return false
@@ -414,7 +415,7 @@
 	r.wide = false
 	b.sample(r, n)
 	r.waiting, r.rounds, r.wide = 0, r.rounds+1, r.bind != 0 && n > 1
-	hold := b.set.Classes[r.Class].SetupAim / holdShare
+	hold := r.class.SetupAim / holdShare
 	for _, s := range r.picks {
 		if b.set.Reports == NoReports || r.deadline-b.now < 3*hold || s.known && b.now-s.reportAt < freshFor {
 			continue
@@ -617,7 +618,7 @@
 func (b *Balancer) send(r *request, s *server) {
 	left := r.deadline - b.now
 	limit := left - b.set.Round
-	if aim := b.set.Classes[r.Class].SetupAim; r.attempts+1 < b.set.Limits.Attempts && left > 2*aim {
+	if aim := r.class.SetupAim; r.attempts+1 < r.most && left > 2*aim {
 		limit = min(limit, max(aim, left/2)) // leave time for another server
 	}
 	if limit <= 0 {
@@ -661,8 +662,8 @@
 		r.may, r.mayAt = s, r.sentAt
 	}
 	r.tried = append(r.tried, s)
-	c := b.set.Classes[r.Class]
-	if r.attempts >= b.set.Limits.Attempts || r.deadline-b.now <= 4*b.set.Round ||
+	c := r.class
+	if r.attempts >= r.most || r.deadline-b.now <= 4*b.set.Round ||
 		r.may != nil && c.Repeat == Unsafe {
 		b.answer(r)
 		return
@@ -672,7 +673,7 @@
 
 // answer ends a request without a connection: refused where trying again is harmless, else failed.
 func (b *Balancer) answer(r *request) {
-	c := b.set.Classes[r.Class]
+	c := r.class
 	if r.on == nil && r.may == nil || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
 		b.out = append(b.out, Refuse{ID: r.ID})
 	} else {
--- a/choice/state.go
+++ b/choice/state.go
@@ -53,6 +53,8 @@
 	deadline time.Duration
 	on       *server // where the attempt in hand is, or the connection stands
 	open     bool    // the connection stands
+	class    *Class  // as it was when the request came, like most
+	most     int     // attempts
 	attempts int
 	sentAt   time.Duration
 	tried    []*server
@@ -105,19 +107,38 @@
 
 // New makes the balancer of one node. It acts first on its first Step.
 func New(s Settings, seed uint64, now time.Duration) (*Balancer, error) {
-	switch {
-	case len(s.Classes) == 0:
-		return nil, errors.New("choice: settings have no request class")
-	case s.Limits.Attempts < 0 || s.Nodes < 0:
-		return nil, errors.New("choice: settings have a negative count")
+	if err := s.Check(); err != nil {
+		return nil, err
 	}
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
 		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{}}
+	b.asked, b.meanWorth = map[uint16]asked{}, s.Classes[0].Worth
+	b.adapt(s)
+	return b, nil
+}
+
+// Check says what is wrong with settings, for New and for NewSettings.
+func (s Settings) Check() error {
+	switch {
+	case len(s.Classes) == 0:
+		return errors.New("choice: settings have no request class")
+	case s.Limits.Attempts < 0 || s.Nodes < 0 || s.Parts < 0:
+		return errors.New("choice: settings have a negative count")
+	}
 	for i, c := range s.Classes {
 		if c.Repeat > Unsafe || c.Scope > ScopeCell {
-			return nil, fmt.Errorf("choice: class %d: unknown repeat kind or scope", i)
+			return fmt.Errorf("choice: class %d: unknown repeat kind or scope", i)
 		}
-		if a := c.MessageAim; a > 0 && (b.minAim == 0 || a < b.minAim) {
+	}
+	return nil
+}
+
+// adapt takes in settings that were checked. Requests under way keep the class that they came with, and what was learned
+// stays; tables only grow.
+func (b *Balancer) adapt(s Settings) {
+	b.minAim = 0
+	for _, c := range s.Classes {
+		if a := c.MessageAim; !c.Former && a > 0 && (b.minAim == 0 || a < b.minAim) {
 			b.minAim = a
 		}
 	}
@@ -125,9 +146,15 @@
 		s.TellsDelay = true
 	}
 	s.Nodes, s.Limits.Attempts = max(1, s.Nodes), max(1, s.Limits.Attempts)
-	b.asked, b.silent = map[uint16]asked{}, make([]time.Duration, s.Nodes)
-	b.set, b.held, b.meanWorth = s, make([]int, len(s.Tenants)), s.Classes[0].Worth
-	return b, nil
+	for len(b.silent) < s.Nodes {
+		b.silent = append(b.silent, 0)
+	}
+	b.silent = b.silent[:s.Nodes]
+	for len(b.held) < len(s.Tenants) {
+		b.held = append(b.held, 0)
+	}
+	s.Nodes *= max(1, s.Parts) // the processes of a node share its part as nodes share the fleet
+	b.set = s
 }
 
 func (b *Balancer) find(id ServerID) *server {
@@ -143,7 +170,8 @@
 	if s == nil || b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
 		return
 	}
-	r := &request{Request: e.Request, load: b.loadOf(e.Request), bind: b.bindOf(e.Request), on: s, open: true, attempts: 1}
+	r := &request{Request: e.Request, load: b.loadOf(e.Request), bind: b.bindOf(e.Request), on: s, open: true, attempts: 1,
+		class: &b.set.Classes[e.Class], most: b.set.Limits.Attempts}
 	b.reqs[e.ID] = r
 	b.bind(r, s)
 	if b.keeps && r.bind != 0 {
--- a/choice/step.go
+++ b/choice/step.go
@@ -42,6 +42,10 @@
 			b.forget(b.reqs[e.ID])
 		case TimerFired:
 			b.fired(e.Token)
+		case NewSettings:
+			if e.Check() == nil {
+				b.adapt(e.Settings)
+			}
 		case PeerMessage:
 			b.heard(e)
 		}
--- a/cmd/spurwinch/program_test.go
+++ b/cmd/spurwinch/program_test.go
@@ -232,7 +232,7 @@
 		{"no JSON", "invalid character", []string{"GW_CONFIG=" + file("a", "listen: x")}, nil},
 		{"no address", "is not IP:PORT", []string{"GW_CONFIG=" + file("b", `{"listen":"here"}`)}, nil},
 		{"no settings", "settings", []string{"GW_CONFIG=" + file("c", "{"+ok+"}")}, nil},
-		{"no class", "no request class", []string{"GW_CONFIG=" + file("d", "{"+ok+`,"settings":{}}`)}, nil},
+		{"no class", "az is missing", []string{"GW_CONFIG=" + file("d", "{"+ok+`,"settings":{}}`)}, nil},
 		{"bad state", "known: entry", []string{"GW_CONFIG=" + file("e", "{"+ok+`,"settings":`+strings.Replace(exchange.Settings, "REPORTS", "off", 1)+`,"known":{"servers":[{"id":"x","state":"?"}]}}`)}, nil},
 		{"taken address", "listen", []string{"GW_CONFIG=" + file("f", `{"listen":"`+taken.Addr().String()+`","discovery":"127.0.0.1:9","settings":`+strings.Replace(exchange.Settings, "REPORTS", "off", 1)+"}")}, nil},
 		{"unknown flag", "not defined", nil, []string{"-x"}},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,13 +2,17 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 
 	"spurwinch/choice"
 	"spurwinch/internal/cluster"
@@ -30,6 +34,7 @@
 	// among them. Both are empty where nodes may not speak to one another.
 	PeerListen string
 	Peers      []netip.AddrPort
+	shape      shape
 }
 
 type file struct {
@@ -55,26 +60,76 @@
 	if path == "" {
 		return Node{}, errors.New("GW_CONFIG is not set")
 	}
-	f, err := read(path)
+	n, err := read(path, func(f *file) {
+		f.Name, f.Listen = or(getenv("GW_NAME"), f.Name), or(getenv("GW_LISTEN"), f.Listen)
+		f.Discovery, f.Mgmt = or(getenv("GW_DISCOVERY"), f.Discovery), or(getenv("GW_MGMT"), f.Mgmt)
+	})
+	return n, err
+}
+
+// Again reads the file anew for a node that runs by inForce. No variable beats it: those are as old as the process. The
+// file is checked whole, and it must have every key that the one in force has: one that was cut short says less than
+// was meant.
+func Again(path string, inForce Node) (Node, error) {
+	n, err := read(path, func(*file) {})
+	if err != nil {
+		return n, err
+	}
+	if key := inForce.shape.lacks(n.shape, ""); key != "" {
+		return n, fmt.Errorf("%s: %s is missing: the configuration in force has it", path, key)
+	}
+	n.Settings = n.Settings.After(inForce.Settings)
+	return n, nil
+}
+
+// read reads a file and checks it whole; change is for what beats the file.
+func read(path string, change func(*file)) (n Node, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return n, err
+	}
+	n, err = decode(raw, change)
 	if err != nil {
-		return Node{}, err
+		err = fmt.Errorf("%s: %w", path, err)
 	}
-	n := Node{Name: or(getenv("GW_NAME"), f.Name), Listen: or(getenv("GW_LISTEN"), f.Listen),
-		Discovery: or(getenv("GW_DISCOVERY"), f.Discovery), Mgmt: or(getenv("GW_MGMT"), f.Mgmt), Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, Known: f.Known}
+	return n, err
+}
+
+func decode(raw []byte, change func(*file)) (n Node, err error) {
+	var f file
+	var all any
+	if len(bytes.TrimSpace(raw)) == 0 {
+		return n, errors.New("the file is empty: a JSON object is wanted")
+	}
+	if err := json.Unmarshal(raw, &all); err != nil {
+		return n, err
+	}
+	if _, ok := all.(map[string]any); !ok {
+		return n, errors.New("no JSON object: {\"name\": ..., \"settings\": {...}} is wanted")
+	}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return n, err
+	}
+	change(&f)
+	n = Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Mgmt: f.Mgmt, Sockets: f.Limits.Sockets,
+		MemoryMB: f.Limits.MemoryMB, Known: f.Known, shape: shapeOf(all)}
 	for _, a := range []struct{ what, addr string }{{"listen", n.Listen}, {"discovery", n.Discovery}, {"mgmt", or(n.Mgmt, "127.0.0.1:0")}} {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
-			return n, fmt.Errorf("%s: %s address %q is not IP:PORT", path, a.what, a.addr)
+			return n, fmt.Errorf("%s address %q is not IP:PORT", a.what, a.addr)
 		}
 	}
+	if n.Sockets < 0 || n.MemoryMB < 0 {
+		return n, fmt.Errorf("limits: sockets is %d and memory_mb %d: numbers over 0 are wanted, or none", n.Sockets, n.MemoryMB)
+	}
 	if n.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
-		return n, fmt.Errorf("%s: settings: %w", path, err)
+		return n, fmt.Errorf("settings: %w", err)
 	}
-	if n.PeerListen, n.Peers, err = peers(path, f, n.Settings.Settings); err != nil {
+	if n.PeerListen, n.Peers, err = peers(f, n.Settings.Settings); err != nil {
 		return n, err
 	}
 	if f.Known != nil {
 		if _, err := f.Known.Hosts(); err != nil {
-			return n, fmt.Errorf("%s: known: %w", path, err)
+			return n, fmt.Errorf("known: %w", err)
 		}
 	}
 	if n.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
@@ -85,18 +140,72 @@
 	return n, nil
 }
 
+// shape is the keys of a JSON value: of an object, by name; of a list, those that all its elements have.
+type shape map[string]shape
+
+const element = "[]"
+
+func shapeOf(v any) shape {
+	switch v := v.(type) {
+	case map[string]any:
+		s := shape{}
+		for k, in := range v {
+			s[k] = shapeOf(in)
+		}
+		return s
+	case []any:
+		var all shape
+		for i, in := range v {
+			if all = all.common(shapeOf(in)); i == 0 {
+				all = shapeOf(in)
+			}
+		}
+		if len(all) > 0 {
+			return shape{element: all}
+		}
+	}
+	return nil
+}
+
+func (s shape) common(o shape) shape {
+	out := shape{}
+	for k, in := range s {
+		if other, ok := o[k]; ok {
+			out[k] = in.common(other)
+		}
+	}
+	return out
+}
+
+// lacks names the first key, by name, that o has not; a list without elements lacks none.
+func (s shape) lacks(o shape, path string) string {
+	for _, k := range slices.Sorted(maps.Keys(s)) {
+		in, ok := o[k]
+		switch {
+		case k == element && !ok:
+			continue
+		case !ok:
+			return strings.TrimPrefix(path+"."+k, ".")
+		}
+		if key := s[k].lacks(in, path+"."+k); key != "" {
+			return key
+		}
+	}
+	return ""
+}
+
 // peers reads the addresses of the other nodes. Without them, or where the settings forbid messages, there are none.
-func peers(path string, f file, s choice.Settings) (listen string, all []netip.AddrPort, err error) {
+func peers(f file, s choice.Settings) (listen string, all []netip.AddrPort, err error) {
 	if !s.Limits.MayTell || len(f.Peers) < 2 || f.PeerListen == "" {
 		return "", nil, nil
 	}
 	if len(f.Peers) != s.Nodes {
-		return "", nil, fmt.Errorf("%s: peers has %d addresses, settings.groupSize says %d", path, len(f.Peers), s.Nodes)
+		return "", nil, fmt.Errorf("peers has %d addresses, settings.groupSize says %d", len(f.Peers), s.Nodes)
 	}
 	for i, a := range append([]string{f.PeerListen}, f.Peers...) {
 		ap, err := netip.ParseAddrPort(a)
 		if err != nil {
-			return "", nil, fmt.Errorf("%s: %q is not IP:PORT in peer_listen or peers", path, a)
+			return "", nil, fmt.Errorf("%q is not IP:PORT in peer_listen or peers", a)
 		}
 		if i > 0 {
 			all = append(all, ap)
@@ -105,30 +214,6 @@
 	return f.PeerListen, all, nil
 }
 
-func read(path string) (f file, err error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return f, err
-	}
-	if err := json.Unmarshal(raw, &f); err != nil {
-		return f, fmt.Errorf("%s: %w", path, err)
-	}
-	return f, nil
-}
-
-// DiscoveryNow is the address of discovery in a configuration that was replaced while the node runs. No variable
-// beats it: those are as old as the process.
-func DiscoveryNow(path string) (string, error) {
-	f, err := read(path)
-	if err != nil {
-		return "", err
-	}
-	if _, err := netip.ParseAddrPort(f.Discovery); err != nil {
-		return "", fmt.Errorf("%s: discovery address %q is not IP:PORT", path, f.Discovery)
-	}
-	return f.Discovery, nil
-}
-
 func or(a, b string) string {
 	if a != "" {
 		return a
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"io"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,8 +37,9 @@
 	upstream *upstream.Cluster
 	classes  map[string]int
 	tenants  map[string]int
-	patience []time.Duration // by class, where a line has no d
-	most     int             // connections, both sides, from which on clients are refused
+	table    []choice.Class       // by class
+	former   map[string]time.Time // classes that left the settings, until when clients may still name them
+	most     int                  // connections, both sides, from which on clients are refused
 	ready    bool
 	onReady  func()
 	waiting  []*session // PINGs that came before the node was ready
@@ -48,20 +50,41 @@
 	Loop     *loop.Loop
 	Core     *edge.Core
 	Upstream *upstream.Cluster
-	Classes  map[string]int
-	Tenants  map[string]int
-	Settings choice.Settings
 	MostOpen int
 	OnReady  func() // once, when the node can serve
 }
 
 // New makes a Front.
 func New(o Options) *Front {
-	f := &Front{loop: o.Loop, core: o.Core, upstream: o.Upstream, classes: o.Classes, tenants: o.Tenants, most: o.MostOpen, onReady: o.OnReady}
-	for _, c := range o.Settings.Classes {
-		f.patience = append(f.patience, c.Deadline)
+	return &Front{loop: o.Loop, core: o.Core, upstream: o.Upstream, most: o.MostOpen, onReady: o.OnReady, former: map[string]time.Time{}}
+}
+
+// Adapt takes in the classes and tenants that clients may name from now on. A class that is no longer among them stays
+// known for as long as a client waits: one on its way can't know.
+func (f *Front) Adapt(classes, tenants map[string]int, table []choice.Class) {
+	now := f.loop.Now()
+	for name, i := range f.classes {
+		if _, stays := classes[name]; !stays {
+			f.former[name] = now.Add(f.table[i].Deadline)
+		}
+	}
+	for name, until := range f.former {
+		if _, back := classes[name]; back || now.After(until) {
+			delete(f.former, name)
+		}
+	}
+	f.classes, f.tenants, f.table = classes, tenants, table
+}
+
+// class finds a class by the name in a client's line.
+func (f *Front) class(name string) (int, bool) {
+	if i, ok := f.classes[name]; ok {
+		return i, true
+	}
+	if until, ok := f.former[name]; ok && f.loop.Now().Before(until) {
+		return slices.IndexFunc(f.table, func(c choice.Class) bool { return c.Name == name }), true
 	}
-	return f
+	return 0, false
 }
 
 // Share sets the number of connections from which on clients are refused.
@@ -219,7 +242,7 @@
 		return string(list[from:to]), true
 	}
 	name, _ := get("c")
-	class, ok := f.classes[name]
+	class, ok := f.class(name)
 	if !ok {
 		return spec, "an OPEN of an unknown class"
 	}
@@ -243,7 +266,7 @@
 	if v, _ := get("again"); v == "1" {
 		spec.Returned = true
 	}
-	patience := f.patience[class]
+	patience := f.table[class].Deadline
 	at, pinned := get("at")
 	if v, ok := get("d"); ok {
 		ms, err := strconv.ParseFloat(v, 64)
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -25,7 +25,9 @@
 func (c *Core) drainTime() time.Duration {
 	longest := time.Duration(0)
 	for _, k := range c.o.Settings.Classes {
-		longest = max(longest, k.Deadline)
+		if !k.Former {
+			longest = max(longest, k.Deadline)
+		}
 	}
 	return min(longest, mostDeadline) + killedAfter - killMargin
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -188,13 +188,27 @@
 	if c.o.Figures == nil {
 		c.o.Figures = &stats.Figures{}
 	}
-	for _, k := range o.Settings.Classes {
-		c.counts = append(c.counts, c.o.Figures.Class(k.Name))
-		if k.MessageAim > 0 && (c.minAim == 0 || k.MessageAim < c.minAim) {
+	c.adapt()
+	return c, nil
+}
+
+// Adapt takes in new settings, of which Check has found no fault. Classes and tenants keep their indices.
+func (c *Core) Adapt(s choice.Settings) {
+	c.o.Settings = s
+	c.adapt()
+	c.tell(choice.NewSettings{Settings: s})
+}
+
+func (c *Core) adapt() {
+	c.minAim = 0
+	for i, k := range c.o.Settings.Classes {
+		if i == len(c.counts) {
+			c.counts = append(c.counts, c.o.Figures.Class(k.Name))
+		}
+		if !k.Former && k.MessageAim > 0 && (c.minAim == 0 || k.MessageAim < c.minAim) {
 			c.minAim = k.MessageAim
 		}
 	}
-	return c, nil
 }
 
 // clock turns a time into the module's clock: Unix time that never goes back.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,12 +35,14 @@
 )
 
 // Settings of a small node; REPORTS and TRIES are set by the exchange.
-const Settings = `{"groupSize":1,"index":0,"az":"a","membershipMode":"on_request","roundS":0.005,
- "customers":[{"name":"acme","quotaRps":10,"fraction":1}],"domain":{"mode":"proxy","messageAimS":[0.06]},
+const Settings = `{"groupSize":1,"index":0,"az":"a","membershipMode":"on_request","roundS":0.005,"overShareWorth":0.05,
+ "customers":[{"name":"acme","quotaRps":10,"fraction":1}],"weightSource":"off","worthBy":"request",
+ "domain":{"groups":false,"mode":"proxy","messageAimS":[0.06],"parkS":0,"tellsDelay":false,"tenantQuotaConnections":[]},
  "invariants":{"answerSlackS":0.02,"askWithinS":10,"coldShare":0.14,"fallMultiple":4,"fallS":2,"rampTimeS":24,"stopSendingWithinS":3},
  "loadReport":{"via":"REPORTS","fields":["recent_ms","utilization","x0"]},
- "policyLimits":{"connectTimeoutS":1,"mayCancel":true,"mayProbe":true,"retryAfter":true,"maxRetryAfterS":2,"sendCap":4},
- "profiles":[{"name":"chat","aimS":0.8,"giveUpS":4,"idempotency":"safe","value":1}],"tariffs":{"probe":0.002}}`
+ "policyLimits":{"connectTimeoutS":1,"mayCancel":true,"mayProbe":true,"mayTell":false,"retryAfter":true,"maxRetryAfterS":2,"secondCopies":false,"sendCap":4},
+ "profiles":[{"name":"chat","aimS":0.8,"giveUpS":4,"idempotency":"safe","dedupScope":"all","dedupWindowS":5,"value":1}],
+ "tariffs":{"probe":0.002,"crossZone":0,"lateFail":0,"moves":0,"peer":0,"waste":0}}`
 
 // Player holds the two sides of the program.
 type Player struct {
--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -20,7 +20,7 @@
 // Limit sets the number of connections from which on idle ones go, and sizes the buffers so that all of most
 // connections fit the memory. 0: not told. Of several limits the tightest holds.
 func (l *Loop) Limit(idleAbove, most int, memory int64) {
-	if l.most == 0 || idleAbove < l.most {
+	if idleAbove > 0 && (l.own == 0 || idleAbove < l.own) {
 		l.most, l.own = idleAbove, idleAbove
 	}
 	if most > 0 && memory > 0 {
@@ -28,10 +28,10 @@
 	}
 }
 
-// Share lowers the limit while the node's descriptors are shared with another process; 0 ends that.
+// Share sets the number for a node that may share its descriptors with another process, as it is now. What Limit set
+// holds beside it.
 func (l *Loop) Share(idleAbove int) {
-	l.most = l.own
-	if idleAbove > 0 && l.own > 0 {
+	if l.most = idleAbove; l.own > 0 {
 		l.most = min(l.own, idleAbove)
 	}
 	l.makeRoom()
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"spurwinch/internal/cluster"
+	"spurwinch/internal/config"
 	"spurwinch/internal/handover"
 	"spurwinch/internal/loop"
 )
@@ -110,12 +111,21 @@
 			what.Datagrams = n.others.socket.FD()
 		}
 	}
-	if free := b.own() - b.held(); b.total > 0 && free > 0 {
+	if free := b.own() - b.held(); free > 0 {
 		what.Room = free - free/lentPart
 	}
 	return what
 }
 
+// limits takes in what the node may hold.
+func (b *beside) limits(n config.Node) {
+	if b.total, b.memory = n.Sockets, n.MemoryMB; b.total <= 0 {
+		b.total = defaultSockets
+	}
+	b.program.loop.Limit(0, b.total, int64(b.memory)<<20)
+	b.share()
+}
+
 // held is what this process needs now: its connections, and what is not for them.
 func (b *beside) held() int { return b.program.loop.Open() + spareSockets }
 
@@ -151,14 +161,15 @@
 		debug.SetMemoryLimit(limit)
 	}
 	if n := p.platform; n != nil {
-		if b.total > 0 {
-			most := max(b.own()-spareSockets, 0)
-			n.front.Share(most)
-			if alone {
-				p.loop.Share(0)
-			} else {
-				p.loop.Share(max(most-b.total/8, 1))
-			}
+		most := max(b.own()-spareSockets, 0)
+		n.front.Share(most)
+		p.loop.Share(max(most-b.total/8, 1))
+		parts := 1
+		if !alone {
+			parts = 2
+		}
+		if n.parts != parts {
+			n.adapt(parts)
 		}
 		// Whoever is to take the clients hears the other nodes, too.
 		n.others.hear(!ready && !(b.place != nil && b.place.Before() && !p.ready()))
@@ -188,7 +199,7 @@
 
 // empty lends on what this process needs no more, as its connections go.
 func (b *beside) empty() {
-	if linked, _ := b.place.After(); linked && b.total > 0 {
+	if linked, _ := b.place.After(); linked {
 		own := b.held()
 		b.place.LendMore(b.total, own)
 	}
--- a/internal/node/burst_test.go
+++ b/internal/node/burst_test.go
@@ -216,7 +216,7 @@
 		switch i {
 		case sessions / 3:
 			write("drains")
-			l.Post(op.reread)
+			l.Post(func() { reread(t, op) })
 		case sessions / 2:
 			servers["restarts"].stop()
 		case sessions * 2 / 3:
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -116,10 +116,26 @@
 		if err := program.openDoor("127.0.0.1:0"); err != nil {
 			t.Fatal(err)
 		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		program.reloads = append(program.reloads, program.rereads(node, path))
+		reload := func(change ...string) func() {
+			return func() {
+				text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"sockets":512},"settings":%s}`, n.Discovery,
+					strings.NewReplacer(append(change, "REPORTS", via)...).Replace(settings))
+				if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+					t.Error(err)
+				}
+				l.Post(program.Reload)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
 		p.Addr, p.Values["door"] = at.String(), program.door.String()
 		p.Do = map[string]func(){
 			"wait":    func() { time.Sleep(400 * time.Millisecond) },
 			"long":    func() { time.Sleep(5 * time.Second) },
+			"trade":   reload(`"name":"chat"`, `"name":"trade"`, `"safe"`, `"unsafe"`, `"sendCap":4`, `"sendCap":2`),
+			"chat":    reload(),
+			"broken":  reload(`"giveUpS":4`, `"giveUpS":0`),
 			"sigterm": func() { l.Post(func() { node.core.Drain(func() {}) }) },
 		}
 		start(t, l)
@@ -168,7 +184,7 @@
 			},
 			"drain": func() {
 				write(func(string) string { return "draining" })
-				l.Post(op.reread)
+				l.Post(func() { reread(t, op) })
 			},
 			"wait": func() { time.Sleep(1200 * time.Millisecond) },
 		}
@@ -196,6 +212,15 @@
 	})
 }
 
+func reread(t *testing.T, op *operated) {
+	take, err := op.reread()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	take()
+}
+
 func all(cores []*edge.Core, fn func(*edge.Core)) {
 	for _, c := range cores {
 		fn(c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,8 +29,8 @@
 type Program struct {
 	loop     *loop.Loop
 	cores    []*edge.Core
-	reloads  []func()
-	leaves   []func() // when the planned stop begins
+	reloads  []func() (take func(), err error) // reads the files again; take has what they say take effect
+	leaves   []func()                          // when the planned stop begins
 	closers  []func()
 	exit     time.Duration
 	figures  stats.Figures
@@ -86,7 +86,7 @@
 		p.cores, seed, p.exit = append(p.cores, front.core), n.Seed, platformExit
 		mgmt = n.Mgmt
 		p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
-		p.reloads = append(p.reloads, func() { front.reload(config.DiscoveryNow(getenv("GW_CONFIG"))) })
+		p.reloads = append(p.reloads, p.rereads(front, getenv("GW_CONFIG")))
 	}
 	if len(o.Clusters) > 0 {
 		more, op, err := serveOperator(l, operator, o, seed, p)
@@ -142,11 +142,33 @@
 	return p.figures.Append(buf, g)
 }
 
-// Reload reads the files again.
+// rereads is the part of a reload that is the platform's front's.
+func (p *Program) rereads(front *platform, path string) func() (func(), error) {
+	return func() (func(), error) {
+		next, err := config.Again(path, front.conf)
+		return func() {
+			front.reload(next)
+			p.beside.limits(next)
+		}, err
+	}
+}
+
+// Reload reads the files again. They take effect all together, or one fault has everything stay as it was.
 func (p *Program) Reload() {
-	for _, fn := range p.reloads {
-		fn()
+	var takes []func()
+	for _, read := range p.reloads {
+		take, err := read()
+		if err != nil {
+			p.figures.ReloadsFailed++
+			zap.L().Error("reload_kept_old_configuration", zap.Error(err))
+			return
+		}
+		takes = append(takes, take)
+	}
+	for _, take := range takes {
+		take()
 	}
+	p.figures.ReloadsOK++
 }
 
 // Leave begins the planned stop, which ends the loop.
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -98,13 +98,14 @@
 	}
 }
 
-// reread takes in the static hosts and the discovery addresses of the file as it is now. A file that can't be read changes nothing.
-func (op *operated) reread() {
+// reread reads the file as it is now.
+func (op *operated) reread() (take func(), err error) {
 	o, err := config.ReadOperator(op.path)
-	if err != nil {
-		zap.L().Error("reload_kept_old_hosts", zap.Error(err))
-		return
-	}
+	return func() { op.take(o) }, err
+}
+
+// take takes in the static hosts and the discovery addresses of a file.
+func (op *operated) take(o config.Operator) {
 	for _, c := range o.Clusters {
 		core, watch := op.cores[c.Name], op.watch[c.Name]
 		if core == nil || (watch != nil) != (c.Discovery != "") {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -25,13 +25,11 @@
 // listenPeers opens the socket, where there are peers. heard gets each message with its sender's number.
 // lent is the socket of the process that runs already; under 0: there is none.
 func listenPeers(l *loop.Loop, n config.Node, lent int, heard func(from int, message []byte)) (*peers, error) {
-	p := &peers{addrs: n.Peers, numbers: map[netip.AddrPort]int{}, self: n.Settings.Node}
+	p := &peers{}
+	p.known(n)
 	if len(n.Peers) == 0 {
 		return p, nil
 	}
-	for i, a := range n.Peers {
-		p.numbers[a] = i
-	}
 	take := func(from netip.AddrPort, b []byte) {
 		number, known := p.numbers[from]
 		switch {
@@ -62,6 +60,14 @@
 	}
 }
 
+// known takes in who the other nodes are.
+func (p *peers) known(n config.Node) {
+	p.addrs, p.numbers, p.self = n.Peers, map[netip.AddrPort]int{}, n.Settings.Node
+	for i, a := range n.Peers {
+		p.numbers[a] = i
+	}
+}
+
 func (p *peers) tell(to int, message []byte) {
 	if p.socket == nil || to < 0 || to >= len(p.addrs) || len(message) > mostMessage {
 		return
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -24,31 +24,49 @@
 	front  *downstream.Front
 	watch  *cluster.Watch
 	others *peers
+	hosts  *upstream.Cluster
+	conf   config.Node // in force
+	parts  int         // processes of this node
 }
 
-// reload moves the watch to the address that the configuration names now. All else stays: the list as last told, the
-// connections, and with a file that can't be read the address too.
-func (n *platform) reload(discovery string, err error) {
-	if err != nil {
-		zap.L().Error("reload_kept_old_configuration", zap.Error(err))
-		return
-	}
-	zap.L().Info("discovery_moved", zap.String("address", discovery))
-	n.watch.Move(discovery)
+// reload takes a configuration in, checked whole, or changes nothing.
+func (n *platform) reload(next config.Node) {
+	n.conf = next
+	n.adapt(n.parts)
+	n.others.known(next)
+	zap.L().Info("configuration_taken", zap.String("discovery", next.Discovery), zap.Int("classes", len(next.Settings.ClassByName)),
+		zap.Int("attempts", next.Settings.Limits.Attempts))
+	n.watch.Move(next.Discovery)
+}
+
+// adapt has all parts go by the configuration, in a node of so many processes.
+func (n *platform) adapt(parts int) {
+	n.parts = parts
+	s := n.conf.Settings
+	n.core.Adapt(platformSettings(n.conf, parts))
+	n.front.Adapt(s.ClassByName, s.TenantByName, s.Classes)
+	n.hosts.Adapt(s.ReportFields)
+}
+
+// platformSettings is what the module is told on sockets.
+func platformSettings(n config.Node, parts int) choice.Settings {
+	s := n.Settings.Settings
+	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
+	// of slow messages has no like here, and the module must do without.
+	s.TellsDelay = false
+	s.Limits.MayTell = len(n.Peers) > 0
+	s.Parts = parts
+	return s
 }
 
 // serve puts the platform's front together on a loop that is not running yet.
 func (p *Program) serve(n config.Node, observer edge.Observer) (*platform, netip.AddrPort, error) {
 	var at netip.AddrPort
 	l := p.loop
-	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
-	// of slow messages has no like here, and the module must do without.
-	n.Settings.TellsDelay = false
 	hosts := upstream.New(l, n.Settings.ReportFields)
 	var watch *cluster.Watch
 	var others *peers
-	n.Settings.Limits.MayTell = len(n.Peers) > 0
-	core, err := edge.New(edge.Options{Clock: l, Settings: n.Settings.Settings, Seed: n.Seed, Prober: hosts,
+	core, err := edge.New(edge.Options{Clock: l, Settings: platformSettings(n, 1), Seed: n.Seed, Prober: hosts,
 		Follow: func() { watch.Follow() }, Observer: observer, Figures: &p.figures,
 		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
@@ -61,13 +79,9 @@
 	if others, err = listenPeers(l, n, lentSocket, core.Heard); err != nil {
 		return nil, at, err
 	}
-	sockets := n.Sockets
-	if sockets <= 0 {
-		sockets = defaultSockets
-	}
-	l.Limit(sockets-spareSockets-sockets/8, sockets, int64(n.MemoryMB)<<20)
-	front := downstream.New(downstream.Options{Loop: l, Core: core, Upstream: hosts, Classes: n.Settings.ClassByName,
-		Tenants: n.Settings.TenantByName, Settings: n.Settings.Settings, MostOpen: sockets - spareSockets, OnReady: func() { l.At(l.Now(), p.takes) }})
+	front := downstream.New(downstream.Options{Loop: l, Core: core, Upstream: hosts, MostOpen: defaultSockets - spareSockets,
+		OnReady: func() { l.At(l.Now(), p.takes) }})
+	front.Adapt(n.Settings.ClassByName, n.Settings.TenantByName, n.Settings.Classes)
 	known := p.beside.known(n.Known, n.Discovery)
 	watch = cluster.New(l, n.Discovery, known, func(k choice.ListKind, news []edge.UpstreamHost) {
 		core.List(k, news)
@@ -95,7 +109,7 @@
 	if len(hostsKnown) > 0 {
 		front.Ready()
 	}
-	p.platform = &platform{core, front, watch, others}
-	p.beside.total, p.beside.memory = sockets, n.MemoryMB
+	p.platform = &platform{core: core, front: front, watch: watch, others: others, hosts: hosts, conf: n, parts: 1}
+	p.beside.limits(n)
 	return p.platform, at, nil
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -37,6 +37,9 @@
 	return &Cluster{loop: l, fields: fields, probes: map[choice.ServerID]*prober{}}
 }
 
+// Adapt takes in the names of a load report's values from now on.
+func (c *Cluster) Adapt(fields []string) { c.fields = fields }
+
 // Request is one attempt on its own connection.
 type Request struct {
 	cluster *Cluster
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,6 +6,9 @@
 	"errors"
 	"fmt"
 	"math"
+	"reflect"
+	"slices"
+	"strings"
 	"time"
 
 	"spurwinch/choice"
@@ -118,26 +121,129 @@
 	ReportFields              []string // the names of a load report's values, in order
 }
 
-// DecodeSettings reads a setup object, as the simulator and the configuration of a real node hold it.
+// DecodeSettings reads a setup object, as the simulator and the configuration of a real node hold it. A key that belongs
+// there and is missing is a fault, never a zero.
 func DecodeSettings(raw json.RawMessage) (Settings, error) {
-	s, classes, tenants, err := settings(raw)
-	if err != nil {
-		return Settings{}, err
-	}
 	var in setup
-	err = json.Unmarshal(raw, &in)
+	var any any
+	if len(raw) == 0 {
+		return Settings{}, errors.New("setup is missing")
+	}
+	if err := json.Unmarshal(raw, &any); err != nil {
+		return Settings{}, fmt.Errorf("setup: %w", err)
+	}
+	if err := complete(any, reflect.TypeOf(in), ""); err != nil {
+		return Settings{}, fmt.Errorf("setup: %w", err)
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return Settings{}, fmt.Errorf("setup: %w", err)
+	}
+	if err := in.check(); err != nil {
+		return Settings{}, fmt.Errorf("setup: %w", err)
+	}
+	s, classes, tenants, err := settings(in)
 	return Settings{s, classes, tenants, in.LoadReport.Fields}, err
 }
 
-// settings reads a setup object.
-func settings(raw json.RawMessage) (choice.Settings, map[string]int, map[string]int, error) {
-	var in setup
-	if len(raw) == 0 {
-		return choice.Settings{}, nil, nil, errors.New("setup is missing")
+// complete checks that a value has all keys of a type.
+func complete(v any, t reflect.Type, path string) error {
+	switch t.Kind() {
+	case reflect.Struct:
+		m, ok := v.(map[string]any)
+		if !ok {
+			return fmt.Errorf("%s is no object", strings.TrimPrefix(path, "."))
+		}
+		for i := range t.NumField() {
+			key := t.Field(i).Tag.Get("json")
+			in, ok := m[key]
+			if !ok || in == nil {
+				return fmt.Errorf("%s is missing: a value of its own is wanted", strings.TrimPrefix(path+"."+key, "."))
+			}
+			if err := complete(in, t.Field(i).Type, path+"."+key); err != nil {
+				return err
+			}
+		}
+	case reflect.Slice:
+		list, ok := v.([]any)
+		if !ok {
+			return fmt.Errorf("%s is no list", strings.TrimPrefix(path, "."))
+		}
+		for i, in := range list {
+			if err := complete(in, t.Elem(), fmt.Sprintf("%s[%d]", path, i)); err != nil {
+				return err
+			}
+		}
 	}
-	if err := json.Unmarshal(raw, &in); err != nil {
-		return choice.Settings{}, nil, nil, fmt.Errorf("setup: %w", err)
+	return nil
+}
+
+// check finds values that no node can serve by.
+func (in *setup) check() error {
+	switch {
+	case len(in.Profiles) == 0:
+		return errors.New("no request class: profiles needs one")
+	case in.Limits.SendCap <= 0:
+		return fmt.Errorf("policyLimits.sendCap is %d: 1 attempt or more is wanted", in.Limits.SendCap)
+	case in.GroupSize < 1 || in.Index < 0 || in.Index >= in.GroupSize:
+		return fmt.Errorf("groupSize is %d and index %d: a number of nodes, and this one's among them from 0, are wanted", in.GroupSize, in.Index)
+	}
+	seen := map[string]bool{}
+	for i, p := range in.Profiles {
+		at := fmt.Sprintf("profiles[%d] (%q)", i, p.Name)
+		switch {
+		case p.Name == "" || seen[p.Name]:
+			return fmt.Errorf("%s: a name of its own is wanted", at)
+		case !(p.GiveUpS > 0):
+			return fmt.Errorf("%s: giveUpS is %v: a deadline over 0 is wanted", at, p.GiveUpS)
+		case !(p.AimS > 0):
+			return fmt.Errorf("%s: aimS is %v: a time over 0 is wanted", at, p.AimS)
+		case p.Value < 0:
+			return fmt.Errorf("%s: value is %v: a worth of 0 or more is wanted", at, p.Value)
+		}
+		seen[p.Name] = true
+	}
+	for i, c := range in.Customers {
+		if c.Name == "" || seen["\x00"+c.Name] {
+			return fmt.Errorf("customers[%d] (%q): a name of its own is wanted", i, c.Name)
+		}
+		seen["\x00"+c.Name] = true
+	}
+	return nil
+}
+
+// After puts the settings behind those in force: classes and tenants keep their indices by name, new ones come behind,
+// and one that is not named any more stays in its place as a former one, which has no name to be found by.
+func (s Settings) After(old Settings) Settings {
+	classes, byName := slices.Clone(old.Classes), map[string]int{}
+	for i := range classes {
+		classes[i].Former = true
+	}
+	for _, c := range s.Classes {
+		i := slices.IndexFunc(classes, func(o choice.Class) bool { return o.Name == c.Name })
+		if i < 0 {
+			i = len(classes)
+			classes = append(classes, c)
+		}
+		classes[i], byName[c.Name] = c, i
+	}
+	tenants, tenantByName := slices.Clone(old.Tenants), map[string]int{}
+	for i, t := range tenants {
+		tenants[i] = choice.Tenant{Name: t.Name} // without a share
 	}
+	for _, t := range s.Tenants {
+		i := slices.IndexFunc(tenants, func(o choice.Tenant) bool { return o.Name == t.Name })
+		if i < 0 {
+			i = len(tenants)
+			tenants = append(tenants, t)
+		}
+		tenants[i], tenantByName[t.Name] = t, i
+	}
+	s.Classes, s.ClassByName, s.Tenants, s.TenantByName = classes, byName, tenants, tenantByName
+	return s
+}
+
+// settings reads a setup object that was checked.
+func settings(in setup) (choice.Settings, map[string]int, map[string]int, error) {
 	inv, lim := in.Invariants, in.Limits
 	s := choice.Settings{
 		Nodes: in.GroupSize, Node: in.Index, Zone: in.AZ, Grouped: in.Domain.Groups, TellsDelay: in.Domain.TellsDelay,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -151,15 +151,15 @@
 			}
 			seed = int64(u)
 		}
-		s, classes, tenants, err := settings(e.Setup)
+		s, err := DecodeSettings(e.Setup)
 		if err != nil {
 			return err
 		}
-		b, err := choice.New(s, uint64(seed), now)
+		b, err := choice.New(s.Settings, uint64(seed), now)
 		if err != nil {
 			return err
 		}
-		h.nodes[e.NodeID] = &node{balancer: b, classes: classes, tenants: tenants, events: []choice.Event{}}
+		h.nodes[e.NodeID] = &node{balancer: b, classes: s.ClassByName, tenants: s.TenantByName, events: []choice.Event{}}
 		*order = append(*order, e.NodeID)
 		return nil
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,13 +6,13 @@
 	"testing"
 )
 
-const setupJSON = `{"az":"a","groupSize":2,"index":0,"customers":[{"name":"t","quotaRps":5,"fraction":1}],
-"domain":{"groups":true,"messageAimS":[0.1],"mode":"proxy","tenantQuotaConnections":[7],"new":{"x":1}},
+const setupJSON = `{"az":"a","groupSize":2,"index":0,"customers":[{"name":"t","quotaRps":5,"fraction":1}],"overShareWorth":0.05,
+"domain":{"groups":true,"messageAimS":[0.1],"mode":"proxy","parkS":0,"tellsDelay":true,"tenantQuotaConnections":[7],"new":{"x":1}},
 "invariants":{"answerSlackS":0.02,"askWithinS":10,"coldShare":0.3,"fallMultiple":4,"fallS":1,"rampTimeS":8.8,"stopSendingWithinS":0.5},
 "loadReport":{"fields":["x0","errors_per_s","brand_new"],"via":"on_probe"},"membershipMode":"on_request",
-"policyLimits":{"sendCap":5,"mayProbe":true,"mayCancel":true},"roundS":0.005,
-"profiles":[{"aimS":0.3,"giveUpS":1.8,"idempotency":"safe","name":"c","value":1}],"tariffs":{"probe":0.002},
-"weightSource":"nominal","worthBy":"request"}`
+"policyLimits":{"sendCap":5,"mayProbe":true,"mayCancel":true,"mayTell":false,"retryAfter":false,"maxRetryAfterS":0,"connectTimeoutS":0.1,"secondCopies":false},"roundS":0.005,
+"profiles":[{"aimS":0.3,"giveUpS":1.8,"idempotency":"safe","dedupScope":"all","dedupWindowS":1,"name":"c","value":1}],
+"tariffs":{"probe":0.002,"crossZone":0,"lateFail":0,"moves":0,"peer":0,"waste":0},"weightSource":"nominal","worthBy":"request"}`
 
 func enlist(seq string) string {
 	flat := strings.ReplaceAll(setupJSON, "\n", "")
@@ -70,7 +70,7 @@
 		{`{"tsS":2,"seq":4,"inbox":[{"op":"Completed","nodeId":"node_0","opId":"a","trial":0,"rc":"maybe"}]}`, "rc"},
 		{`{"tsS":2,"seq":4,"inbox":[{"op":"Registry","nodeId":"node_0","form":"partial"}]}`, "form"},
 		{`{"tsS":2,"seq":4,"inbox":[{"op":"Enlist","nodeId":"node_1","nonce64":1}]}`, "setup"},
-		{`{"tsS":2,"seq":4,"inbox":[{"op":"Enlist","nodeId":"node_1","nonce64":1,"setup":{"profiles":[]}}]}`, "no request class"},
+		{`{"tsS":2,"seq":4,"inbox":[{"op":"Enlist","nodeId":"node_1","nonce64":1,"setup":{"az":"a"}}]}`, "customers is missing"},
 		{`{"tsS":2,"seq":4,"inbox":[{"op":"Stop"}]}`, "nodeId"},
 	} {
 		h := NewHost()
