Captures begin a new file when classes or tenants come in at SIGHUP

Need: with new settings at SIGHUP a record may have the index of a class that the file's header doesn't name; the reader takes it for damage (reader.go, the check of Class). Change: Observer.Settings, Writer.Named, a new file whose header has the names. Test: records of an old and a new class read back by name.

--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -223,3 +223,31 @@
 	i, _ := os.Stat(w.files[0])
 	b.ReportMetric(float64(i.Size())/max(1, float64(b.N)-float64(lost)/2), "bytes/conn")
 }
+
+// TestNewNames has a class come in while the node runs: its records stand in a file whose header names it.
+func TestNewNames(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "load")
+	w, err := NewWriter(Options{Path: path, FileSize: 1 << 20, Files: 9, Share: 1, Key: []byte("0123456789abcdef"), Queue: 64,
+		Header: Header{Node: "n1", Classes: []string{"a"}}, Fault: func(err error) { t.Error(err) }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Put(Placed{Seq: 1, Class: 0, Client: 1, Tenant: -1})
+	w.Named([]string{"a", "b"}, []string{"t"})
+	w.Put(Placed{Seq: 2, Class: 1, Client: 2, Tenant: 0})
+	w.Close(time.Now().Add(time.Hour))
+	got := map[string]int{}
+	for _, name := range w.Files() {
+		_, faults, err := ReadFile(name, func(h Header, r Record) {
+			if p, ok := r.(Placed); ok {
+				got[h.Classes[p.Class]]++
+			}
+		})
+		if err != nil || len(faults) > 0 {
+			t.Error(err, faults)
+		}
+	}
+	if got["a"] != 1 || got["b"] != 1 {
+		t.Errorf("records by class: %v", got)
+	}
+}
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -49,6 +49,7 @@
 	o       Options
 	queue   chan Record
 	dropped atomic.Uint64
+	names   atomic.Pointer[names] // told and not taken in yet
 	done    chan struct{}
 	once    sync.Once
 	began   time.Time
@@ -109,6 +110,26 @@
 	}
 }
 
+// Named has the names of classes and tenants grow: records put from now on may have indices of the new ones. The file in
+// hand ends, since its header has the old ones.
+func (w *Writer) Named(classes, tenants []string) { w.names.Store(&names{classes, tenants}) }
+
+type names struct{ classes, tenants []string }
+
+// rename takes in names that were told, before the first record that may need them.
+func (w *Writer) rename() {
+	n := w.names.Swap(nil)
+	if n == nil {
+		return
+	}
+	w.flush()
+	if w.file != nil {
+		w.file.Close()
+		w.file = nil
+	}
+	w.o.Header.Classes, w.o.Header.Tenants = n.classes, n.tenants
+}
+
 // PutWait hands a record over and waits for room. It is for tools; a node must not wait.
 func (w *Writer) PutWait(r Record) { w.queue <- r }
 
@@ -159,6 +180,7 @@
 func (w *Writer) take(r Record) {
 	switch r := r.(type) {
 	case Placed:
+		w.rename()
 		r.Client, r.Group = w.hide('c', r.Client), w.hide('g', r.Group)
 		who := r.Group // whole groups are in or out, since their members share work
 		if who == 0 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,6 +51,7 @@
 	Ended(seq uint64, life time.Duration, load float64, cause EndCause)
 	Report(h choice.ServerID, values []float64)
 	Host(h UpstreamHost) // new to the list, or changed
+	Settings(s choice.Settings)
 }
 
 // Answered is a request with its one final answer.
@@ -196,6 +197,9 @@
 func (c *Core) Adapt(s choice.Settings) {
 	c.o.Settings = s
 	c.adapt()
+	if c.o.Observer != nil {
+		c.o.Observer.Settings(s)
+	}
 	c.tell(choice.NewSettings{Settings: s})
 }
 
--- a/internal/node/capture.go
+++ b/internal/node/capture.go
@@ -15,7 +15,10 @@
 const closeTime = 2 * time.Second // for the rest of a capture, at the program's end
 
 // recorder hands what a core sees to a capture's writer.
-type recorder struct{ w *capture.Writer }
+type recorder struct {
+	w                *capture.Writer
+	classes, tenants int // that the writer knows by name
+}
 
 // record starts the capture of one core, or returns nil where none is set.
 func (p *Program) record(o config.Capture, name string, s choice.Settings, fields []string) (edge.Observer, error) {
@@ -23,12 +26,7 @@
 		return nil, nil
 	}
 	h := capture.Header{Node: name, Zone: s.Zone, Fields: fields}
-	for _, c := range s.Classes {
-		h.Classes = append(h.Classes, c.Name)
-	}
-	for _, t := range s.Tenants {
-		h.Tenants = append(h.Tenants, t.Name)
-	}
+	h.Classes, h.Tenants = names(s)
 	path := o.Path
 	if name != "" {
 		path += "-" + name
@@ -46,7 +44,25 @@
 		w.Close(time.Now().Add(closeTime))
 	})
 	zap.L().Info("capturing", zap.String("path", path), zap.Float64("share", o.Share))
-	return &recorder{w}, nil
+	return &recorder{w, len(h.Classes), len(h.Tenants)}, nil
+}
+
+func names(s choice.Settings) (classes, tenants []string) {
+	for _, c := range s.Classes {
+		classes = append(classes, c.Name)
+	}
+	for _, t := range s.Tenants {
+		tenants = append(tenants, t.Name)
+	}
+	return classes, tenants
+}
+
+// Settings tells the writer of new names; the tables only grow.
+func (r *recorder) Settings(s choice.Settings) {
+	if classes, tenants := names(s); len(classes) > r.classes || len(tenants) > r.tenants {
+		r.classes, r.tenants = len(classes), len(tenants)
+		r.w.Named(classes, tenants)
+	}
 }
 
 func (r *recorder) Answered(a edge.Answered) {
