--- /dev/null
+++ b/internal/node/door_test.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"spurwinch/internal/cluster"
+	"spurwinch/internal/config"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/exchange"
+	"spurwinch/internal/loop"
+	"spurwinch/internal/wire"
+)
+
+// small is a node of few descriptors with its door, on a loop that runs.
+func small(t testing.TB, sockets int) (p *Program, at string) {
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: sockets, MemoryMB: 32}
+	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
+		t.Fatal(err)
+	}
+	host, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { host.Close() })
+	go func() {
+		for {
+			c, err := host.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				var b [512]byte
+				if _, err := c.Read(b[:]); err == nil {
+					fmt.Fprint(c, "UP 1\r\n")
+				}
+				io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	if n.Known, err = cluster.Parse([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"state":"SERVING"}]}`, host.Addr()))); err != nil {
+		t.Fatal(err)
+	}
+	p = newProgram(l)
+	front, ap, err := p.serve(n, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cores = []*edge.Core{front.core}
+	if err := p.openDoor("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run()
+	}()
+	t.Cleanup(func() {
+		l.Post(l.Stop)
+		<-done
+	})
+	return p, ap.String()
+}
+
+func ask(t testing.TB, p *Program, call string) (int, string) {
+	c := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := c.Get("http://" + p.door.String() + call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.StatusCode, string(b)
+}
+
+// TestDoorInACrowd has a node of few descriptors full of clients that say nothing or half a line, and its door full of
+// callers that finish no call, don't read, or come in single bytes: who asks gets an answer, and usual clients are served.
+func TestDoorInACrowd(t *testing.T) {
+	p, at := small(t, spareSockets+80)
+	var all []net.Conn
+	defer func() {
+		for _, c := range all {
+			c.Close()
+		}
+	}()
+	dial := func(addr, say string) net.Conn {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+		fmt.Fprint(c, say)
+		return c
+	}
+	player := &exchange.Player{Addr: at, Values: map[string]string{}}
+	for i := range 400 {
+		dial(at, [3]string{"", "OPEN 01", "PING\r\n"}[i%3])
+		if i%20 == 0 {
+			dial(p.door.String(), [2]string{"", "GET /api/re"}[i/20%2])
+			dial(p.door.String(), "GET /api/telemetry HTTP/1.1\r\n\r\n") // reads nothing
+		}
+		if i%100 == 99 {
+			if status, body := ask(t, p, "/api/ready"); status != http.StatusOK {
+				t.Errorf("after %d: %d %s", i, status, body)
+			}
+			if status, body := ask(t, p, "/api/telemetry"); status != http.StatusOK || !strings.Contains(body, "gw.in_flight:") {
+				t.Errorf("after %d: %d %s", i, status, body)
+			}
+			player.Play(t, fmt.Sprintf("c open\nc > OPEN %d 01 c=chat,d=4000\nc < UP 1\n", i))
+		}
+	}
+	slow := dial(p.door.String(), "")
+	for _, b := range []byte("GET /api/ready HTTP/1.1\r\n\r\n") {
+		if _, err := slow.Write([]byte{b}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := io.ReadAll(slow)
+	if err != nil || !strings.HasSuffix(string(got), "\r\n\r\nready\n") {
+		t.Errorf("a call in single bytes got %q, %v", got, err)
+	}
+}
+
+// BenchmarkFigures is one fetch of the figures over a socket, with standing connections.
+func BenchmarkFigures(b *testing.B) {
+	for _, standing := range []int{0, 1000} {
+		b.Run(fmt.Sprint(standing), func(b *testing.B) {
+			p, at := small(b, 4096)
+			for i := range standing {
+				c, err := net.Dial("tcp", at)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer c.Close()
+				fmt.Fprintf(c, "OPEN %d 01 c=chat,d=4000,at=s\r\n", i)
+				var up [6]byte
+				if _, err := io.ReadFull(c, up[:]); err != nil || string(up[:]) != "UP 1\r\n" {
+					b.Fatal(string(up[:]), err)
+				}
+			}
+			for b.Loop() {
+				ask(b, p, "/api/telemetry")
+			}
+			done := make(chan int, 1)
+			p.loop.Post(func() {
+				start := time.Now()
+				var buf []byte
+				for range 1000 {
+					buf = p.telemetry(buf[:0])
+				}
+				b.ReportMetric(float64(time.Since(start).Nanoseconds())/1000, "ns/rendering")
+				done <- len(buf)
+			})
+			<-done
+		})
+	}
+}
