--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: sockets, MemoryMB: 32}
+	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: sockets}
 	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
 		t.Fatal(err)
 	}
