--- a/cmd/spurwinch/upgrade_test.go
+++ b/cmd/spurwinch/upgrade_test.go
@@ -144,11 +144,8 @@
 func (s *site) start(t *testing.T, tmp string) *program {
 	p := launch(t, s.bin, []string{"GW_CONFIG=" + s.config, "GW_MGMT=127.0.0.1:0", "TMPDIR=" + tmp})
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if r, err := http.Get("http://" + p.door + "/api/ready"); err == nil {
-			r.Body.Close()
-			if r.StatusCode == http.StatusOK {
-				return p
-			}
+		if p.status() == http.StatusOK {
+			return p
 		}
 		if time.Now().After(end) {
 			t.Fatal("the process is not ready")
@@ -156,6 +153,16 @@
 	}
 }
 
+// status is the answer to a call for readiness; 0: none came.
+func (p *program) status() int {
+	r, err := http.Get("http://" + p.door + "/api/ready")
+	if err != nil {
+		return 0
+	}
+	r.Body.Close()
+	return r.StatusCode
+}
+
 func (p *program) signal(s os.Signal) { p.cmd.Process.Signal(s) }
 
 // TestUpgrades has a node under load replaced process by process, faster than the old ones leave, so that up to a handful
@@ -169,6 +176,11 @@
 	for range 20 {
 		next := s.start(t, s.tmp)
 		now.signal(syscall.SIGTERM)
+		for n := 0; now.status() == http.StatusOK; n++ { // it says that it takes nobody any more
+			if time.Sleep(5 * time.Millisecond); n > 2000 {
+				t.Fatal("a process that handed over says that it is ready")
+			}
+		}
 		old, now = append(old, now), next
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -195,6 +195,7 @@
 	after  []*link // those started since, oldest first
 	room   int     // that the one before lends
 	door   *loop.Listener
+	own    os.FileInfo // of the socket at the path, when this process took it
 	closed bool
 }
 
@@ -228,14 +229,19 @@
 	if p.closed {
 		return
 	}
-	var err error
-	if p.door != nil {
-		p.door.Close()
+	if at, err := os.Stat(p.o.Path); err == nil && p.own != nil && os.SameFile(at, p.own) {
+		return // nobody had taken it
 	}
-	if p.door, err = p.o.Loop.ListenUnix(p.o.Path, p.accept); err != nil {
+	door, err := p.o.Loop.ListenUnix(p.o.Path, p.accept)
+	if err != nil {
 		zap.L().Warn("handover_place_not_taken", zap.Error(err))
-		p.door = nil
+		return
+	}
+	if p.door != nil {
+		p.door.Close()
 	}
+	p.door = door
+	p.own, _ = os.Stat(p.o.Path)
 }
 
 const mostLinks = 4
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -30,6 +30,7 @@
 	memory    int       // MB; 0: not told
 	until     time.Time // another process is there till then that can't be asked
 	leaving   bool
+	closed    bool // accepting has ended: the clients are another process's
 }
 
 // ask asks a process that runs already for what it lends, where there is one.
@@ -175,6 +176,7 @@
 		n.others.hear(!ready && !(b.place != nil && b.place.Before() && !p.ready()))
 	}
 	if b.leaving && (ready || linked && !p.ready()) {
+		b.closed = true
 		for _, k := range b.listeners {
 			k.Close()
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,12 @@
 		if n, err = config.FromEnvironment(getenv); err != nil {
 			return nil, err
 		}
-		listen = n.Listen
+		listen, mgmt = n.Listen, n.Mgmt
+	}
+	if mgmt != "" { // before any client can come: a start that fails must not take connections with it
+		if err := p.openDoor(mgmt); err != nil {
+			return nil, err
+		}
 	}
 	place := handover.Path(getenv("TMPDIR"), listen)
 	p.beside.ask(place)
@@ -84,7 +89,6 @@
 			return nil, err
 		}
 		p.cores, seed, p.exit = append(p.cores, front.core), n.Seed, platformExit
-		mgmt = n.Mgmt
 		p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
 		p.reloads = append(p.reloads, p.rereads(front, getenv("GW_CONFIG")))
 	}
@@ -96,11 +100,6 @@
 		p.cores = append(p.cores, more...)
 		p.reloads = append(p.reloads, op.reread)
 	}
-	if mgmt != "" {
-		if err := p.openDoor(mgmt); err != nil {
-			return nil, err
-		}
-	}
 	p.beside.open(place)
 	if p.platform == nil {
 		l.At(l.Now(), p.takes)
@@ -130,7 +129,7 @@
 			return false
 		}
 	}
-	return p.platform == nil || p.platform.front.Taking()
+	return !p.beside.closed && (p.platform == nil || p.platform.front.Taking())
 }
 
 // telemetry writes the figures behind buf.
