--- /dev/null
+++ b/choice/settings_test.go
@@ -0,0 +1,97 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestRequestsKeepWhatTheyCameWith has settings change under a request: its class stays what it was, and so does the number
+// of its attempts; the next request goes by the new ones.
+func TestRequestsKeepWhatTheyCameWith(t *testing.T) {
+	s := Settings{Nodes: 1, Round: 5 * time.Millisecond, Classes: []Class{{Name: "a", SetupAim: time.Second, Deadline: 10 * time.Second}},
+		Tenants: []Tenant{{Name: "t"}}, Limits: Limits{Attempts: 3}}
+	b, err := New(s, 1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Duration(0)
+	// sends plays a request whose attempts are all reset, and returns its answer and how many there were.
+	sends := func(id RequestID, class int, change func() []Event) (n int, answer Action) {
+		events := []Event{Request{ID: id, Class: class, Tenant: class, Left: 9 * time.Second}}
+		for {
+			now += 20 * time.Millisecond
+			acts := b.Step(now, events)
+			events = nil
+			for _, a := range acts {
+				switch a := a.(type) {
+				case Send:
+					n++
+					events = append(change(), AttemptEnded{ID: a.ID, Attempt: n - 1, Server: a.Server, Outcome: Reset})
+				case Refuse, Fail:
+					return n, a
+				}
+			}
+			if events == nil {
+				t.Fatal(id, " has no answer")
+			}
+		}
+	}
+	var list ServerList
+	for i := range 6 {
+		list.Servers = append(list.Servers, Server{ID: ServerID(fmt.Sprint("s", i)), Size: 1})
+	}
+	b.Step(now, []Event{list})
+	next := s
+	next.Classes = []Class{{Name: "a", SetupAim: time.Second, Deadline: 10 * time.Second, Repeat: Unsafe}, {Name: "b", SetupAim: time.Second, Deadline: 10 * time.Second}}
+	next.Tenants, next.Limits.Attempts = []Tenant{{Name: "t"}, {Name: "u", Connections: 9}}, 2
+	none := func() []Event { return nil }
+	if n, a := sends("1", 0, func() []Event { return []Event{NewSettings{next}} }); n != 3 || a != (Refuse{ID: "1"}) {
+		t.Errorf("the request under way: %d attempts, %+v", n, a)
+	}
+	if n, a := sends("2", 0, none); n != 1 || a != (Fail{"2"}) {
+		t.Errorf("one that must not run twice: %d attempts, %+v", n, a)
+	}
+	if n, a := sends("3", 1, none); n != 2 || a != (Refuse{ID: "3"}) {
+		t.Errorf("a new class: %d attempts, %+v", n, a)
+	}
+	// Settings without a class are none.
+	b.Step(now, []Event{NewSettings{}})
+	if n, _ := sends("4", 1, none); n != 2 {
+		t.Errorf("after settings that are none: %d attempts", n)
+	}
+}
+
+// TestTwoProcessesShareTheColdBudget has a cold server get no more from two processes of a node than from the one before.
+func TestTwoProcessesShareTheColdBudget(t *testing.T) {
+	sent := func(parts int, seed uint64) (n int) {
+		b, err := New(Settings{Nodes: 4, Parts: parts, Round: 5 * time.Millisecond, Classes: []Class{{Name: "a", SetupAim: time.Second, Deadline: 10 * time.Second}},
+			Limits: Limits{Attempts: 1}, Rules: Rules{ColdShare: .2, WarmUp: 24 * time.Second, FallMultiple: 4, FallTime: 2 * time.Second}}, seed, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		b.Step(now, []Event{ServerList{Servers: []Server{{ID: "cold", Size: 1, Started: now}, {ID: "w1", Size: 1}, {ID: "w2", Size: 1}}}})
+		for i := range 2000 {
+			now += 10 * time.Millisecond
+			id := RequestID(fmt.Sprint(i))
+			for _, a := range b.Step(now, []Event{Request{ID: id, Tenant: -1, Left: time.Second}}) {
+				if a, ok := a.(Send); ok {
+					if a.Server == "cold" {
+						n++
+					}
+					b.Step(now, []Event{AttemptEnded{ID: a.ID, Server: a.Server, Outcome: Served, Final: true}})
+				}
+			}
+		}
+		return n
+	}
+	one, two := 0, 0
+	for seed := range uint64(20) {
+		one += sent(0, seed)
+		two += sent(2, 2*seed) + sent(2, 2*seed+1)
+	}
+	if one < 40 || float64(two) > 1.25*float64(one) || float64(two) < 0.75*float64(one) {
+		t.Errorf("%d connections to a cold server from one process, %d from two that share", one, two)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -113,6 +113,14 @@
 	return err
 }
 
+// Close closes all that the loop served, as the process's end would. It is called once Run has returned.
+func (l *Loop) Close() {
+	for fd := range l.fds {
+		unix.Close(fd)
+	}
+	clear(l.fds)
+}
+
 func (l *Loop) settle() {
 	for _, fn := range l.after {
 		fn()
