A full node lends the room of its idle connections; the test of less room found it

Seen in the new test (192 descriptors, 1,500 idle, half-written or vanishing clients, an upgrade amid them): the second process served 0 of 10 usual clients after 750 connections and 2 of 10 after 850. Cause: beside.lend lent a part of what was unused, and in a crowd of idle connections nothing is. Change: up to half of the node is lent beside what the idle ones hold; they go for others as ever. The part kept for accepting is an eighth of this process's own, not of the node's.

--- a/cmd/spurwinch/upgrade_test.go
+++ b/cmd/spurwinch/upgrade_test.go
@@ -175,6 +175,8 @@
 	var old []*program
 	for range 20 {
 		next := s.start(t, s.tmp)
+		now.signal(syscall.SIGHUP) // the file is as it was: both take it
+		next.signal(syscall.SIGHUP)
 		now.signal(syscall.SIGTERM)
 		for n := 0; now.status() == http.StatusOK; n++ { // it says that it takes nobody any more
 			if time.Sleep(5 * time.Millisecond); n > 2000 {
@@ -200,6 +202,110 @@
 	if c.moved.Load() == 0 {
 		t.Error("nobody was moved")
 	}
+	if got := now.figures(t); !strings.Contains(got, "gw.reloads_ok:1|c") || !strings.Contains(got, "gw.reloads_failed:0|c") {
+		t.Errorf("reloads beside another process: %s", got)
+	}
+}
+
+func (p *program) figures(t *testing.T) string {
+	r, err := http.Get("http://" + p.door + "/api/telemetry")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+// holds is what the processes hold together: descriptors and resident memory, MB.
+func holds(all ...*program) (descriptors, memory int) {
+	for _, p := range all {
+		pid := p.cmd.Process.Pid
+		fds, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+		descriptors += len(fds)
+		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+		var size, resident int
+		fmt.Sscan(string(raw), &size, &resident)
+		memory += resident * os.Getpagesize() >> 20
+	}
+	return descriptors, memory
+}
+
+// TestLessRoom has it all at once, in a node of few descriptors and little memory: a crowd that says nothing or half a line,
+// clients that vanish, lines in pieces, connections that stand and fall silent, and an upgrade. Usual clients are served
+// throughout, the door answers, and two processes hold no more than the node may.
+func TestLessRoom(t *testing.T) {
+	const sockets, memory = 192, 64 // the race detector's own memory is in it
+	s := newSite(t)
+	raw, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(`"sockets":384`, fmt.Sprint(`"sockets":`, sockets), `"memory_mb":128`, fmt.Sprint(`"memory_mb":`, memory)).Replace(string(raw))
+	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	now := s.start(t, s.tmp)
+	running := []*program{now}
+	var idle []net.Conn
+	defer func() {
+		for _, c := range idle {
+			c.Close()
+		}
+	}()
+	usual := func() (up int) {
+		c := &crowd{addr: s.listen}
+		for range 10 {
+			c.one()
+		}
+		if c.atDoor.Load()+c.cut.Load() != 0 {
+			t.Errorf("usual clients: %d lost at the door, %d cut off", c.atDoor.Load(), c.cut.Load())
+		}
+		return int(c.up.Load())
+	}
+	for i := range 1500 {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			continue // more than the node lets in at once
+		}
+		switch i % 5 {
+		case 0:
+			fmt.Fprint(c, "OPEN 1")
+		case 1:
+			fmt.Fprint(c, "PING\r\n")
+		case 2: // stands, and says nothing more; one in ten of them
+			if i%50 == 2 {
+				fmt.Fprintf(c, "OPEN f%x 1 c=chat,d=900\r\n", i)
+			}
+		case 3: // vanishes
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			continue
+		}
+		idle = append(idle, c)
+		if i%100 == 50 {
+			if up := usual(); up < 5 {
+				t.Errorf("after %d connections %d of 10 usual clients were served", i, up)
+			}
+			if d, m := holds(running...); d > sockets || m > memory {
+				t.Errorf("after %d connections: %d descriptors, %d MB", i, d, m)
+			}
+			if code := running[len(running)-1].status(); code != http.StatusOK {
+				t.Errorf("after %d connections the door says %d", i, code)
+			}
+		}
+		if i == 700 {
+			next := s.start(t, s.tmp)
+			running = append(running, next)
+			now.signal(syscall.SIGTERM)
+		}
+	}
+	if code := running[0].status(); code == http.StatusOK {
+		t.Error("the process that was stopped takes clients")
+	}
 }
 
 // TestUpgradeGoesWrong has processes end, or not find each other, at the worst moments.
--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -37,6 +37,9 @@
 	l.makeRoom()
 }
 
+// Idle counts the connections that may go.
+func (l *Loop) Idle() int { return l.idle.Len() }
+
 // wait puts a connection at the end of the queue of those that may go.
 func (c *Conn) wait() {
 	if !c.closed && !c.apart && c.place == nil {
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -112,12 +112,20 @@
 			what.Datagrams = n.others.socket.FD()
 		}
 	}
-	if free := b.own() - b.held(); free > 0 {
-		what.Room = free - free/lentPart
-	}
+	own := b.own()
+	what.Room = b.spare(own)
+	what.Room -= what.Room / lentPart
 	return what
 }
 
+// spare is what this process can lend of own: what it doesn't hold, and in a crowd of idle connections, which may go for
+// others, up to half.
+func (b *beside) spare(own int) int {
+	l := b.program.loop
+	unused := own - spareSockets - l.Open()
+	return max(unused, min(own/2, unused+l.Idle()), 0)
+}
+
 // limits takes in what the node may hold.
 func (b *beside) limits(n config.Node) {
 	if b.total, b.memory = n.Sockets, n.MemoryMB; b.total <= 0 {
@@ -127,9 +135,6 @@
 	b.share()
 }
 
-// held is what this process needs now: its connections, and what is not for them.
-func (b *beside) held() int { return b.program.loop.Open() + spareSockets }
-
 // own is the number of descriptors that this process may hold.
 func (b *beside) own() int {
 	n := b.total
@@ -164,7 +169,7 @@
 	if n := p.platform; n != nil {
 		most := max(b.own()-spareSockets, 0)
 		n.front.Share(most)
-		p.loop.Share(max(most-b.total/8, 1))
+		p.loop.Share(max(most-b.own()/8, 1))
 		parts := 1
 		if !alone {
 			parts = 2
@@ -202,8 +207,7 @@
 // empty lends on what this process needs no more, as its connections go.
 func (b *beside) empty() {
 	if linked, _ := b.place.After(); linked {
-		own := b.held()
-		b.place.LendMore(b.total, own)
+		b.place.LendMore(b.total, b.total-b.spare(b.total))
 	}
 	b.share()
 	b.program.loop.At(b.program.loop.Now().Add(sharesTick), b.empty)
