--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -418,6 +418,7 @@
 		}
 	}
 	if k.lent > 0 || !k.later {
+		zap.L().Info("handover_other_gone", zap.Bool("started_later", k.later))
 		p.o.Changed()
 	}
 }
