Two processes: no closed socket is lent, a chain shares the first one's room; gone hosts are forgotten

Found by reading the change once more. beside.lend named sockets that a leaving process had closed; LendMore reckoned from the node's whole limit although the lender itself was lent less; Yield set a filter on a closed descriptor; Again turned a file without listen down where GW_LISTEN names it; a reload with peers had the module ask over a socket that is not there; answered callers of the door that don't close were not bounded (6 now, the oldest goes); Core.hosts kept each gone host for ever (older than this work). Checked: all tests with the race detector.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -17,7 +17,8 @@
 
 const (
 	// MostCallers bounds what the door holds: for one more, the oldest goes that has not finished its call.
-	MostCallers = 12
+	MostCallers = 10
+	mostEnded   = 6               // that have their answer and whose end is not seen yet: for one more, the oldest goes
 	headTime    = 5 * time.Second // for a whole head, from the connection on
 	mostHead    = 4 << 10
 	mostLines   = 64
@@ -29,7 +30,8 @@
 	ready   func() bool
 	figures func(buf []byte) []byte
 	waiting list.List // callers that have not finished their head, oldest first
-	body    []byte    // used again for each answer
+	ended   []*loop.Conn
+	body    []byte // used again for each answer
 	out     []byte
 }
 
@@ -152,6 +154,10 @@
 	d.out = append(append(d.out, "\r\n\r\n"...), d.body...)
 	k.conn.Write(d.out)
 	k.conn.End()
+	if d.ended = append(d.ended, k.conn); len(d.ended) > mostEnded {
+		d.ended[0].Abort() // nothing, where it has ended
+		d.ended = append(d.ended[:0], d.ended[1:]...)
+	}
 }
 
 func (k *caller) done() {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,7 +71,7 @@
 // file is checked whole, and it must have every key that the one in force has: one that was cut short says less than
 // was meant.
 func Again(path string, inForce Node) (Node, error) {
-	n, err := read(path, func(*file) {})
+	n, err := read(path, func(f *file) { f.Listen = or(f.Listen, inForce.Listen) }) // which a variable may have named
 	if err != nil {
 		return n, err
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -349,6 +349,11 @@
 			}
 		}
 	}
+	for id, h := range c.hosts { // the module is told once more what is gone; here nothing more comes of it
+		if h.State == choice.Gone && h.held == 0 {
+			delete(c.hosts, id)
+		}
+	}
 	c.tell(l)
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -287,6 +287,10 @@
 		if len(all) != 300 {
 			t.Fatal("not all requests came")
 		}
+		w.core.List(choice.ListWhole, hosts[5:])
+		if len(w.core.hosts) != 1 {
+			t.Errorf("seed %d: %d hosts are kept of a list of one", seed, len(w.core.hosts))
+		}
 		for id, h := range w.core.hosts {
 			if h.held != 0 {
 				t.Errorf("seed %d: %s holds %d", seed, id, h.held)
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -120,6 +120,9 @@
 // accepted. It means nothing where this one is alone. Guards against connections that are reset with the queue of a
 // listener that closes.
 func (k *Listener) Yield() {
+	if !k.on {
+		return
+	}
 	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}} // the second of the group
 	err := unix.SetsockoptSockFprog(k.fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
 		&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -101,8 +101,10 @@
 func (b *beside) lend() handover.Lent {
 	p := b.program
 	what := handover.Lent{Sockets: map[string]int{}, Datagrams: -1}
-	for addr, k := range b.listeners {
-		what.Sockets[addr] = k.FD()
+	if !b.closed { // else they are closed here, and another's already
+		for addr, k := range b.listeners {
+			what.Sockets[addr] = k.FD()
+		}
 	}
 	if n := p.platform; n != nil {
 		var version int64
@@ -135,19 +137,23 @@
 	b.share()
 }
 
-// own is the number of descriptors that this process may hold.
-func (b *beside) own() int {
-	n := b.total
+// all is the number of descriptors that this process and those it lends to may hold.
+func (b *beside) all() int {
 	switch {
 	case b.place != nil && b.place.Before():
-		n = min(n, b.place.Room())
+		return min(b.total, b.place.Room())
 	case !b.until.IsZero():
-		n /= 2
+		return b.total / 2
 	}
-	if b.place != nil {
-		n -= b.place.LentRoom()
+	return b.total
+}
+
+// own is the number of descriptors that this process may hold.
+func (b *beside) own() int {
+	if b.place == nil {
+		return b.all()
 	}
-	return n
+	return b.all() - b.place.LentRoom()
 }
 
 // share keeps to this process's part of the node: all of it when it is alone.
@@ -207,7 +213,7 @@
 // empty lends on what this process needs no more, as its connections go.
 func (b *beside) empty() {
 	if linked, _ := b.place.After(); linked {
-		b.place.LendMore(b.total, b.total-b.spare(b.total))
+		b.place.LendMore(b.all(), b.all()-b.spare(b.all()))
 	}
 	b.share()
 	b.program.loop.At(b.program.loop.Now().Add(sharesTick), b.empty)
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -43,18 +43,18 @@
 func (n *platform) adapt(parts int) {
 	n.parts = parts
 	s := n.conf.Settings
-	n.core.Adapt(platformSettings(n.conf, parts))
+	n.core.Adapt(platformSettings(n.conf, n.others.socket != nil && len(n.conf.Peers) > 0, parts))
 	n.front.Adapt(s.ClassByName, s.TenantByName, s.Classes)
 	n.hosts.Adapt(s.ReportFields)
 }
 
-// platformSettings is what the module is told on sockets.
-func platformSettings(n config.Node, parts int) choice.Settings {
+// platformSettings is what the module is told on sockets; speaks says that there is a way to the other nodes.
+func platformSettings(n config.Node, speaks bool, parts int) choice.Settings {
 	s := n.Settings.Settings
 	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
 	// of slow messages has no like here, and the module must do without.
 	s.TellsDelay = false
-	s.Limits.MayTell = len(n.Peers) > 0
+	s.Limits.MayTell = speaks
 	s.Parts = parts
 	return s
 }
@@ -66,7 +66,7 @@
 	hosts := upstream.New(l, n.Settings.ReportFields)
 	var watch *cluster.Watch
 	var others *peers
-	core, err := edge.New(edge.Options{Clock: l, Settings: platformSettings(n, 1), Seed: n.Seed, Prober: hosts,
+	core, err := edge.New(edge.Options{Clock: l, Settings: platformSettings(n, len(n.Peers) > 0, 1), Seed: n.Seed, Prober: hosts,
 		Follow: func() { watch.Follow() }, Observer: observer, Figures: &p.figures,
 		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
