--- a/cmd/spurwinch/upgrade_test.go
+++ b/cmd/spurwinch/upgrade_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -9,8 +8,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -18,122 +15,17 @@
 	"spurwinch/internal/exchange"
 )
 
-// crowd are clients of one node, over all its processes: each connects, opens, and keeps its connection for a while, with
-// a line now and then.
-type crowd struct {
-	addr   string
-	next   atomic.Int64
-	stop   atomic.Bool
-	wait   sync.WaitGroup
-	up     atomic.Int64
-	busy   atomic.Int64
-	moved  atomic.Int64
-	atDoor atomic.Int64 // lost at the door: not let in, closed on or left unread
-	cut    atomic.Int64 // stood, and ended without MOVE
-	held   atomic.Int64
-}
-
-func (c *crowd) run(clients int) {
-	for range clients {
-		c.wait.Add(1)
-		go func() {
-			defer c.wait.Done()
-			for !c.stop.Load() {
-				c.one()
-			}
-		}()
-	}
-}
-
-func (c *crowd) one() {
-	conn, err := net.DialTimeout("tcp", c.addr, 20*time.Second)
-	if err != nil {
-		c.atDoor.Add(1)
-		return
-	}
-	defer conn.Close()
-	n := c.next.Add(1)
-	open := fmt.Sprintf("OPEN %x %x c=chat,t=acme,d=900\r\n", n, n)
-	if n%4 == 0 { // in two pieces
-		fmt.Fprint(conn, open[:9])
-		time.Sleep(20 * time.Millisecond)
-		open = open[9:]
-	}
-	fmt.Fprint(conn, open)
-	in := bufio.NewReader(conn)
-	conn.SetReadDeadline(time.Now().Add(20 * time.Second))
-	first, err := in.ReadString('\n')
-	switch {
-	case err != nil:
-		c.atDoor.Add(1)
-		return
-	case !strings.HasPrefix(first, "UP"):
-		c.busy.Add(1)
-		return
-	}
-	c.up.Add(1)
-	c.held.Add(1)
-	defer c.held.Add(-1)
-	for i := int64(0); i < n%40 && !c.stop.Load(); i++ {
-		fmt.Fprintf(conn, "line %d\r\n", i)
-		switch got, err := in.ReadString('\n'); {
-		case err != nil:
-			c.cut.Add(1)
-			return
-		case got == "MOVE\r\n":
-			c.moved.Add(1)
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-}
-
-func (c *crowd) check(t *testing.T, what string) {
-	t.Helper()
-	if c.atDoor.Load() != 0 || c.cut.Load() != 0 || c.up.Load() == 0 {
-		t.Errorf("%s: %d lost at the door, %d cut off, of %d that stood, %d refused, %d moved", what,
-			c.atDoor.Load(), c.cut.Load(), c.up.Load(), c.busy.Load(), c.moved.Load())
-	}
-}
-
 // site is a node's surroundings: a host that takes all, a discovery that never answers, a configuration.
 type site struct {
 	bin, config, listen, tmp string
 }
 
 func newSite(t *testing.T) *site {
-	s := &site{bin: build(t), tmp: t.TempDir()}
-	host, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { host.Close() })
-	go func() {
-		for {
-			c, err := host.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				if _, err := in.ReadString('\n'); err == nil {
-					fmt.Fprint(c, "UP 1\r\n")
-					io.Copy(c, in)
-				}
-			}()
-		}
-	}()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.listen = free.Addr().String()
-	free.Close()
+	s := &site{bin: build(t), tmp: t.TempDir(), listen: exchange.FreeAddr(t)}
 	s.config = filepath.Join(s.tmp, "config.json")
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":128,"sockets":384},
 	 "known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}]},
-	 "settings":%s}`, s.listen, (&exchange.Player{}).Listen(t, "d"), host.Addr(), strings.NewReplacer("REPORTS", "off", `"giveUpS":4`, `"giveUpS":1`).Replace(exchange.Settings))
+	 "settings":%s}`, s.listen, (&exchange.Player{}).Listen(t, "d"), exchange.Host(t), strings.NewReplacer("REPORTS", "off", `"giveUpS":4`, `"giveUpS":1`).Replace(exchange.Settings))
 	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -143,14 +35,8 @@
 // start starts a process of the node and waits for its yes.
 func (s *site) start(t *testing.T, tmp string) *program {
 	p := launch(t, s.bin, []string{"GW_CONFIG=" + s.config, "GW_MGMT=127.0.0.1:0", "TMPDIR=" + tmp})
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if p.status() == http.StatusOK {
-			return p
-		}
-		if time.Now().After(end) {
-			t.Fatal("the process is not ready")
-		}
-	}
+	exchange.Until(t, "the process is ready", func() bool { return p.status() == http.StatusOK })
+	return p
 }
 
 // status is the answer to a call for readiness; 0: none came.
@@ -169,20 +55,16 @@
 // run at once. Nobody is lost at the door, nobody standing is cut off, and each old process ends by itself.
 func TestUpgrades(t *testing.T) {
 	s := newSite(t)
-	c := &crowd{addr: s.listen}
+	c := &exchange.Crowd{Addr: s.listen}
 	now := s.start(t, s.tmp)
-	c.run(24)
+	c.Run(24)
 	var old []*program
 	for range 20 {
 		next := s.start(t, s.tmp)
 		now.signal(syscall.SIGHUP) // the file is as it was: both take it
 		next.signal(syscall.SIGHUP)
 		now.signal(syscall.SIGTERM)
-		for n := 0; now.status() == http.StatusOK; n++ { // it says that it takes nobody any more
-			if time.Sleep(5 * time.Millisecond); n > 2000 {
-				t.Fatal("a process that handed over says that it is ready")
-			}
-		}
+		exchange.Until(t, "the one that handed over says that it takes nobody", func() bool { return now.status() != http.StatusOK })
 		old, now = append(old, now), next
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -196,10 +78,9 @@
 			t.Fatalf("process %d does not end", i)
 		}
 	}
-	c.stop.Store(true)
-	c.wait.Wait()
-	c.check(t, "20 upgrades")
-	if c.moved.Load() == 0 {
+	c.Stop()
+	c.Check(t, "20 upgrades")
+	if c.Moved.Load() == 0 {
 		t.Error("nobody was moved")
 	}
 	if got := now.figures(t); !strings.Contains(got, "gw.reloads_ok:1|c") || !strings.Contains(got, "gw.reloads_failed:0|c") {
@@ -257,14 +138,14 @@
 		}
 	}()
 	usual := func() (up int) {
-		c := &crowd{addr: s.listen}
+		c := &exchange.Crowd{Addr: s.listen}
 		for range 10 {
-			c.one()
+			c.One()
 		}
-		if c.atDoor.Load()+c.cut.Load() != 0 {
-			t.Errorf("usual clients: %d lost at the door, %d cut off", c.atDoor.Load(), c.cut.Load())
+		if c.AtDoor.Load()+c.Cut.Load() != 0 {
+			t.Errorf("usual clients: %d lost at the door, %d cut off", c.AtDoor.Load(), c.Cut.Load())
 		}
-		return int(c.up.Load())
+		return int(c.Up.Load())
 	}
 	for i := range 1500 {
 		c, err := net.Dial("tcp", s.listen)
@@ -351,8 +232,8 @@
 	} {
 		t.Run(step.name, func(t *testing.T) {
 			old := s.start(t, s.tmp)
-			c := &crowd{addr: s.listen}
-			c.run(12)
+			c := &exchange.Crowd{Addr: s.listen}
+			c.Run(12)
 			time.Sleep(100 * time.Millisecond)
 			if step.before != nil {
 				step.before(old)
@@ -360,9 +241,8 @@
 			next := s.start(t, step.tmp)
 			stays := step.after(old, next)
 			time.Sleep(2 * time.Second) // a leaving process has moved all by 1.2 s
-			c.stop.Store(true)
-			c.wait.Wait()
-			c.check(t, step.name)
+			c.Stop()
+			c.Check(t, step.name)
 			stays.signal(syscall.SIGKILL)
 			old.signal(syscall.SIGKILL)
 			<-stays.done
@@ -371,23 +251,21 @@
 	t.Run("the old one is killed", func(t *testing.T) {
 		old := s.start(t, s.tmp)
 		next := s.start(t, s.tmp)
-		c := &crowd{addr: s.listen}
-		c.run(12)
+		c := &exchange.Crowd{Addr: s.listen}
+		c.Run(12)
 		time.Sleep(300 * time.Millisecond)
 		old.signal(syscall.SIGKILL)
 		<-old.done
-		c.stop.Store(true)
-		c.wait.Wait()
+		c.Stop()
 		// What it held ends with it, one connection a client at most; what waits at the door is the other's.
-		if c.atDoor.Load()+c.cut.Load() > 12 {
-			t.Errorf("%d lost at the door, %d cut off", c.atDoor.Load(), c.cut.Load())
+		if c.AtDoor.Load()+c.Cut.Load() > 12 {
+			t.Errorf("%d lost at the door, %d cut off", c.AtDoor.Load(), c.Cut.Load())
 		}
-		rest := &crowd{addr: s.listen}
-		rest.run(12)
+		rest := &exchange.Crowd{Addr: s.listen}
+		rest.Run(12)
 		time.Sleep(300 * time.Millisecond)
-		rest.stop.Store(true)
-		rest.wait.Wait()
-		rest.check(t, "after the old one was killed")
+		rest.Stop()
+		rest.Check(t, "after the old one was killed")
 		next.signal(syscall.SIGKILL)
 	})
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"spurwinch/internal/cluster"
+	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
 )
 
@@ -40,15 +41,10 @@
 // until waits for what the loop comes to say.
 func until(t *testing.T, on func(func()), what string, is func() bool) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(2 * time.Millisecond) {
-		ok := false
-		if on(func() { ok = is() }); ok {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatal("never: ", what)
-		}
-	}
+	exchange.Until(t, what, func() (ok bool) {
+		on(func() { ok = is() })
+		return ok
+	})
 }
 
 // TestTwoProcesses follows two of a node from the hello to the end of each.
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"strings"
 	"testing"
-	"time"
 
 	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
@@ -25,7 +24,7 @@
 }
 
 // process starts one at a place, as New does.
-func startProcess(t *testing.T, n config.Node, place string) *process {
+func startProcess(t testing.TB, n config.Node, place string) *process {
 	l, err := loop.New()
 	if err != nil {
 		t.Fatal(err)
@@ -62,15 +61,6 @@
 	}
 }
 
-func eventually(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("never: ", what)
-		}
-	}
-}
-
 // TestTwoProcessesAreOneNode checks what two of a node share: the list as it was told to the first, the descriptors, the
 // part in the fleet, and who hears the other nodes.
 func TestTwoProcessesAreOneNode(t *testing.T) {
@@ -81,13 +71,8 @@
 		t.Fatal(err)
 	}
 	defer other.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	free.Close()
 	const total = 400
-	n := config.Node{Listen: free.Addr().String(), Discovery: d, Seed: 1, Sockets: total, PeerListen: "127.0.0.1:0",
+	n := config.Node{Listen: exchange.FreeAddr(t), Discovery: d, Seed: 1, Sockets: total, PeerListen: "127.0.0.1:0",
 		Peers: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:0"), other.LocalAddr().(*net.UDPAddr).AddrPort()}}
 	if n.Settings, err = wire.DecodeSettings([]byte(strings.NewReplacer("REPORTS", "off", `"groupSize":1`, `"groupSize":2`, `"mayTell":false`, `"mayTell":true`).Replace(settings))); err != nil {
 		t.Fatal(err)
@@ -121,7 +106,7 @@
 		}
 	}
 	say()
-	eventually(t, "the first one hears", func() bool { return taken(old) == 1 })
+	exchange.Until(t, "the first one hears", func() bool { return taken(old) == 1 })
 
 	// The second one knows no more than the file says, which is older than what the first was told.
 	next := startProcess(t, n, place)
@@ -147,15 +132,15 @@
 s > UP 1
 c < UP 1
 `[1:])
-	eventually(t, "both share a part", func() bool { return parts(old) == 2 && parts(next) == 2 })
-	eventually(t, "the second one hears", func() bool {
+	exchange.Until(t, "both share a part", func() bool { return parts(old) == 2 && parts(next) == 2 })
+	exchange.Until(t, "the second one hears", func() bool {
 		say()
 		return taken(next) > 0
 	})
 	heard := taken(old)
 	say()
 	say()
-	eventually(t, "and only it", func() bool { return taken(next) >= 3 })
+	exchange.Until(t, "and only it", func() bool { return taken(next) >= 3 })
 	if taken(old) != heard {
 		t.Error("both hear")
 	}
@@ -177,12 +162,12 @@
 	before := room()
 	old.on(func() { old.Leave() })
 	player.Play(t, "e open\ne > PING\ne < PONG\n")
-	eventually(t, "the leaving one lends more", func() bool {
+	exchange.Until(t, "the leaving one lends more", func() bool {
 		if n := sum(); n > total {
 			t.Fatalf("%d of %d descriptors", n, total)
 		}
 		return room() > before
 	})
 	old.kill()
-	eventually(t, "the second one is the node", func() bool { return room() == total && parts(next) == 1 })
+	exchange.Until(t, "the second one is the node", func() bool { return room() == total && parts(next) == 1 })
 }
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -11,65 +11,26 @@
 
 	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
-	"spurwinch/internal/edge"
 	"spurwinch/internal/exchange"
-	"spurwinch/internal/loop"
 	"spurwinch/internal/wire"
 )
 
 // small is a node of few descriptors with its door, on a loop that runs.
 func small(t testing.TB, sockets int) (p *Program, at string) {
-	l, err := loop.New()
-	if err != nil {
-		t.Fatal(err)
-	}
 	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: sockets}
+	var err error
 	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
 		t.Fatal(err)
 	}
-	host, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { host.Close() })
-	go func() {
-		for {
-			c, err := host.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				var b [512]byte
-				if _, err := c.Read(b[:]); err == nil {
-					fmt.Fprint(c, "UP 1\r\n")
-				}
-				io.Copy(io.Discard, c)
-			}()
-		}
-	}()
-	if n.Known, err = cluster.Parse([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"state":"SERVING"}]}`, host.Addr()))); err != nil {
+	if n.Known, err = cluster.Parse([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"state":"SERVING"}]}`, exchange.Host(t)))); err != nil {
 		t.Fatal(err)
 	}
-	p = newProgram(l)
-	front, ap, err := p.serve(n, nil)
+	made := startProcess(t, n, "")
+	made.on(func() { err = made.openDoor("127.0.0.1:0") })
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.cores = []*edge.Core{front.core}
-	if err := p.openDoor("127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		l.Run()
-	}()
-	t.Cleanup(func() {
-		l.Post(l.Stop)
-		<-done
-	})
-	return p, ap.String()
+	return made.Program, made.at
 }
 
 func ask(t testing.TB, p *Program, call string) (int, string) {
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -21,32 +21,12 @@
 // TestConnectionLimit checks that a node at its limit of descriptors refuses with advice, cuts off what comes beyond,
 // and serves again once there is room.
 func TestConnectionLimit(t *testing.T) {
-	h, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer h.Close()
-	go func() {
-		for {
-			c, err := h.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				if _, err := r.ReadString('\n'); err == nil {
-					fmt.Fprint(c, "UP 1\r\n")
-				}
-				io.Copy(io.Discard, r)
-			}()
-		}
-	}()
 	n := config.Node{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:9", Seed: 1, Sockets: spareSockets + 24}
+	var err error
 	if n.Settings, err = wire.DecodeSettings([]byte(strings.Replace(settings, "REPORTS", "off", 1))); err != nil {
 		t.Fatal(err)
 	}
-	if n.Known, err = cluster.Parse([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"state":"SERVING"}]}`, h.Addr()))); err != nil {
+	if n.Known, err = cluster.Parse([]byte(fmt.Sprintf(`{"version":1,"full":true,"servers":[{"id":"s","addr":%q,"state":"SERVING"}]}`, exchange.Host(t)))); err != nil {
 		t.Fatal(err)
 	}
 	l, err := loop.New()
