A running process that can't be asked is a warning with its cause; shared test calls

Settings.After placed classes and tenants by the same loop twice: one function now (wire.behind). Calls at the door stood in two tests: exchange.Call. Checked: the tests of the packages concerned, with the race detector.

--- a/cmd/spurwinch/upgrade_test.go
+++ b/cmd/spurwinch/upgrade_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -41,12 +40,8 @@
 
 // status is the answer to a call for readiness; 0: none came.
 func (p *program) status() int {
-	r, err := http.Get("http://" + p.door + "/api/ready")
-	if err != nil {
-		return 0
-	}
-	r.Body.Close()
-	return r.StatusCode
+	status, _ := exchange.Call(p.door, "/api/ready")
+	return status
 }
 
 func (p *program) signal(s os.Signal) { p.cmd.Process.Signal(s) }
@@ -83,24 +78,11 @@
 	if c.Moved.Load() == 0 {
 		t.Error("nobody was moved")
 	}
-	if got := now.figures(t); !strings.Contains(got, "gw.reloads_ok:1|c") || !strings.Contains(got, "gw.reloads_failed:0|c") {
+	if _, got := exchange.Call(now.door, "/api/telemetry"); !strings.Contains(got, "gw.reloads_ok:1|c") || !strings.Contains(got, "gw.reloads_failed:0|c") {
 		t.Errorf("reloads beside another process: %s", got)
 	}
 }
 
-func (p *program) figures(t *testing.T) string {
-	r, err := http.Get("http://" + p.door + "/api/telemetry")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.Body.Close()
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(b)
-}
-
 // holds is what the processes hold together: descriptors and resident memory, MB.
 func holds(all ...*program) (descriptors, memory int) {
 	for _, p := range all {
@@ -198,37 +180,22 @@
 		name   string
 		before func(old *program) // a second process is started
 		tmp    string
-		after  func(old, next *program) (stays *program)
+		after  func(old, next *program) (stays *program) // nil: the old one is stopped
 	}{
 		{"the new one is killed at once", nil, s.tmp, func(old, next *program) *program {
 			next.signal(syscall.SIGKILL)
 			return old
 		}},
-		{"and the next one finds the old one again", nil, s.tmp, func(old, next *program) *program {
-			old.signal(syscall.SIGTERM)
-			return next
-		}},
+		{"and the next one finds the old one again", nil, s.tmp, nil},
 		{"the old one is stopped before a new one starts", func(old *program) { old.signal(syscall.SIGTERM) }, s.tmp,
 			func(_, next *program) *program { return next }},
-		{"no place for a socket", nil, locked, func(old, next *program) *program {
-			old.signal(syscall.SIGTERM)
-			return next
-		}},
-		{"no TMPDIR", nil, "", func(old, next *program) *program {
-			old.signal(syscall.SIGTERM)
-			return next
-		}},
-		{"a path too long", nil, s.tmp + strings.Repeat("/x", 60), func(old, next *program) *program {
-			old.signal(syscall.SIGTERM)
-			return next
-		}},
+		{"no place for a socket", nil, locked, nil},
+		{"no TMPDIR", nil, "", nil},
+		{"a path too long", nil, s.tmp + strings.Repeat("/x", 60), nil},
 		{"something else stands in its place", func(*program) {
 			os.Remove(place)
 			os.WriteFile(place, []byte("no socket"), 0o600)
-		}, s.tmp, func(old, next *program) *program {
-			old.signal(syscall.SIGTERM)
-			return next
-		}},
+		}, s.tmp, nil},
 	} {
 		t.Run(step.name, func(t *testing.T) {
 			old := s.start(t, s.tmp)
@@ -239,7 +206,12 @@
 				step.before(old)
 			}
 			next := s.start(t, step.tmp)
-			stays := step.after(old, next)
+			stays := next
+			if step.after == nil {
+				old.signal(syscall.SIGTERM)
+			} else {
+				stays = step.after(old, next)
+			}
 			time.Sleep(2 * time.Second) // a leaving process has moved all by 1.2 s
 			c.Stop()
 			c.Check(t, step.name)
--- a/internal/exchange/standin.go
+++ b/internal/exchange/standin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,21 @@
 	return l.Addr().String()
 }
 
+// Call makes one call at an operators' door and returns its answer; status 0: none came.
+func Call(door, path string) (status int, body string) {
+	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := c.Get("http://" + door + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return r.StatusCode, string(b)
+}
+
 // Until waits for what must come to be.
 func Until(t testing.TB, what string, is func() bool) {
 	t.Helper()
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"errors"
+	"io/fs"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,9 +43,12 @@
 		return
 	}
 	var err error
-	if b.lent, err = handover.Ask(path, time.Now().Add(askTime)); err != nil {
-		zap.L().Debug("nothing_handed_over", zap.Error(err))
-	} else {
+	switch b.lent, err = handover.Ask(path, time.Now().Add(askTime)); {
+	case errors.Is(err, fs.ErrNotExist), errors.Is(err, syscall.ECONNREFUSED):
+		zap.L().Debug("nobody_to_take_over_from", zap.Error(err))
+	case err != nil:
+		zap.L().Warn("nothing_handed_over", zap.String("place", path), zap.Error(err))
+	default:
 		zap.L().Info("handed_over", zap.Int("sockets", len(b.lent.Sockets)), zap.Int("hosts", len(b.lent.List.Servers)), zap.Int("descriptors", b.lent.Room))
 	}
 }
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -33,20 +33,6 @@
 	return made.Program, made.at
 }
 
-func ask(t testing.TB, p *Program, call string) (int, string) {
-	c := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	r, err := c.Get("http://" + p.door.String() + call)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer r.Body.Close()
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return r.StatusCode, string(b)
-}
-
 // TestDoorInACrowd has a node of few descriptors full of clients that say nothing or half a line, and its door full of
 // callers that finish no call, don't read, or come in single bytes: who asks gets an answer, and usual clients are served.
 func TestDoorInACrowd(t *testing.T) {
@@ -74,10 +60,10 @@
 			dial(p.door.String(), "GET /api/telemetry HTTP/1.1\r\n\r\n") // reads nothing
 		}
 		if i%100 == 99 {
-			if status, body := ask(t, p, "/api/ready"); status != http.StatusOK {
+			if status, body := exchange.Call(p.door.String(), "/api/ready"); status != http.StatusOK {
 				t.Errorf("after %d: %d %s", i, status, body)
 			}
-			if status, body := ask(t, p, "/api/telemetry"); status != http.StatusOK || !strings.Contains(body, "gw.in_flight:") {
+			if status, body := exchange.Call(p.door.String(), "/api/telemetry"); status != http.StatusOK || !strings.Contains(body, "gw.in_flight:") {
 				t.Errorf("after %d: %d %s", i, status, body)
 			}
 			player.Play(t, fmt.Sprintf("c open\nc > OPEN %d 01 c=chat,d=4000\nc < UP 1\n", i))
@@ -113,7 +99,9 @@
 				}
 			}
 			for b.Loop() {
-				ask(b, p, "/api/telemetry")
+				if status, body := exchange.Call(p.door.String(), "/api/telemetry"); status != http.StatusOK {
+					b.Fatal(body)
+				}
 			}
 			done := make(chan int, 1)
 			p.loop.Post(func() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -214,32 +214,30 @@
 // After puts the settings behind those in force: classes and tenants keep their indices by name, new ones come behind,
 // and one that is not named any more stays in its place as a former one, which has no name to be found by.
 func (s Settings) After(old Settings) Settings {
-	classes, byName := slices.Clone(old.Classes), map[string]int{}
+	classes := slices.Clone(old.Classes)
 	for i := range classes {
 		classes[i].Former = true
 	}
-	for _, c := range s.Classes {
-		i := slices.IndexFunc(classes, func(o choice.Class) bool { return o.Name == c.Name })
-		if i < 0 {
-			i = len(classes)
-			classes = append(classes, c)
-		}
-		classes[i], byName[c.Name] = c, i
-	}
-	tenants, tenantByName := slices.Clone(old.Tenants), map[string]int{}
+	tenants := slices.Clone(old.Tenants)
 	for i, t := range tenants {
 		tenants[i] = choice.Tenant{Name: t.Name} // without a share
 	}
-	for _, t := range s.Tenants {
-		i := slices.IndexFunc(tenants, func(o choice.Tenant) bool { return o.Name == t.Name })
+	s.Classes, s.ClassByName = behind(classes, s.Classes, func(c choice.Class) string { return c.Name })
+	s.Tenants, s.TenantByName = behind(tenants, s.Tenants, func(t choice.Tenant) string { return t.Name })
+	return s
+}
+
+// behind puts each of more in the place of its name in table, or behind it, and says where they are.
+func behind[T any](table, more []T, name func(T) string) ([]T, map[string]int) {
+	at := map[string]int{}
+	for _, m := range more {
+		i := slices.IndexFunc(table, func(o T) bool { return name(o) == name(m) })
 		if i < 0 {
-			i = len(tenants)
-			tenants = append(tenants, t)
+			i, table = len(table), append(table, m)
 		}
-		tenants[i], tenantByName[t.Name] = t, i
+		table[i], at[name(m)] = m, i
 	}
-	s.Classes, s.ClassByName, s.Tenants, s.TenantByName = classes, byName, tenants, tenantByName
-	return s
+	return table, at
 }
 
 // settings reads a setup object that was checked.
