Handover: a silent process is told as such, not as the system call's error

Seen when starting beside a place whose owner says nothing: 'recvmsg: resource temporarily unavailable'. It says now that the running process gives no answer in time.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -32,6 +32,8 @@
 	longest    = 90 // bytes of a path: a Unix socket's address holds 107, and the name gets a process number for a moment
 )
 
+var errLate = errors.New("the running process gives no answer in time")
+
 // Lent is what a running process lends. Sockets are descriptors; of the ones that can't be used, close is the taker's.
 type Lent struct {
 	Sockets   map[string]int // by the address that the configuration names
@@ -92,7 +94,7 @@
 	wait := func(option int) error {
 		left := time.Until(until)
 		if left <= 0 {
-			return errors.New("no answer in time")
+			return errLate
 		}
 		tv := unix.NsecToTimeval(max(left, time.Millisecond).Nanoseconds())
 		return unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, option, &tv)
@@ -124,6 +126,9 @@
 		if err == unix.EINTR {
 			continue
 		}
+		if err == unix.EAGAIN {
+			return fail(errLate)
+		}
 		if err != nil {
 			return fail(os.NewSyscallError("recvmsg", err))
 		}
