Upgrades: standing connections go to the new process, sockets and state, in held batches

A batch is lent, held, given; the old process ends once nothing is left. The module hears of them as open connections with their class as it was. Checked: TestUpgrades (20 upgrades under load) now demands that nobody is told to move; it fails on the program before.

--- a/choice/api.go
+++ b/choice/api.go
@@ -190,10 +190,11 @@
 		MidFlow  bool    // packets of an open connection come here now
 		Returned bool    // the client came back after a break or a move
 	}
-	// OpenConnection is a connection open when the node starts, bound as attempt 0.
+	// OpenConnection is a connection that stands already, bound as attempt 0: open when the node starts, or taken over.
 	OpenConnection struct {
 		Request
 		Server ServerID
+		Was    *Class // its class as it was when its request came, for one that another process has had; nil: as the settings say
 	}
 	// Established says that an attempt's connection stands.
 	Established struct {
--- a/choice/state.go
+++ b/choice/state.go
@@ -164,14 +164,17 @@
 	return nil
 }
 
-// adopt takes in a connection that is open when the node starts.
+// adopt takes in a connection that stands already.
 func (b *Balancer) adopt(e OpenConnection) {
-	s := b.find(e.Server)
-	if s == nil || b.reqs[e.ID] != nil || e.Class < 0 || e.Class >= len(b.set.Classes) {
+	s, class := b.find(e.Server), e.Was
+	if class == nil && e.Class >= 0 && e.Class < len(b.set.Classes) {
+		class = &b.set.Classes[e.Class]
+	}
+	if s == nil || b.reqs[e.ID] != nil || class == nil {
 		return
 	}
 	r := &request{Request: e.Request, load: b.loadOf(e.Request), bind: b.bindOf(e.Request), on: s, open: true, attempts: 1,
-		class: &b.set.Classes[e.Class], most: b.set.Limits.Attempts}
+		class: class, most: b.set.Limits.Attempts}
 	b.reqs[e.ID] = r
 	b.bind(r, s)
 	if b.keeps && r.bind != 0 {
--- /dev/null
+++ b/internal/downstream/carry.go
@@ -0,0 +1,136 @@
+package downstream
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"spurwinch/internal/edge"
+	"spurwinch/internal/line"
+	"spurwinch/internal/loop"
+	"spurwinch/internal/upstream"
+)
+
+// Standing is what the front knows of a client's connection beside its sockets, as one process of a node tells it to
+// another. Of an open one there is a host's side; any other has not said yet what it wants.
+type Standing struct {
+	Conn   loop.Carried       `cbor:"1,keyasint"`
+	Behind int                `cbor:"2,keyasint,omitempty"` // bytes of the host's line in hand
+	Host   *upstream.Standing `cbor:"3,keyasint,omitempty"`
+	Line   []byte             `cbor:"4,keyasint,omitempty"` // of the client's first line
+	Pinged bool               `cbor:"5,keyasint,omitempty"`
+	Until  int64              `cbor:"6,keyasint,omitempty"` // Unix time in ns by which that line must be there
+}
+
+// Check says what is wrong with what another process told, of a connection with so many sockets.
+func (s Standing) Check(sockets int) error {
+	want := 1
+	if s.Host != nil {
+		if err := s.Host.Check(); err != nil {
+			return err
+		}
+		want = 2
+	}
+	switch {
+	case sockets != want:
+		return fmt.Errorf("%d sockets of a connection that has %d", sockets, want)
+	case s.Behind < 0 || s.Behind > line.Max || len(s.Line) > line.Max:
+		return errors.New("a client's side that can't be")
+	}
+	return nil
+}
+
+// Lend takes both sides of an open connection off the loop. One that is about to be moved stays.
+func (s *session) Lend() (fds []int, state any, ok bool) {
+	if s.over || !s.open || s.moving {
+		return nil, nil, false
+	}
+	var host upstream.Standing
+	st := Standing{Behind: s.out.Part(), Host: &host}
+	fds = make([]int, 2)
+	if fds[0], st.Conn, ok = s.conn.Lend(); !ok {
+		return nil, nil, false
+	}
+	if fds[1], host, ok = s.host.Lend(); !ok {
+		s.conn.Return()
+		return nil, nil, false
+	}
+	return fds, st, true
+}
+
+// Return has a lent connection go on.
+func (s *session) Return() {
+	s.conn.Return()
+	if s.host != nil {
+		s.host.Return()
+	}
+}
+
+// Release lets go of a lent connection that another process has.
+func (s *session) Release() {
+	s.done()
+	s.conn.Release()
+	if s.host != nil {
+		s.host.Release()
+	}
+}
+
+// Restore goes on with an open connection of another process, of which Check has found no fault.
+func (f *Front) Restore(from edge.Standing, s Standing, fds []int) {
+	k := &session{front: f, open: true, out: line.NewScanner(s.Behind)}
+	var a *edge.Attempt
+	k.request, a = f.core.Adopt(from, k)
+	k.host = f.upstream.Restore(a, fds[1], *s.Host, k)
+	a.Goes(k.host)
+	k.conn = f.loop.Restore(fds[0], s.Conn, k)
+	if len(s.Conn.Out) == 0 { // no side waits for what is with the kernel already
+		k.host.Resume()
+	}
+	if len(s.Host.Conn.Out) == 0 {
+		k.conn.Resume()
+	}
+}
+
+// Idle is a connection that has not said yet what it wants.
+type Idle struct{ s *session }
+
+// Idle are the connections that have not said yet what they want, those that came first at the front.
+func (f *Front) Idle() (all []Idle) {
+	f.loop.EachIdle(func(h loop.Handler) {
+		if s, ok := h.(*session); ok && s.front == f && !s.over && s.request == nil {
+			all = append(all, Idle{s})
+		}
+	})
+	return all
+}
+
+// Lend takes the connection off the loop.
+func (i Idle) Lend() (fds []int, state any, ok bool) {
+	s := i.s
+	if s.over || s.request != nil {
+		return nil, nil, false
+	}
+	fd, conn, ok := s.conn.Lend()
+	if !ok {
+		return nil, nil, false
+	}
+	s.cancelTimer()
+	return []int{fd}, Standing{Conn: conn, Line: s.in.Part(), Pinged: s.pinged, Until: s.until.UnixNano()}, true
+}
+
+// Return has a lent connection go on.
+func (i Idle) Return() {
+	i.s.Return()
+	i.s.due(i.s.until)
+}
+
+// Release lets go of a lent connection that another process has.
+func (i Idle) Release() { i.s.Release() }
+
+// RestoreIdle goes on with a connection that has not said yet what it wants, of which Check has found no fault.
+func (f *Front) RestoreIdle(s Standing, fd int) {
+	k := &session{front: f, in: line.NewReader(s.Line), pinged: s.Pinged}
+	k.conn = f.loop.Restore(fd, s.Conn, k)
+	k.conn.Wait()
+	k.due(time.Unix(0, s.Until))
+}
--- a/internal/downstream/downstream.go
+++ b/internal/downstream/downstream.go
@@ -113,10 +113,16 @@
 		return nil
 	}
 	s := &session{front: f, conn: c}
-	s.stop = f.loop.At(f.loop.Now().Add(openTime), s.late)
+	s.due(f.loop.Now().Add(openTime))
 	return s
 }
 
+// due has the connection say what it wants by a time.
+func (s *session) due(by time.Time) {
+	s.until = by
+	s.stop = s.front.loop.At(by, s.late)
+}
+
 // late ends a connection that has not said in time what it wants.
 func (s *session) late() {
 	if s.pinged {
@@ -149,6 +155,7 @@
 	out     line.Scanner // of the bytes passed on to the client
 	moving  bool         // MOVE is due at the end of the present line
 	stop    func()
+	until   time.Time // for the first line
 }
 
 // OnConnect is for connections dialled; a client's is up from the start.
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -45,15 +45,24 @@
 	c.finish(end, done)
 }
 
-// HandOver is Drain where another process already takes the clients: what this one has taken is placed as ever, and its
-// connections go from now on, evenly over all the time there is, since each finds its node at once.
+// HandOver is Drain where another process already takes the clients: what this one has taken is placed as ever. Its
+// connections go to the other process where they can; when that is over, MoveRest is called.
 func (c *Core) HandOver(done func()) {
 	end := c.o.Clock.Now().Add(c.drainTime())
 	c.leaveBy = end.Add(-killMargin / 5)
-	c.moveAll(c.leaveBy)
+	c.o.Clock.At(end.Add(-c.drainTime()/2), c.MoveRest)
 	c.finish(end, done)
 }
 
+// MoveRest has the connections that stand go from now on, evenly over all the time there is, since each client finds its
+// node at once.
+func (c *Core) MoveRest() {
+	if !c.moving {
+		c.moving = true
+		c.moveAll(c.leaveBy)
+	}
+}
+
 // finish leaves nothing held at end.
 func (c *Core) finish(end time.Time, done func()) {
 	c.o.Clock.At(end, func() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -82,6 +82,7 @@
 	ByClient EndCause = iota
 	ByHost
 	Moved
+	Carried // it goes on in another process
 )
 
 // Try is an attempt with its outcome, as far as there is one.
@@ -164,6 +165,7 @@
 	requests map[choice.RequestID]*Request
 	draining bool
 	leaveBy  time.Time // of a handover: when the last connections go
+	moving   bool      // of a handover: they are told to move
 	minAim   time.Duration
 	seq      uint64
 	counts   []*stats.Class // by class
@@ -386,6 +388,8 @@
 	attempts int
 	open     bool // established: the connection stands
 	over     bool // has its final answer, or nobody waits for it
+	lent     bool // off the loop: another process may have it
+	class    choice.Class
 	stop     func()
 
 	committed bool // bytes of a host have reached the client: no other host can take over
@@ -448,7 +452,7 @@
 // Open takes a new request. The client hears of it through c's methods, at the earliest when this has returned.
 func (c *Core) Open(s Spec, client Client) *Request {
 	c.seq++
-	r := &Request{Spec: s, core: c, client: client, seq: c.seq, arrived: c.o.Clock.Now()}
+	r := &Request{Spec: s, core: c, client: client, seq: c.seq, arrived: c.o.Clock.Now(), class: c.o.Settings.Classes[s.Class]}
 	switch {
 	case c.requests[s.ID] != nil:
 		// Guards against two requests under one id, of which the module would know only the first.
@@ -578,7 +582,7 @@
 
 // move sends the client of an open connection away.
 func (r *Request) move() {
-	if !r.open || r.over {
+	if !r.open || r.over || r.lent {
 		return
 	}
 	r.over = true
@@ -655,15 +659,7 @@
 	} else {
 		r.core.tell(choice.Established{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Took: r.core.o.Clock.Now().Sub(a.started)})
 	}
-	now := r.core.o.Clock.Now()
-	switch {
-	case r.core.draining:
-		r.core.o.Clock.At(now, r.move)
-	case !r.core.leaveBy.IsZero():
-		r.core.o.Clock.At(r.core.leaveBy, r.move)
-	case a.host.State != choice.Ready && r.core.o.Leave > 0: // its host began to drain while it was set up
-		r.core.o.Clock.At(now.Add(r.core.o.Leave/4), r.move)
-	}
+	r.leaveWith(a.host, r.core.o.Clock.Now())
 }
 
 // Commit says that bytes of the host are about to reach the client: no other host can take over from here, and so
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -43,6 +43,7 @@
 	Room      int // descriptors that the taker may hold
 	fd        int
 	rest      []byte
+	carry     int // form of the connections that the running process gives; 0: it gives none
 }
 
 // line is one message, as JSON on a line of its own.
@@ -54,6 +55,8 @@
 	Discovery string        `json:"discovery,omitempty"`
 	List      *cluster.List `json:"list,omitempty"`
 	Room      int           `json:"room,omitempty"`
+	Carry     int           `json:"carry,omitempty"` // form of connections that can be given or taken
+	Size      int           `json:"size,omitempty"`  // bytes of a batch behind the line
 }
 
 func (m line) bytes() []byte {
@@ -105,7 +108,7 @@
 	if err := unix.Connect(fd, &unix.SockaddrUnix{Name: path}); err != nil {
 		return nil, os.NewSyscallError("connect", err)
 	}
-	hello := line{Kind: "hello", Version: version}.bytes()
+	hello := line{Kind: "hello", Version: version, Carry: carryForm}.bytes()
 	if err := unix.Sendto(fd, hello, unix.MSG_NOSIGNAL, nil); err != nil {
 		return nil, os.NewSyscallError("send", err)
 	}
@@ -132,7 +135,7 @@
 		if err != nil {
 			return fail(os.NewSyscallError("recvmsg", err))
 		}
-		rights = append(rights, descriptors(side[:sn])...)
+		rights = append(rights, loop.Rights(side[:sn])...)
 		if got = append(got, buf[:n]...); n == 0 || len(got) > mostLine {
 			return fail(errors.New("the answer ends or goes on without a line's end"))
 		}
@@ -146,16 +149,6 @@
 	return l, nil
 }
 
-func descriptors(side []byte) (all []int) {
-	messages, _ := unix.ParseSocketControlMessage(side)
-	for _, m := range messages {
-		if fds, err := unix.ParseUnixRights(&m); err == nil {
-			all = append(all, fds...)
-		}
-	}
-	return all
-}
-
 // parseLent reads what is lent and puts names to descriptors.
 func parseLent(first []byte, rights []int) (*Lent, error) {
 	var m line
@@ -174,7 +167,7 @@
 	case m.Room < 0:
 		return nil, errors.New("less than no room is lent")
 	}
-	l := &Lent{Sockets: map[string]int{}, Datagrams: -1, Discovery: m.Discovery, Room: m.Room}
+	l := &Lent{Sockets: map[string]int{}, Datagrams: -1, Discovery: m.Discovery, Room: m.Room, carry: m.Carry}
 	if m.List != nil {
 		if _, err := m.List.Hosts(); err != nil {
 			return nil, fmt.Errorf("the list that is lent: %w", err)
@@ -212,6 +205,7 @@
 	Lend func() Lent
 	// Changed is called when a process has come, is ready or is gone, or has lent more.
 	Changed func()
+	Carrying
 }
 
 // Open takes the place at the path, and keeps the link to the process that lent to this one, if any. A place that can't
@@ -220,8 +214,9 @@
 	p := &Place{o: o}
 	if from != nil {
 		p.room = from.Room
-		p.before = &link{place: p}
+		p.before = &link{place: p, batches: batches{carries: from.carry == carryForm && o.Hold != nil}}
 		p.before.conn = o.Loop.Attach(from.fd, p.before)
+		p.before.conn.TakeRights(p.before.takeRights)
 		if len(from.rest) > 0 {
 			p.before.OnData(from.rest)
 		}
@@ -291,6 +286,7 @@
 func (p *Place) Ready() {
 	if p.before != nil {
 		p.before.conn.Write(line{Kind: "ready"}.bytes())
+		p.before.tellRoom("free")
 	}
 }
 
@@ -323,6 +319,7 @@
 	lent  int // room; over 0 once it was given something
 	ready bool
 	over  bool
+	batches
 }
 
 // OnConnect is for connections dialled.
@@ -335,6 +332,15 @@
 func (k *link) OnData(b []byte) {
 	k.in = append(k.in, b...)
 	for !k.over {
+		if k.body > 0 {
+			if len(k.in) < k.body {
+				return
+			}
+			body := k.in[:k.body]
+			k.in, k.body = k.in[k.body:], 0
+			k.hold(body)
+			continue
+		}
 		first, rest, whole := bytes.Cut(k.in, []byte("\n"))
 		if !whole {
 			if len(k.in) > mostLater {
@@ -360,6 +366,7 @@
 			k.drop(fmt.Errorf("version %d, not %d", m.Version, version))
 			return
 		}
+		k.carries = m.Carry == carryForm
 		k.lend()
 	case m.Kind == "ready" && k.later && k.lent > 0:
 		k.ready = true
@@ -367,6 +374,8 @@
 	case m.Kind == "room" && !k.later && m.Room >= p.room:
 		p.room = m.Room
 		p.o.Changed()
+		k.tellRoom("free")
+	case k.carries && k.later && k.lent > 0 && k.giver(m), k.carries && !k.later && k.taker(m):
 	default:
 		k.drop(fmt.Errorf("an unexpected line %q", m.Kind))
 	}
@@ -376,6 +385,9 @@
 func (k *link) lend() {
 	what := k.place.o.Lend()
 	m := line{Kind: "lent", Version: version, Discovery: what.Discovery, List: &what.List, Room: what.Room}
+	if k.carries {
+		m.Carry = carryForm
+	}
 	var rights []int
 	for name, fd := range what.Sockets {
 		m.Sockets, rights = append(m.Sockets, name), append(rights, fd)
@@ -394,6 +406,7 @@
 
 func (k *link) drop(why error) {
 	zap.L().Warn("handover_link_dropped", zap.Error(why))
+	k.letGo()
 	k.conn.Abort()
 	k.gone()
 }
@@ -410,6 +423,7 @@
 	}
 	k.over = true
 	p := k.place
+	k.settleBatch()
 	if p.before == k {
 		p.before = nil
 	}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -43,6 +43,12 @@
 // Mid reports whether the last byte seen is inside a line.
 func (r *Reader) Mid() bool { return len(r.part) > 0 }
 
+// Part is the start of a line that has not ended yet.
+func (r *Reader) Part() []byte { return r.part }
+
+// NewReader goes on behind a Part.
+func NewReader(part []byte) Reader { return Reader{part} }
+
 // Scan calls fn for each line that ends in p and keeps the start of the next. It stops at a line that is too long.
 func (r *Reader) Scan(p []byte, fn func(l []byte)) error {
 	for len(p) > 0 {
@@ -65,6 +71,12 @@
 // Mid reports whether the last byte seen is inside a line.
 func (s *Scanner) Mid() bool { return s.part > 0 }
 
+// Part is how much of a line has come that has not ended yet.
+func (s *Scanner) Part() int { return s.part }
+
+// NewScanner goes on behind a Part.
+func NewScanner(part int) Scanner { return Scanner{part} }
+
 // Count calls fn for each line that ends in p. It stops at a line that is too long.
 func (s *Scanner) Count(p []byte, fn func()) error {
 	for len(p) > 0 {
--- /dev/null
+++ b/internal/loop/carry.go
@@ -0,0 +1,103 @@
+package loop
+
+import (
+	"errors"
+
+	"golang.org/x/sys/unix"
+)
+
+// Connections that change their process. One that is lent is off the poller: nobody here reads or writes it. It comes
+// back, or this process closes its copy of the socket, which another one holds by then.
+
+// MostRights is the most descriptors that the kernel passes with one message.
+const MostRights = 253
+
+// Carried is what a process knows of a connection beside its socket.
+type Carried struct {
+	Out    []byte `cbor:"1,keyasint,omitempty"` // waits to be written
+	Paused bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Lend takes an established connection off the poller and tells its socket and state. ok is false for one that is no
+// longer what its socket says: it ends, has ended, or had a write fail.
+func (c *Conn) Lend() (fd int, state Carried, ok bool) {
+	if c.closed || c.ending || c.eof || c.unsent || !c.connected || c.away {
+		return -1, state, false
+	}
+	if c.events != 0 {
+		c.l.poller.Delete(c.fd)
+		c.events = 0
+	}
+	c.away = true
+	return c.fd, Carried{Out: c.out, Paused: c.paused}, true
+}
+
+// Return has a lent connection go on here.
+func (c *Conn) Return() {
+	if c.away {
+		c.away = false
+		c.register()
+	}
+}
+
+// Release closes this process's copy of a lent connection's socket. The connection stays with whoever else holds it.
+func (c *Conn) Release() {
+	if c.away {
+		c.close()
+	}
+}
+
+// Restore has the loop serve a connection that another process has given, with what that one knew of it.
+func (l *Loop) Restore(fd int, state Carried, h Handler) *Conn {
+	unix.SetNonblock(fd, true)
+	c := l.attach(fd, false)
+	c.h, c.out, c.paused = h, state.Out, state.Paused
+	l.fds[fd] = c.ready
+	c.register()
+	return c
+}
+
+// Stream reports whether a descriptor is a stream socket.
+func Stream(fd int) bool {
+	kind, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_TYPE)
+	return err == nil && kind == unix.SOCK_STREAM
+}
+
+// TakeRights has fn get the descriptors that come along on a Unix connection; they are fn's to close. Where some were
+// lost on the way, for want of room, the connection breaks.
+func (c *Conn) TakeRights(fn func(fds []int)) { c.rights = fn }
+
+var errRightsLost = errors.New("descriptors were lost on the way: no room for them here")
+
+func (c *Conn) receive() (int, error) {
+	if c.rights == nil {
+		return unix.Read(c.fd, c.l.buf[:])
+	}
+	var side [4*MostRights + 64]byte
+	n, sn, flags, _, err := unix.Recvmsg(c.fd, c.l.buf[:], side[:], unix.MSG_CMSG_CLOEXEC)
+	if err == nil && sn > 0 {
+		c.rights(Rights(side[:sn]))
+	}
+	if err == nil && flags&unix.MSG_CTRUNC != 0 {
+		err = errRightsLost
+	}
+	return n, err
+}
+
+// Rights reads the descriptors out of a control message.
+func Rights(side []byte) (all []int) {
+	messages, _ := unix.ParseSocketControlMessage(side)
+	for _, m := range messages {
+		if fds, err := unix.ParseUnixRights(&m); err == nil {
+			all = append(all, fds...)
+		}
+	}
+	return all
+}
+
+// CloseAll closes descriptors that nobody serves.
+func CloseAll(fds []int) {
+	for _, fd := range fds {
+		unix.Close(fd)
+	}
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -53,6 +53,8 @@
 	closed    bool
 	unsent    bool // a write failed: not all that was to be written is with the kernel
 	apart     bool // not among the loop's open ones
+	away      bool // lent: its socket is touched by nobody here
+	rights    func(fds []int)
 	events    int  // what the poller watches: a sum of watchRead and watchWrite
 	stopTimer func()
 	place     *list.Element // in the queue of those that may go for others
@@ -269,7 +271,7 @@
 
 // register has the poller watch for what is wanted now.
 func (c *Conn) register() {
-	if c.closed || c.fd < 0 {
+	if c.closed || c.fd < 0 || c.away {
 		return
 	}
 	want := 0
@@ -370,7 +372,7 @@
 		c.drop()
 		return
 	}
-	n, err := unix.Read(c.fd, c.l.buf[:])
+	n, err := c.receive()
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case err != nil:
--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -40,6 +40,18 @@
 // Idle counts the connections that may go.
 func (l *Loop) Idle() int { return l.idle.Len() }
 
+// EachIdle calls fn for the handler of each connection that may go, the oldest first. fn changes none of them.
+func (l *Loop) EachIdle(fn func(Handler)) {
+	for e := l.idle.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); !c.ending && !c.away {
+			fn(c.h)
+		}
+	}
+}
+
+// Wait puts a restored connection in the queue of those that may go.
+func (c *Conn) Wait() { c.wait() }
+
 // wait puts a connection at the end of the queue of those that may go.
 func (c *Conn) wait() {
 	if !c.closed && !c.apart && c.place == nil {
@@ -57,12 +69,14 @@
 
 // makeRoom has the oldest of those that wait go, until there are few enough connections.
 func (l *Loop) makeRoom() {
-	for l.most > 0 && l.open > l.most {
-		front := l.idle.Front()
-		if front == nil {
-			return
+	for e := l.idle.Front(); e != nil && l.most > 0 && l.open > l.most; {
+		c := e.Value.(*Conn)
+		if c.away { // another process may have it already
+			e = e.Next()
+			continue
 		}
-		front.Value.(*Conn).giveWay(front)
+		c.giveWay(e)
+		e = l.idle.Front()
 	}
 }
 
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -34,6 +34,9 @@
 	until     time.Time // another process is there till then that can't be asked
 	leaving   bool
 	closed    bool // accepting has ended: the clients are another process's
+	carries   bool // connections go to the other process
+	told      bool // what could not go that way goes the other
+	gave, got int  // connections given and taken
 }
 
 // ask asks a process that runs already for what it lends, where there is one.
@@ -92,7 +95,8 @@
 // open takes this process's place for the next one, once all is set up.
 func (b *beside) open(path string) {
 	if path != "" {
-		b.place = handover.Open(handover.Options{Loop: b.program.loop, Path: path, Lend: b.lend, Changed: b.share}, b.lent)
+		b.place = handover.Open(handover.Options{Loop: b.program.loop, Path: path, Lend: b.lend, Changed: b.changed,
+			Carrying: handover.Carrying{Free: b.free, Hold: b.hold}}, b.lent)
 	}
 	if !b.until.IsZero() {
 		b.program.loop.At(b.until, func() {
@@ -218,9 +222,21 @@
 
 // empty lends on what this process needs no more, as its connections go.
 func (b *beside) empty() {
+	b.lendMore()
+	b.share()
+	b.program.loop.At(b.program.loop.Now().Add(sharesTick), b.empty)
+}
+
+func (b *beside) lendMore() {
 	if linked, _ := b.place.After(); linked {
 		b.place.LendMore(b.all(), b.all()-b.spare(b.all()))
 	}
+}
+
+func (b *beside) changed() {
 	b.share()
-	b.program.loop.At(b.program.loop.Now().Add(sharesTick), b.empty)
+	if b.carries {
+		l := b.program.loop
+		l.At(l.Now(), b.carry)
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,6 +187,7 @@
 	}
 	if over { // the platform has its process, and this one may go once its clients have their last bytes
 		p.exit = operatorExit
+		p.beside.giveAll()
 	}
 	p.loop.At(p.loop.Now().Add(p.exit), p.loop.Stop)
 }
--- /dev/null
+++ b/internal/upstream/carry.go
@@ -0,0 +1,72 @@
+package upstream
+
+import (
+	"errors"
+	"time"
+
+	"spurwinch/internal/edge"
+	"spurwinch/internal/line"
+	"spurwinch/internal/loop"
+)
+
+// Standing is what a request of an open connection knows beside its socket, as one process of a node tells it to another.
+type Standing struct {
+	Conn   loop.Carried `cbor:"1,keyasint"`
+	Line   []byte       `cbor:"2,keyasint,omitempty"` // of the host, not ended yet
+	Behind int          `cbor:"3,keyasint,omitempty"` // bytes of the client's line in hand
+	Last   uint8        `cbor:"4,keyasint,omitempty"`
+	Sent   int64        `cbor:"5,keyasint,omitempty"` // Unix time in ns of the line that waits for its answer; 0: none does
+}
+
+// Check says what is wrong with what another process told.
+func (s Standing) Check() error {
+	if len(s.Line) > line.Max || s.Behind < 0 || s.Behind > line.Max || s.Last > uint8(move) || s.Sent < 0 {
+		return errors.New("a host's side that can't be")
+	}
+	return nil
+}
+
+// Lend takes the connection off the loop.
+func (r *Request) Lend() (fd int, s Standing, ok bool) {
+	if r.over || !r.up {
+		return -1, s, false
+	}
+	fd, s.Conn, ok = r.conn.Lend()
+	s.Line, s.Behind, s.Last = r.in.Part(), r.out.Part(), uint8(r.last)
+	if !r.sent.IsZero() {
+		s.Sent = r.sent.UnixNano()
+	}
+	r.unwatch()
+	return fd, s, ok
+}
+
+// Return has a lent connection go on.
+func (r *Request) Return() {
+	r.conn.Return()
+	r.rewatch()
+}
+
+// Release lets go of a lent connection that another process has.
+func (r *Request) Release() {
+	r.done()
+	r.conn.Release()
+}
+
+// Restore goes on with an open connection of another process.
+func (c *Cluster) Restore(a *edge.Attempt, fd int, s Standing, sink Sink) *Request {
+	r := &Request{cluster: c, attempt: a, sink: sink, up: true, last: ending(s.Last),
+		in: line.NewReader(s.Line), out: line.NewScanner(s.Behind)}
+	if s.Sent > 0 {
+		r.sent = time.Unix(0, s.Sent)
+	}
+	r.conn = c.loop.Restore(fd, s.Conn, r)
+	r.rewatch()
+	return r
+}
+
+// rewatch has a line that waits for its answer found late when it is.
+func (r *Request) rewatch() {
+	if !r.sent.IsZero() && r.watch == nil && !r.over {
+		r.watch = r.cluster.loop.At(r.cluster.loop.Now(), r.check)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -252,6 +252,10 @@
 
 func (r *Request) done() {
 	r.over = true
+	r.unwatch()
+}
+
+func (r *Request) unwatch() {
 	if r.watch != nil {
 		r.watch()
 		r.watch = nil
