--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -55,7 +55,7 @@
 	apart     bool // not among the loop's open ones
 	away      bool // lent: its socket is touched by nobody here
 	rights    func(fds []int)
-	events    int  // what the poller watches: a sum of watchRead and watchWrite
+	events    int // what the poller watches: a sum of watchRead and watchWrite
 	stopTimer func()
 	place     *list.Element // in the queue of those that may go for others
 	lastBy    time.Time     // ending: closed by then whatever still comes
