What a module has learned goes to the process that takes over, with its age

Cause: the new process began without a report, a cost or a weight, and counted each connection it took over on top of reports that show it already; the giver took hosts for relieved. Change: choice.Learned (form, costs by kind and server, last reports with times, averages, PID, who is left out), told with what is lent and again at SIGTERM; events Inherited and HandedOver; OpenConnection has the class as it was and the load now. Older reports than one's own, another start of a host, and values that can't be are not taken. The policy file is as it was.

--- a/choice/api.go
+++ b/choice/api.go
@@ -194,8 +194,13 @@
 	OpenConnection struct {
 		Request
 		Server ServerID
-		Was    *Class // its class as it was when its request came, for one that another process has had; nil: as the settings say
+		Was    *Class  // its class as it was when its request came, for one that another process has had; nil: as the settings say
+		Now    float64 // its load now; 0: not told
 	}
+	// HandedOver says that another process of this node has an open connection from now on. It has not ended.
+	HandedOver struct{ ID RequestID }
+	// Inherited is what another process of this node has found out.
+	Inherited struct{ Learned }
 	// Established says that an attempt's connection stands.
 	Established struct {
 		ID      RequestID
@@ -249,6 +254,8 @@
 func (ServerList) event()     {}
 func (Request) event()        {}
 func (OpenConnection) event() {}
+func (HandedOver) event()     {}
+func (Inherited) event()      {}
 func (Established) event()    {}
 func (AttemptEnded) event()   {}
 func (ProbeResult) event()    {}
--- /dev/null
+++ b/choice/learned_test.go
@@ -0,0 +1,206 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleetOf plays a fleet under one of four nodes that hold alike: each of its connections stands for four.
+type fleetOf struct {
+	b     *Balancer
+	rng   *rand.Rand
+	now   time.Duration
+	cost  map[ServerID]float64
+	on    map[RequestID]ServerID
+	ends  map[RequestID]time.Duration
+	timer map[time.Duration][]string
+	next  int
+	off   float64 // predicted less true load of all servers, summed each 10 ms
+	n     int
+}
+
+func (f *fleetOf) load(id ServerID) (x float64) {
+	for _, s := range f.on {
+		if s == id {
+			x += 4 * f.cost[id]
+		}
+	}
+	return x
+}
+
+// step hands over events and plays the hosts' part: attempts stand at once, probes are answered with some noise.
+func (f *fleetOf) step(events ...Event) {
+	for len(events) > 0 {
+		acts := f.b.Step(f.now, events)
+		events = nil
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Send:
+				f.on[a.ID] = a.Server
+				f.ends[a.ID] = f.now + time.Duration(10+f.rng.IntN(40))*time.Second
+				events = append(events, Established{ID: a.ID, Server: a.Server})
+			case Probe:
+				events = append(events, ProbeResult{Server: a.Server, Report: []float64{f.load(a.Server) * (0.95 + 0.1*f.rng.Float64())}})
+			case SetTimer:
+				at := f.now + a.After
+				f.timer[at] = append(f.timer[at], a.Token)
+			case Move:
+				delete(f.on, a.ID)
+				events = append(events, AttemptEnded{ID: a.ID, Outcome: Cancelled, Final: true})
+			}
+		}
+	}
+}
+
+func (f *fleetOf) run(to time.Duration, every time.Duration) {
+	for ; f.now < to; f.now += 10 * time.Millisecond {
+		var events []Event
+		for at, tokens := range f.timer {
+			if at <= f.now {
+				for _, t := range tokens {
+					events = append(events, TimerFired{t})
+				}
+				delete(f.timer, at)
+			}
+		}
+		for id, at := range f.ends {
+			if at <= f.now {
+				delete(f.on, id)
+				delete(f.ends, id)
+				events = append(events, AttemptEnded{ID: id, Server: "", Outcome: Served, Final: true})
+			}
+		}
+		if f.now%every == 0 {
+			f.next++
+			events = append(events, Request{ID: RequestID(fmt.Sprint("r", f.next)), Tenant: -1, Left: 4 * time.Second})
+		}
+		f.step(events...)
+		if to-f.now > 5*time.Second {
+			continue // the figures of before are of no interest
+		}
+		f.b.Step(f.now, nil)
+		for _, s := range f.b.servers {
+			f.off, f.n = f.off+math.Abs(f.b.predict(s)-f.load(s.ID)), f.n+1
+		}
+	}
+}
+
+func knows() Settings {
+	return Settings{Nodes: 4, Reports: ProbeReports, Fields: []Field{Load}, Round: 5 * time.Millisecond,
+		Classes: []Class{{Name: "c", SetupAim: 800 * time.Millisecond, Deadline: 4800 * time.Millisecond, MessageAim: 60 * time.Millisecond, Worth: 1}},
+		Limits:  Limits{Attempts: 4, MayProbe: true}, Tariffs: Tariffs{Probe: 0.002}}
+}
+
+// TestLearnedGoesAlong has one process take over from another: with what that one found out, its forecasts of the servers'
+// loads are as good at once; without, they are not in the first seconds.
+func TestLearnedGoesAlong(t *testing.T) {
+	list := ServerList{Kind: ListWhole}
+	for i := range 12 {
+		list.Servers = append(list.Servers, Server{ID: ServerID(fmt.Sprintf("s%02d", i)), Kind: fmt.Sprint("k", i%2), Size: 1})
+	}
+	const seeds = 8
+	errors := map[string]float64{}
+	for _, how := range []string{"stays", "learned", "empty"} {
+		for seed := uint64(1); seed <= seeds; seed++ {
+			start := 1000 * time.Hour
+			b, err := New(knows(), seed, start)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f := &fleetOf{b: b, rng: rand.New(rand.NewPCG(seed, 9)), now: start, cost: map[ServerID]float64{},
+				on: map[RequestID]ServerID{}, ends: map[RequestID]time.Duration{}, timer: map[time.Duration][]string{}}
+			for i, s := range list.Servers {
+				f.cost[s.ID] = 0.03 + 0.03*float64(i%2) + 0.004*float64(i%5)
+			}
+			f.step(list)
+			f.run(start+90*time.Second, 500*time.Millisecond)
+			if how != "stays" {
+				was, before := f.b, map[ServerID]float64{}
+				was.Step(f.now, nil)
+				for _, s := range was.servers {
+					before[s.ID] = was.predict(s)
+				}
+				if f.b, err = New(knows(), seed+100, f.now); err != nil {
+					t.Fatal(err)
+				}
+				f.timer = map[time.Duration][]string{}
+				f.step(list)
+				if how == "learned" {
+					f.step(Inherited{was.Learned()})
+				}
+				for id, s := range f.on {
+					f.step(OpenConnection{Request: Request{ID: id, Tenant: -1}, Server: s, Was: &Class{Name: "gone"}})
+					was.Step(f.now, []Event{HandedOver{id}})
+				}
+				for _, s := range was.servers {
+					if p := was.predict(s); math.Abs(p-before[s.ID]) > 1e-9 {
+						t.Errorf("%s: the giver takes %v for relieved: %v, %v before", how, s.ID, p, before[s.ID])
+					}
+					if p := f.b.predict(f.b.find(s.ID)); how == "learned" && math.Abs(p-before[s.ID]) > 5e-3 {
+						t.Errorf("the taker predicts %v for %v, the giver %v", p, s.ID, before[s.ID])
+					}
+				}
+				if len(was.reqs) != 0 {
+					t.Errorf("%d requests stay with the giver", len(was.reqs))
+				}
+			}
+			for _, span := range []time.Duration{time.Second, 4 * time.Second} {
+				f.off, f.n = 0, 0
+				f.run(f.now+span, 500*time.Millisecond)
+				errors[fmt.Sprint(how, span)] += f.off / float64(f.n) / seeds
+			}
+		}
+	}
+	for _, span := range []time.Duration{time.Second, 4 * time.Second} {
+		t.Logf("mean error of a predicted load in the next %v: the same process %.3f, with what was learned %.3f, without %.3f",
+			span, errors[fmt.Sprint("stays", span)], errors[fmt.Sprint("learned", span)], errors[fmt.Sprint("empty", span)])
+	}
+	if e := errors["learned1s"]; e > 1.2*errors["stays1s"] || e > 0.8*errors["empty1s"] {
+		t.Error("what was learned is of no use")
+	}
+}
+
+// TestLearnedIsChecked has another process tell what can't be, or what is older than what this one knows.
+func TestLearnedIsChecked(t *testing.T) {
+	now := time.Hour
+	b, err := New(knows(), 1, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(now, []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Kind: "k", Size: 1, Started: 5}, {ID: "b", Kind: "k", Size: 1}}},
+		ProbeResult{Server: "b", Report: []float64{0.5}}})
+	good := Learned{Form: LearnedForm, Unit: 1, Gate: 1, Worth: 1, SumLoad: 1, SumBase: 2, SumAt: now - time.Second,
+		Servers: []LearnedServer{{ID: "a", Started: 5, Known: true, Report: 0.9, ReportAt: now - time.Second, BadUntil: now + time.Hour, Num: 9, Den: 90, N: 9},
+			{ID: "b", Known: true, Report: 0.1, ReportAt: now - time.Second}, {ID: "nobody"}}}
+	for i, spoil := range []func(*Learned){
+		func(l *Learned) { l.Form = 9 }, func(l *Learned) { l.Unit = 0 }, func(l *Learned) { l.Unit = math.NaN() },
+		func(l *Learned) { l.Gate = math.Inf(1) }, func(l *Learned) { l.SumBase = 0 }, func(l *Learned) { l.Rate = -1 },
+		func(l *Learned) { l.Servers = []LearnedServer{{ID: "a", Report: math.NaN()}} },
+		func(l *Learned) { l.Servers = []LearnedServer{{ID: "a", Trim: math.Inf(-1)}} },
+		func(l *Learned) { l.Kinds = []LearnedKind{{"k", 1, math.NaN(), 1}} },
+	} {
+		bad := good
+		spoil(&bad)
+		b.Step(now, []Event{Inherited{bad}})
+		if a := b.find("a"); a.known || a.badUntil != 0 {
+			t.Errorf("spoilt value %d was taken", i)
+		}
+	}
+	later := good
+	later.Servers = []LearnedServer{{ID: "a", Started: 4, Known: true, Report: 0.9, ReportAt: now}, {ID: "b", Known: true, Report: 0.1, ReportAt: now + time.Hour}}
+	b.Step(now, []Event{Inherited{later}})
+	if b.find("a").known || b.find("b").report != 0.5 {
+		t.Error("taken: a report of an earlier start, or one of the future")
+	}
+	b.Step(now, []Event{Inherited{good}})
+	a, other := b.find("a"), b.find("b")
+	if a.report != 0.9 || a.reportAt != now-time.Second || a.badUntil != now+firstEject<<3 || a.n != 9 {
+		t.Errorf("not taken: %+v", a)
+	}
+	if other.report != 0.5 {
+		t.Error("an older report was taken for a newer one")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -103,6 +103,7 @@
 	seen      []seenKey
 	seenAt    int
 	dropped   int
+	joined    bool // connections of another process came: costs are to be set anew
 }
 
 // New makes the balancer of one node. It acts first on its first Step.
@@ -175,8 +176,14 @@
 	}
 	r := &request{Request: e.Request, load: b.loadOf(e.Request), bind: b.bindOf(e.Request), on: s, open: true, attempts: 1,
 		class: class, most: b.set.Limits.Attempts}
+	if e.Now > 0 && finite(e.Now) {
+		r.load = e.Now
+	}
 	b.reqs[e.ID] = r
 	b.bind(r, s)
+	if e.Was != nil {
+		b.stood(s, r.load)
+	}
 	if b.keeps && r.bind != 0 {
 		b.question(itStands, s, r, r.load)
 	}
--- a/choice/step.go
+++ b/choice/step.go
@@ -26,6 +26,10 @@
 			b.arrive(e)
 		case OpenConnection:
 			b.adopt(e)
+		case HandedOver:
+			b.handed(e.ID)
+		case Inherited:
+			b.inherit(e.Learned)
 		case Established:
 			if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Attempt == r.attempts-1 {
 				r.open, r.on.strikes = true, 0
@@ -50,6 +54,10 @@
 			b.heard(e)
 		}
 	}
+	if b.joined {
+		b.joined = false
+		b.price()
+	}
 	return b.out
 }
 
--- a/internal/capture/record.go
+++ b/internal/capture/record.go
@@ -54,6 +54,7 @@
 	ByClient Cause = iota
 	ByHost         // the host ended or lost it
 	Moved          // the node asked the client to come again
+	Carried        // it goes on in another process of the node, whose capture doesn't have it
 )
 
 // All offsets and durations in records are microseconds; offsets count from Header.Start.
--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -85,10 +85,16 @@
 	a.host.held--
 	r.observeEnd(Carried)
 	r.client.(Carrier).Release()
-	r.core.tell(choice.ClientGone{ID: r.ID})
+	r.core.tell(choice.HandedOver{ID: r.ID})
 	r.settle()
 }
 
+// Learned is what the module has found out so far, for another process.
+func (c *Core) Learned() choice.Learned { return c.balancer.Learned() }
+
+// Inherit tells the module what that of another process has found out.
+func (c *Core) Inherit(l choice.Learned) { c.tell(choice.Inherited{Learned: l}) }
+
 // Adopt takes over an open connection of another process, of which Check has found no fault. It counts as none that this
 // one has served.
 func (c *Core) Adopt(s Standing, client Client) (*Request, *Attempt) {
@@ -119,10 +125,7 @@
 		return r, a
 	}
 	c.requests[s.ID] = r
-	c.tell(choice.OpenConnection{Request: r.event(), Server: s.Host.ID, Was: &r.class})
-	if s.Now != s.Usual && s.Now > 0 {
-		c.tell(choice.LoadNote{ID: r.ID, Load: s.Now})
-	}
+	c.tell(choice.OpenConnection{Request: r.event(), Server: s.Host.ID, Was: &r.class, Now: s.Now})
 	r.leaveWith(a.host, now)
 	return r, a
 }
--- a/internal/handover/carry.go
+++ b/internal/handover/carry.go
@@ -19,6 +19,7 @@
 	carryForm       = 1 // of a batch and what is in it; another form isn't taken
 	MostConnections = 64
 	mostBatch       = 1 << 20 // bytes that a taker reads
+	mostLearned     = 256 << 10
 	heldTime        = time.Second
 )
 
@@ -40,6 +41,8 @@
 	Free func() int
 	// Hold checks a batch whole. With an error the descriptors stay the caller's to close.
 	Hold func([]Parcel) (Held, error)
+	// Learned takes what the other process has found out, when it leaves.
+	Learned func([]byte)
 }
 
 // batches is a link's part in carrying.
@@ -51,9 +54,10 @@
 	back bool             // it is called back
 	stop func()
 	// The taker's.
-	rights []int // came, and belong to the batch that is being read
-	body   int   // bytes of it
-	held   *Held
+	rights  []int // came, and belong to the batch that is being read
+	body    int   // bytes behind a line that are due
+	learned bool  // they are what the other process has found out
+	held    *Held
 }
 
 // packed is a parcel as it's written.
@@ -124,6 +128,13 @@
 	return true, min(k.free, loop.MostRights)
 }
 
+// Tell tells the process that takes connections what this one has found out.
+func (p *Place) Tell(learned []byte) {
+	if k := p.taking(); k != nil && len(learned) > 0 && len(learned) <= mostLearned {
+		k.conn.Write(append(line{Kind: "learned", Size: len(learned)}.bytes(), learned...))
+	}
+}
+
 // Give sends a batch. done is called once: taken, and then the caller closes its copies and the batch is the other
 // process's; or not, and then it is the caller's as before.
 func (p *Place) Give(parcels []Parcel, done func(taken bool)) {
@@ -206,6 +217,8 @@
 	switch {
 	case m.Kind == "batch" && m.Size > 0 && m.Size <= mostBatch && k.held == nil:
 		k.body = m.Size
+	case m.Kind == "learned" && m.Size > 0 && m.Size <= mostLearned:
+		k.body, k.learned = m.Size, true
 	case m.Kind == "given" && k.held != nil:
 		k.settleBatch()
 		k.tellRoom("free")
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -41,6 +41,7 @@
 	Discovery string         // whose List is
 	List      cluster.List
 	Room      int // descriptors that the taker may hold
+	Learned   []byte
 	fd        int
 	rest      []byte
 	carry     int // form of the connections that the running process gives; 0: it gives none
@@ -56,7 +57,8 @@
 	List      *cluster.List `json:"list,omitempty"`
 	Room      int           `json:"room,omitempty"`
 	Carry     int           `json:"carry,omitempty"` // form of connections that can be given or taken
-	Size      int           `json:"size,omitempty"`  // bytes of a batch behind the line
+	Learned   []byte        `json:"learned,omitempty"`
+	Size      int           `json:"size,omitempty"` // bytes behind the line
 }
 
 func (m line) bytes() []byte {
@@ -167,7 +169,7 @@
 	case m.Room < 0:
 		return nil, errors.New("less than no room is lent")
 	}
-	l := &Lent{Sockets: map[string]int{}, Datagrams: -1, Discovery: m.Discovery, Room: m.Room, carry: m.Carry}
+	l := &Lent{Sockets: map[string]int{}, Datagrams: -1, Discovery: m.Discovery, Room: m.Room, Learned: m.Learned, carry: m.Carry}
 	if m.List != nil {
 		if _, err := m.List.Hosts(); err != nil {
 			return nil, fmt.Errorf("the list that is lent: %w", err)
@@ -338,7 +340,12 @@
 			}
 			body := k.in[:k.body]
 			k.in, k.body = k.in[k.body:], 0
-			k.hold(body)
+			if k.learned {
+				k.learned = false
+				k.place.o.Learned(body)
+			} else {
+				k.hold(body)
+			}
 			continue
 		}
 		first, rest, whole := bytes.Cut(k.in, []byte("\n"))
@@ -387,6 +394,9 @@
 	m := line{Kind: "lent", Version: version, Discovery: what.Discovery, List: &what.List, Room: what.Room}
 	if k.carries {
 		m.Carry = carryForm
+		if len(what.Learned) <= mostLearned {
+			m.Learned = what.Learned
+		}
 	}
 	var rights []int
 	for name, fd := range what.Sockets {
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -96,7 +96,10 @@
 func (b *beside) open(path string) {
 	if path != "" {
 		b.place = handover.Open(handover.Options{Loop: b.program.loop, Path: path, Lend: b.lend, Changed: b.changed,
-			Carrying: handover.Carrying{Free: b.free, Hold: b.hold}}, b.lent)
+			Carrying: handover.Carrying{Free: b.free, Hold: b.hold, Learned: b.inherit}}, b.lent)
+	}
+	if b.lent != nil && len(b.lent.Learned) > 0 {
+		b.inherit(b.lent.Learned)
 	}
 	if !b.until.IsZero() {
 		b.program.loop.At(b.until, func() {
@@ -124,6 +127,7 @@
 			what.Datagrams = n.others.socket.FD()
 		}
 	}
+	what.Learned = b.learned()
 	own := b.own()
 	what.Room = b.spare(own)
 	what.Room -= what.Room / lentPart
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"spurwinch/choice"
 	"spurwinch/internal/downstream"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/handover"
@@ -188,6 +189,7 @@
 // giveAll begins to give connections to the process that takes over, and ends this one once nothing is left here.
 func (b *beside) giveAll() {
 	b.carries = true
+	b.place.Tell(b.learned())
 	for _, core := range b.program.cores {
 		if n := b.program.platform; n == nil || core != n.core {
 			core.MoveRest()
@@ -205,3 +207,30 @@
 	}
 	look()
 }
+
+// learned is what the modules of this process have found out, by the names of their clusters.
+func (b *beside) learned() []byte {
+	all := map[string]choice.Learned{}
+	for name, core := range b.program.named {
+		all[name] = core.Learned()
+	}
+	told, err := cbor.Marshal(all)
+	if err != nil {
+		zap.L().Error("learned_not_told", zap.Error(err))
+	}
+	return told
+}
+
+// inherit hands the modules what those of another process have found out.
+func (b *beside) inherit(told []byte) {
+	var all map[string]choice.Learned
+	if err := cbor.Unmarshal(told, &all); err != nil {
+		zap.L().Warn("learned_not_read", zap.Error(err))
+		return
+	}
+	for name, l := range all {
+		if core := b.program.named[name]; core != nil {
+			core.Inherit(l)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 type Program struct {
 	loop     *loop.Loop
 	cores    []*edge.Core
+	named    map[string]*edge.Core             // by cluster; the platform's has no name
 	reloads  []func() (take func(), err error) // reads the files again; take has what they say take effect
 	leaves   []func()                          // when the planned stop begins
 	closers  []func()
@@ -41,7 +42,7 @@
 
 // newProgram is a node without fronts.
 func newProgram(l *loop.Loop) *Program {
-	p := &Program{loop: l, exit: operatorExit}
+	p := &Program{loop: l, exit: operatorExit, named: map[string]*edge.Core{}}
 	p.beside = beside{program: p, listeners: map[string]*loop.Listener{}}
 	return p
 }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -60,7 +60,7 @@
 			watch = cluster.New(l, c.Discovery, nil, core.List)
 			op.watch[c.Name] = watch
 		}
-		op.cores[c.Name] = core
+		op.cores[c.Name], p.named[c.Name] = core, core
 		all = append(all, core)
 		l.After(core.Flush)
 		core.Start(c.StaticHosts(op.first(c.Name, time.Time{})))
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -109,6 +109,7 @@
 	if len(hostsKnown) > 0 {
 		front.Ready()
 	}
+	p.named[""] = core
 	p.platform = &platform{core: core, front: front, watch: watch, others: others, hosts: hosts, conf: n, parts: 1}
 	p.beside.limits(n)
 	return p.platform, at, nil
