Carrying: events left over are not served, a leaving process needs less room, captures know it

A node without spare descriptors gave nothing: both sides reserved 48, now 16 where it leaves and 32 where it takes over. A carried connection's life is open-ended in captures.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -695,7 +695,8 @@
 		r.count().Served++
 		r.observe(Served)
 	}
-	if r.At == "" || r.open {
+	// What the module knows under this id may be another request, of one that came from another process with it.
+	if (r.At == "" || r.open) && r.core.requests[r.ID] == r {
 		r.core.tell(choice.AttemptEnded{ID: r.ID, Attempt: a.Number, Server: a.host.ID, Outcome: o,
 			Took: r.core.o.Clock.Now().Sub(a.started), Final: final, Report: report})
 	}
--- a/internal/load/capture.go
+++ b/internal/load/capture.go
@@ -111,7 +111,7 @@
 				k := key{h.Node, h.Start, r.Seq}
 				if i, ok := open[k]; ok {
 					q := &c.Placed[i]
-					q.Life, q.Ended, q.Cause, q.Told = capture.Duration(r.Life), true, r.Cause, r.Load
+					q.Life, q.Ended, q.Cause, q.Told = capture.Duration(r.Life), r.Cause != capture.Carried, r.Cause, r.Load
 					delete(open, k)
 				}
 			case capture.Report:
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -133,7 +133,11 @@
 
 // later reports a break found while writing, once the present callback has returned.
 func (c *Conn) later(err error) {
-	c.l.At(c.l.Now(), func() { c.broke(err) })
+	c.l.At(c.l.Now(), func() {
+		if !c.away { // lent meanwhile: it shows again to whoever has it
+			c.broke(err)
+		}
+	})
 }
 
 // Pause stops reading; Resume goes on.
@@ -312,6 +316,9 @@
 }
 
 func (c *Conn) ready(events uint32) {
+	if c.away { // an event that was due already; what it tells of is another process's to read
+		return
+	}
 	if !c.connected {
 		c.dialled()
 		return
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -20,6 +20,8 @@
 	lentPart   = 4                      // a starting process gets the free descriptors but for this part of them
 	sharesTick = 100 * time.Millisecond // between looks at what an emptying process can lend further
 	alongside  = 10 * time.Second       // that a process which can't be asked is taken to be still there
+	leftSpare  = 16                     // descriptors beside clients and hosts that a leaving process needs: the loop's, listeners, the log
+	carrySpare = 32                     // and one that takes connections over: its probes, and room for new clients
 )
 
 // beside is this process's part in the node that it makes up with one started before or after it: what was lent, and
@@ -139,6 +141,9 @@
 func (b *beside) spare(own int) int {
 	l := b.program.loop
 	unused := own - spareSockets - l.Open()
+	if b.leaving {
+		unused = own - leftSpare - l.Open()
+	}
 	return max(unused, min(own/2, unused+l.Idle()), 0)
 }
 
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -131,7 +131,7 @@
 	if b.leaving || b.program.platform == nil {
 		return 0
 	}
-	return b.own() - spareSockets - b.program.loop.Open()
+	return b.own() - carrySpare - b.program.loop.Open()
 }
 
 // hold checks connections of another process, and takes them when it's told that they are this one's.
