Move the operators' and the platform's packages to where the layout has them

internal/operate holds admin, stats, logs, handover and capture, internal/platform downstream, upstream, cluster and line.

--- a/cmd/spurwinch/main.go
+++ b/cmd/spurwinch/main.go
@@ -11,10 +11,10 @@
 	"os/signal"
 	"syscall"
 
-	"spurwinch/internal/logs"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/nginx"
 	"spurwinch/internal/node"
+	"spurwinch/internal/operate/logs"
 )
 
 const usage = "usage: spurwinch [-operator FILE] [-log console|json] [-log-level LEVEL] | spurwinch import-nginx FILE"
--- a/cmd/spurwinchctl/check.go
+++ b/cmd/spurwinchctl/check.go
@@ -9,9 +9,9 @@
 
 	"github.com/spf13/cobra"
 
-	"spurwinch/internal/capture"
 	"spurwinch/internal/config"
 	"spurwinch/internal/fleet"
+	"spurwinch/internal/operate/capture"
 	"spurwinch/internal/tomlfile"
 )
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,7 +15,7 @@
 	"strings"
 
 	"spurwinch/choice"
-	"spurwinch/internal/cluster"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/wire"
 )
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"spurwinch/choice"
-	"spurwinch/internal/stats"
+	"spurwinch/internal/operate/stats"
 
 	"go.uber.org/zap"
 )
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"spurwinch/choice"
-	"spurwinch/internal/stats"
+	"spurwinch/internal/operate/stats"
 )
 
 // world is a clock without waiting, a set of hosts with moods, and the clients of one core.
--- a/internal/load/capture.go
+++ b/internal/load/capture.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"spurwinch/internal/capture"
 	"spurwinch/internal/fleet"
+	"spurwinch/internal/operate/capture"
 )
 
 // Captured is what files of a fleet's nodes hold, put in one order of time.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"spurwinch/deploy"
-	"spurwinch/internal/capture"
 	"spurwinch/internal/fleet"
+	"spurwinch/internal/operate/capture"
 )
 
 func evening(t testing.TB) *fleet.Fleet {
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"spurwinch/internal/capture"
+	"spurwinch/internal/operate/capture"
 )
 
 // Summary is what a capture tells at a glance.
--- a/internal/load/write.go
+++ b/internal/load/write.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"spurwinch/internal/capture"
 	"spurwinch/internal/fleet"
+	"spurwinch/internal/operate/capture"
 )
 
 // Write writes the load as captures, as if a node in each centre had served its clients, and returns the files' names. What
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -9,10 +9,10 @@
 
 	"go.uber.org/zap"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
-	"spurwinch/internal/handover"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/operate/handover"
+	"spurwinch/internal/platform/cluster"
 )
 
 const (
--- a/internal/node/beside_test.go
+++ b/internal/node/beside_test.go
@@ -7,12 +7,12 @@
 	"strings"
 	"testing"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/exchange"
-	"spurwinch/internal/handover"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/operate/handover"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/wire"
 )
 
--- a/internal/node/capture.go
+++ b/internal/node/capture.go
@@ -7,9 +7,9 @@
 	"go.uber.org/zap"
 
 	"spurwinch/choice"
-	"spurwinch/internal/capture"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
+	"spurwinch/internal/operate/capture"
 )
 
 const closeTime = 2 * time.Second // for the rest of a capture, at the program's end
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -9,10 +9,10 @@
 	"go.uber.org/zap"
 
 	"spurwinch/choice"
-	"spurwinch/internal/downstream"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/handover"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/operate/handover"
+	"spurwinch/internal/platform/downstream"
 )
 
 const (
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/exchange"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/wire"
 )
 
--- a/internal/node/exchange_test.go
+++ b/internal/node/exchange_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/wire"
 )
 
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/wire"
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,12 +10,12 @@
 
 	"go.uber.org/zap"
 
-	"spurwinch/internal/admin"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/handover"
 	"spurwinch/internal/loop"
-	"spurwinch/internal/stats"
+	"spurwinch/internal/operate/admin"
+	"spurwinch/internal/operate/handover"
+	"spurwinch/internal/operate/stats"
 )
 
 const (
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"spurwinch/choice"
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/xmpp"
 
 	"go.uber.org/zap"
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -6,11 +6,11 @@
 	"go.uber.org/zap"
 
 	"spurwinch/choice"
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
-	"spurwinch/internal/downstream"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/upstream"
+	"spurwinch/internal/platform/cluster"
+	"spurwinch/internal/platform/downstream"
+	"spurwinch/internal/platform/upstream"
 )
 
 const (
--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/config"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/wire"
 )
 
--- a/internal/handover/handover.go
+++ b/internal/operate/handover/handover.go
@@ -17,8 +17,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/cluster"
 
 	"go.uber.org/zap"
 )
--- a/internal/handover/handover_test.go
+++ b/internal/operate/handover/handover_test.go
@@ -10,9 +10,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"spurwinch/internal/cluster"
 	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/cluster"
 )
 
 const list = `{"version":7,"full":true,"servers":[{"id":"s","addr":"127.0.0.1:1","state":"DRAINING"}]}`
--- a/internal/downstream/carry.go
+++ b/internal/platform/downstream/carry.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"spurwinch/internal/edge"
-	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
-	"spurwinch/internal/upstream"
+	"spurwinch/internal/platform/line"
+	"spurwinch/internal/platform/upstream"
 )
 
 // Standing is what the front knows of a client's connection beside its sockets, as one process of a node tells it to
--- a/internal/downstream/downstream.go
+++ b/internal/platform/downstream/downstream.go
@@ -12,9 +12,9 @@
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
-	"spurwinch/internal/upstream"
+	"spurwinch/internal/platform/line"
+	"spurwinch/internal/platform/upstream"
 
 	"go.uber.org/zap"
 )
--- a/internal/upstream/carry.go
+++ b/internal/platform/upstream/carry.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"spurwinch/internal/edge"
-	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/line"
 )
 
 // Standing is what a request of an open connection knows beside its socket, as one process of a node tells it to another.
--- a/internal/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -10,8 +10,8 @@
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/line"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/line"
 
 	"go.uber.org/zap"
 )
