--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"spurwinch/choice"
-	"spurwinch/internal/operate/stats"
 
 	"go.uber.org/zap"
 )
@@ -144,7 +143,7 @@
 	// Observer hears of all that passes through; nil: nobody does.
 	Observer Observer
 	// Figures are the process's, counted here for all fronts; nil: nobody asks for them.
-	Figures *stats.Figures
+	Figures Figures
 }
 
 const (
@@ -168,7 +167,7 @@
 	moving   bool      // of a handover: they are told to move
 	minAim   time.Duration
 	seq      uint64
-	counts   []*stats.Class // by class
+	counts   []*Counts // by class
 }
 
 type host struct {
@@ -189,7 +188,7 @@
 	}
 	c.balancer = b
 	if c.o.Figures == nil {
-		c.o.Figures = &stats.Figures{}
+		c.o.Figures = uncounted{}
 	}
 	c.adapt()
 	return c, nil
@@ -428,7 +427,7 @@
 }
 
 // count is the counter of the request's class.
-func (r *Request) count() *stats.Class { return r.core.counts[r.Class] }
+func (r *Request) count() *Counts { return r.core.counts[r.Class] }
 
 // Refuse refuses a request that the node has no room to take: the client hears of it like Open's.
 func (c *Core) Refuse(s Spec, client Client, after time.Duration) {
@@ -439,8 +438,8 @@
 }
 
 // Gauges tells what the core holds now.
-func (c *Core) Gauges() stats.Gauges {
-	g := stats.Gauges{InFlight: len(c.requests), HostsExcluded: c.balancer.Avoided(c.clock(c.o.Clock.Now()))}
+func (c *Core) Gauges() Gauges {
+	g := Gauges{InFlight: len(c.requests), HostsExcluded: c.balancer.Avoided(c.clock(c.o.Clock.Now()))}
 	for _, h := range c.hosts {
 		if h.State != choice.Gone {
 			g.HostsKnown++
@@ -623,7 +622,7 @@
 func (a *Attempt) Written() {
 	if !a.written {
 		a.written = true
-		a.request.core.o.Figures.Attempts++
+		a.request.core.o.Figures.Attempt()
 	}
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"spurwinch/choice"
-	"spurwinch/internal/operate/stats"
 )
 
 // world is a clock without waiting, a set of hosts with moods, and the clients of one core.
@@ -18,8 +17,8 @@
 	now    time.Time
 	timers queue
 	core   *Core
-	want   [2]stats.Class // what clients saw, by class
-	wrote  uint64         // attempts
+	want   [2]Counts // what clients saw, by class
+	wrote  uint64    // attempts
 	state  map[choice.ServerID]choice.ServerState
 	since  map[choice.ServerID]time.Time // of the state
 }
@@ -196,6 +195,21 @@
 
 // TestRules plays random days against the core and the module: one final answer for each request, in time; four
 // attempts at most and never two at once; nothing new to a draining host after its grace; nothing held at the end. The
+// counted are a process's figures.
+type counted struct {
+	classes map[string]*Counts
+	uncounted
+	Attempts uint64
+}
+
+func (f *counted) Attempt() { f.Attempts++ }
+func (f *counted) Class(name string) *Counts {
+	if f.classes[name] == nil {
+		f.classes[name] = &Counts{}
+	}
+	return f.classes[name]
+}
+
 // figures are what the clients saw.
 func TestRules(t *testing.T) {
 	for seed := range uint64(40) {
@@ -211,8 +225,8 @@
 			s.Reports, s.Fields = choice.ProbeReports, []choice.Field{choice.Load}
 		}
 		var err error
-		var figures stats.Figures
-		if w.core, err = New(Options{Clock: w, Figures: &figures, Settings: s, Seed: seed, Prober: w, Leave: time.Duration(seed%3) * time.Second}); err != nil {
+		figures := &counted{classes: map[string]*Counts{}}
+		if w.core, err = New(Options{Clock: w, Figures: figures, Settings: s, Seed: seed, Prober: w, Leave: time.Duration(seed%3) * time.Second}); err != nil {
 			t.Fatal(err)
 		}
 		var hosts []UpstreamHost
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 
 // telemetry writes the figures behind buf.
 func (p *Program) telemetry(buf []byte) []byte {
-	var g stats.Gauges
+	var g edge.Gauges
 	for _, core := range p.cores {
 		g.Add(core.Gauges())
 	}
--- a/internal/operate/stats/stats.go
+++ b/internal/operate/stats/stats.go
@@ -5,10 +5,9 @@
 	"slices"
 	"strconv"
 	"strings"
-)
 
-// Class counts the final answers of one class's requests.
-type Class struct{ Served, Refused, Failed uint64 }
+	"spurwinch/internal/edge"
+)
 
 // Figures are the counts of one process, from its start on.
 type Figures struct {
@@ -20,26 +19,21 @@
 
 type named struct {
 	name string // as it stands in the text
-	*Class
+	*edge.Counts
 }
 
-// Gauges are what a node holds now.
-type Gauges struct{ InFlight, HostsKnown, HostsExcluded int }
-
-// Add sums the gauges of several cores.
-func (g *Gauges) Add(o Gauges) {
-	g.InFlight, g.HostsKnown, g.HostsExcluded = g.InFlight+o.InFlight, g.HostsKnown+o.HostsKnown, g.HostsExcluded+o.HostsExcluded
-}
+// Attempt counts an attempt whose line is whole with the kernel.
+func (f *Figures) Attempt() { f.Attempts++ }
 
 // Class is the counter of a class, the same one for a name as long as the process runs: a class that vanishes from the
 // settings and comes back goes on where it was.
-func (f *Figures) Class(name string) *Class {
+func (f *Figures) Class(name string) *edge.Counts {
 	name = clean(name)
 	i, ok := slices.BinarySearchFunc(f.classes, name, func(c named, name string) int { return strings.Compare(c.name, name) })
 	if !ok {
-		f.classes = slices.Insert(f.classes, i, named{name, &Class{}})
+		f.classes = slices.Insert(f.classes, i, named{name, &edge.Counts{}})
 	}
-	return f.classes[i].Class
+	return f.classes[i].Counts
 }
 
 // clean guards the text's form against names that hold its marks.
@@ -53,7 +47,7 @@
 }
 
 // Append writes all figures behind buf, one a line.
-func (f *Figures) Append(buf []byte, g Gauges) []byte {
+func (f *Figures) Append(buf []byte, g edge.Gauges) []byte {
 	line := func(value uint64, kind string, name ...string) {
 		buf = append(buf, "gw"...)
 		for _, n := range name {
