--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -42,9 +42,9 @@
 	Release()
 }
 
-// Carriable are the open connections that may go now, in the order of their ids.
+// Carriable are the open connections that may go now, in no order.
 func (c *Core) Carriable() (all []*Request) {
-	for _, r := range c.ordered() {
+	for _, r := range c.requests {
 		if _, ok := r.client.(Carrier); ok && r.open && !r.over && !r.lent {
 			all = append(all, r)
 		}
@@ -52,22 +52,30 @@
 	return all
 }
 
-// Lend takes an open connection off the loop. Until it returns or is released nothing happens on it.
-func (r *Request) Lend() (s Standing, fds []int, front any, ok bool) {
+// Lend takes an open connection off the loop and tells its sockets and what its front knows. Until it returns or is
+// released nothing happens on it.
+func (r *Request) Lend() (fds []int, front any, ok bool) {
 	if !r.open || r.over || r.lent {
-		return s, nil, nil, false
+		return nil, nil, false
 	}
-	if fds, front, ok = r.client.(Carrier).Lend(); !ok {
-		return s, nil, nil, false
+	if fds, front, ok = r.client.(Carrier).Lend(); ok {
+		r.lent = true
+	}
+	return fds, front, ok
+}
+
+// Standing is what the core knows of an open connection.
+func (r *Request) Standing() (s Standing, ok bool) {
+	if !r.open || r.over {
+		return s, false
 	}
-	r.lent = true
 	set := &r.core.o.Settings
 	s = Standing{ID: r.ID, Class: r.class, Key: r.Key, Group: r.Group, Usual: r.Load, Now: r.load, Returned: r.Returned,
 		Host: r.attempt.host.Server, Addr: r.attempt.host.Addr}
 	if r.Tenant >= 0 && r.Tenant < len(set.Tenants) {
 		s.Tenant = set.Tenants[r.Tenant].Name
 	}
-	return s, fds, front, true
+	return s, true
 }
 
 // Return has a lent connection go on here.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -60,7 +60,7 @@
 }
 
 // Listen opens a listener on a free loopback port and returns its address.
-func (p *Player) Listen(t *testing.T, name string) string {
+func (p *Player) Listen(t testing.TB, name string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -83,7 +83,7 @@
 }
 
 // Play plays the exchange in text.
-func (p *Player) Play(t *testing.T, text string) {
+func (p *Player) Play(t testing.TB, text string) {
 	p.conns = map[string]*net.TCPConn{}
 	defer func() {
 		for _, c := range p.conns {
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -39,6 +39,8 @@
 	carries   bool // connections go to the other process
 	told      bool // what could not go that way goes the other
 	gave, got int  // connections given and taken
+	queue     []portable
+	gone      bool // all were given, and this process ends
 }
 
 // ask asks a process that runs already for what it lends, where there is one.
@@ -246,6 +248,6 @@
 	b.share()
 	if b.carries {
 		l := b.program.loop
-		l.At(l.Now(), b.carry)
+		l.At(l.Now(), b.give)
 	}
 }
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -12,7 +11,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/operate/handover"
-	"spurwinch/internal/platform/downstream"
+	"spurwinch/internal/xmpp"
 )
 
 const (
@@ -23,35 +22,57 @@
 
 // carried is one connection as it's told to another process.
 type carried struct {
-	Open  *edge.Standing      `cbor:"1,keyasint,omitempty"` // nil: it has not said yet what it wants
-	Front downstream.Standing `cbor:"2,keyasint"`
+	Front   string          `cbor:"1,keyasint"`
+	Cluster string          `cbor:"2,keyasint,omitempty"`
+	Open    *edge.Standing  `cbor:"3,keyasint,omitempty"` // nil: it has not said yet what it wants
+	State   cbor.RawMessage `cbor:"4,keyasint"`           // what its front knows
 }
 
+// carrier is a front's part in taking connections over.
+type carrier interface {
+	Hold(core *edge.Core, open *edge.Standing, read func(into any) error, fds []int) (restore func(), err error)
+}
+
+const (
+	platformFront = "platform"
+	xmppFront     = "xmpp"
+)
+
 // bearer is a connection that can go: Lend takes it off the loop, then it returns or is released.
 type bearer interface {
-	lend() (c carried, fds []int, ok bool)
+	Lend() (fds []int, state any, ok bool)
 	Return()
 	Release()
 }
 
-type standing struct{ *edge.Request }
-
-func (s standing) lend() (c carried, fds []int, ok bool) {
-	from, fds, front, ok := s.Lend()
-	if ok {
-		c.Open, c.Front = &from, front.(downstream.Standing)
+// lend takes a connection off the loop and tells what there is to know of it.
+func lend(k bearer, cluster string) (p handover.Parcel, ok bool) {
+	c := carried{Cluster: cluster}
+	var state any
+	if r, stands := k.(*edge.Request); stands {
+		c.Open = &edge.Standing{}
+		*c.Open, ok = r.Standing()
+		if !ok {
+			return p, false
+		}
 	}
-	return c, fds, ok
-}
-
-type idle struct{ downstream.Idle }
-
-func (i idle) lend() (c carried, fds []int, ok bool) {
-	fds, front, ok := i.Lend()
-	if ok {
-		c.Front = front.(downstream.Standing)
+	if p.FDs, state, ok = k.Lend(); !ok {
+		return p, false
 	}
-	return c, fds, ok
+	c.Front = platformFront
+	if _, is := state.(xmpp.Standing); is {
+		c.Front = xmppFront
+	}
+	var err error
+	if c.State, err = cbor.Marshal(state); err == nil {
+		p.Body, err = cbor.Marshal(c)
+	}
+	if err != nil {
+		zap.L().Error("connection_not_told", zap.Error(err))
+		k.Return()
+		return p, false
+	}
+	return p, true
 }
 
 // carry has what stands go to the other process, batch by batch, as long as there is any.
@@ -73,22 +94,19 @@
 	begin, size := l.Now(), 0
 	var batch []bearer
 	var parcels []handover.Parcel
-	for _, k := range b.portable() {
-		if len(batch) == handover.MostConnections || size > batchBytes || room < 2 || l.Now().Sub(begin) > batchTime {
-			break
+	for looked := false; len(batch) < handover.MostConnections && size <= batchBytes && room >= 2 && l.Now().Sub(begin) <= batchTime; {
+		if len(b.queue) == 0 && !looked {
+			b.queue, looked = b.portable(), true
 		}
-		c, fds, ok := k.lend()
-		if !ok {
-			continue
+		if len(b.queue) == 0 {
+			break
 		}
-		body, err := cbor.Marshal(c)
-		if err != nil {
-			zap.L().Error("connection_not_told", zap.Error(err))
-			k.Return()
-			continue
+		k := b.queue[0]
+		b.queue = b.queue[1:]
+		if p, ok := lend(k.bearer, k.cluster); ok {
+			size, room = size+len(p.Body), room-len(p.FDs)
+			batch, parcels = append(batch, k.bearer), append(parcels, p)
 		}
-		size, room = size+len(body), room-len(fds)
-		batch, parcels = append(batch, k), append(parcels, handover.Parcel{FDs: fds, Body: body})
 	}
 	if len(batch) == 0 {
 		return
@@ -107,28 +125,40 @@
 		} else {
 			b.carries = false
 		}
-		l.At(l.Now(), b.carry)
+		l.At(l.Now(), b.give)
 	})
 }
 
+// portable is a connection with the cluster that it's in.
+type portable struct {
+	bearer
+	cluster string
+}
+
 // portable are the connections that can go now.
-func (b *beside) portable() (all []bearer) {
-	n := b.program.platform
-	if n == nil {
-		return nil
+func (b *beside) portable() (all []portable) {
+	p := b.program
+	for name, core := range p.named {
+		for _, r := range core.Carriable() {
+			all = append(all, portable{r, name})
+		}
 	}
-	for _, r := range n.core.Carriable() {
-		all = append(all, standing{r})
+	if n := p.platform; n != nil {
+		for _, i := range n.front.Idle() {
+			all = append(all, portable{bearer: i})
+		}
 	}
-	for _, i := range n.front.Idle() {
-		all = append(all, idle{i})
+	if p.xmpp != nil {
+		for _, i := range p.xmpp.Idle() {
+			all = append(all, portable{bearer: i})
+		}
 	}
 	return all
 }
 
 // free is the number of descriptors of connections that this process has room for.
 func (b *beside) free() int {
-	if b.leaving || b.program.platform == nil {
+	if b.leaving {
 		return 0
 	}
 	return b.own() - carrySpare - b.program.loop.Open()
@@ -136,37 +166,25 @@
 
 // hold checks connections of another process, and takes them when it's told that they are this one's.
 func (b *beside) hold(parcels []handover.Parcel) (handover.Held, error) {
-	n := b.program.platform
-	if n == nil {
-		return handover.Held{}, errors.New("no front takes it here")
-	}
-	all := make([]carried, len(parcels))
+	var all []func()
 	for i, p := range parcels {
-		c := &all[i]
-		err := handover.Decode(p.Body, c)
+		var c carried
+		err := handover.Decode(p.Body, &c)
+		var restore func()
 		if err == nil {
-			err = c.Front.Check(len(p.FDs))
-		}
-		if err == nil && c.Open != nil {
-			err = c.Open.Check()
-		}
-		if err == nil && (c.Open != nil) != (c.Front.Host != nil) {
-			err = errors.New("half a connection")
+			restore, err = b.restores(c, p.FDs)
 		}
 		if err != nil {
 			return handover.Held{}, fmt.Errorf("connection %d: %w", i, err)
 		}
+		all = append(all, restore)
 	}
 	return handover.Held{
 		Take: func() {
-			for i, p := range parcels {
-				if c := all[i]; c.Open != nil {
-					n.front.Restore(*c.Open, c.Front, p.FDs)
-				} else {
-					n.front.RestoreIdle(c.Front, p.FDs[0])
-				}
+			for _, restore := range all {
+				restore()
 			}
-			b.got += len(parcels)
+			b.got += len(all)
 		},
 		Drop: func() {
 			for _, p := range parcels {
@@ -176,6 +194,30 @@
 	}, nil
 }
 
+// restores checks one connection; the function that it returns has it go on here.
+func (b *beside) restores(c carried, fds []int) (func(), error) {
+	p := b.program
+	var front carrier
+	switch {
+	case c.Front == platformFront && p.platform != nil:
+		front = p.platform.front
+	case c.Front == xmppFront && p.xmpp != nil:
+		front = p.xmpp
+	default:
+		return nil, fmt.Errorf("no front %q here", c.Front)
+	}
+	core := p.named[c.Cluster]
+	if c.Open != nil {
+		if err := c.Open.Check(); err != nil {
+			return nil, err
+		}
+		if core == nil {
+			return nil, fmt.Errorf("no cluster %q here", c.Cluster)
+		}
+	}
+	return front.Hold(core, c.Open, func(into any) error { return handover.Decode(c.State, into) }, fds)
+}
+
 // nothingLeft reports whether this process holds nobody any more, not even one that has its answer on the way.
 func (b *beside) nothingLeft() bool {
 	for _, core := range b.program.cores {
@@ -190,22 +232,22 @@
 func (b *beside) giveAll() {
 	b.carries = true
 	b.place.Tell(b.learned())
-	for _, core := range b.program.cores {
-		if n := b.program.platform; n == nil || core != n.core {
-			core.MoveRest()
-		}
-	}
-	var look func()
-	look = func() {
-		p := b.program
-		if b.carry(); b.nothingLeft() {
-			zap.L().Info("connections_given", zap.Int("connections", b.gave))
-			p.loop.Stop()
-			return
-		}
-		p.loop.At(p.loop.Now().Add(carryTick), look)
+	b.look()
+}
+
+// look gives what stands meanwhile, now and then.
+func (b *beside) look() {
+	b.give()
+	l := b.program.loop
+	l.At(l.Now().Add(carryTick), b.look)
+}
+
+func (b *beside) give() {
+	if b.carry(); b.nothingLeft() && !b.gone {
+		b.gone = true
+		zap.L().Info("connections_given", zap.Int("connections", b.gave))
+		b.program.loop.Stop()
 	}
-	look()
 }
 
 // learned is what the modules of this process have found out, by the names of their clusters.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"spurwinch/internal/operate/admin"
 	"spurwinch/internal/operate/handover"
 	"spurwinch/internal/operate/stats"
+	"spurwinch/internal/xmpp"
 )
 
 const (
@@ -35,6 +36,7 @@
 	closers  []func()
 	exit     time.Duration
 	figures  stats.Figures
+	xmpp     *xmpp.Front
 	platform *platform // nil: there is only an operator's file
 	beside   beside
 	door     netip.AddrPort
--- a/internal/operate/handover/carry.go
+++ b/internal/operate/handover/carry.go
@@ -220,10 +220,10 @@
 	case m.Kind == "learned" && m.Size > 0 && m.Size <= mostLearned:
 		k.body, k.learned = m.Size, true
 	case m.Kind == "given" && k.held != nil:
-		k.settleBatch()
+		k.takes()
 		k.tellRoom("free")
 	case m.Kind == "back":
-		k.letGo()
+		k.drops()
 	default:
 		return false
 	}
@@ -262,25 +262,40 @@
 	}
 }
 
-// letGo closes what was not given: the other process has it.
+// letGo gives this end of the link up: what it holds and was not given is the other process's, or nobody's.
 func (k *link) letGo() {
-	loop.CloseAll(k.rights)
-	k.rights = nil
+	k.drops()
+	k.end(true) // of the giver: what it gives up without a word is the taker's at the link's end
+	k.unread()
+}
+
+// ended settles what the link's end leaves: a batch that is held is this process's, since its giver is gone or has closed
+// its copies; a batch that a taker did not live to take is the giver's again.
+func (k *link) ended() {
+	k.takes()
+	k.end(false)
+	k.unread()
+}
+
+// takes has the held batch be this process's.
+func (k *link) takes() {
 	if h := k.held; h != nil {
 		k.held = nil
-		h.Drop()
+		h.Take()
 	}
-	k.end(true) // of the giver: what it gives up without a word is the taker's at the link's end
 }
 
-// settleBatch takes what is held: it was given, or its giver is gone and nobody else has it. What a taker that is gone
-// had is the giver's again.
-func (k *link) settleBatch() {
-	loop.CloseAll(k.rights)
-	k.rights = nil
+// drops closes the held batch: the other process has it.
+func (k *link) drops() {
 	if h := k.held; h != nil {
 		k.held = nil
-		h.Take()
+		h.Drop()
 	}
-	k.end(false)
+}
+
+// unread closes descriptors of a batch that never came whole. They may come with the bytes of lines before it, so only
+// the link's end says that nothing follows.
+func (k *link) unread() {
+	loop.CloseAll(k.rights)
+	k.rights = nil
 }
--- a/internal/operate/handover/handover.go
+++ b/internal/operate/handover/handover.go
@@ -433,7 +433,7 @@
 	}
 	k.over = true
 	p := k.place
-	k.settleBatch()
+	k.ended()
 	if p.before == k {
 		p.before = nil
 	}
--- a/internal/platform/downstream/carry.go
+++ b/internal/platform/downstream/carry.go
@@ -22,8 +22,8 @@
 	Until  int64              `cbor:"6,keyasint,omitempty"` // Unix time in ns by which that line must be there
 }
 
-// Check says what is wrong with what another process told, of a connection with so many sockets.
-func (s Standing) Check(sockets int) error {
+// check says what is wrong with what another process told, of a connection with so many sockets.
+func (s Standing) check(sockets int) error {
 	want := 1
 	if s.Host != nil {
 		if err := s.Host.Check(); err != nil {
@@ -75,19 +75,35 @@
 	}
 }
 
-// Restore goes on with an open connection of another process, of which Check has found no fault.
-func (f *Front) Restore(from edge.Standing, s Standing, fds []int) {
-	k := &session{front: f, open: true, out: line.NewScanner(s.Behind)}
+// Hold checks a connection of another process whole; what it returns has it go on here. read reads what the other front told.
+func (f *Front) Hold(core *edge.Core, open *edge.Standing, read func(into any) error, fds []int) (restore func(), err error) {
+	var st Standing
+	if err := read(&st); err != nil {
+		return nil, err
+	}
+	switch err := st.check(len(fds)); {
+	case err != nil:
+		return nil, err
+	case (open != nil) != (st.Host != nil):
+		return nil, errors.New("half a connection")
+	case open == nil:
+		return func() { f.restoreIdle(st, fds[0]) }, nil
+	}
+	return func() { f.restore(core, *open, st, fds) }, nil
+}
+
+func (f *Front) restore(core *edge.Core, from edge.Standing, st Standing, fds []int) {
+	s := &session{front: f, open: true, out: line.NewScanner(st.Behind)}
 	var a *edge.Attempt
-	k.request, a = f.core.Adopt(from, k)
-	k.host = f.upstream.Restore(a, fds[1], *s.Host, k)
-	a.Goes(k.host)
-	k.conn = f.loop.Restore(fds[0], s.Conn, k)
-	if len(s.Conn.Out) == 0 { // no side waits for what is with the kernel already
-		k.host.Resume()
+	s.request, a = core.Adopt(from, s)
+	s.host = f.upstream.Restore(a, fds[1], *st.Host, s)
+	a.Goes(s.host)
+	s.conn = f.loop.Restore(fds[0], st.Conn, s)
+	if len(st.Conn.Out) == 0 { // no side waits for what is with the kernel already
+		s.host.Resume()
 	}
-	if len(s.Host.Conn.Out) == 0 {
-		k.conn.Resume()
+	if len(st.Host.Conn.Out) == 0 {
+		s.conn.Resume()
 	}
 }
 
@@ -127,10 +143,9 @@
 // Release lets go of a lent connection that another process has.
 func (i Idle) Release() { i.s.Release() }
 
-// RestoreIdle goes on with a connection that has not said yet what it wants, of which Check has found no fault.
-func (f *Front) RestoreIdle(s Standing, fd int) {
-	k := &session{front: f, in: line.NewReader(s.Line), pinged: s.Pinged}
-	k.conn = f.loop.Restore(fd, s.Conn, k)
-	k.conn.Wait()
-	k.due(time.Unix(0, s.Until))
+func (f *Front) restoreIdle(st Standing, fd int) {
+	s := &session{front: f, in: line.NewReader(st.Line), pinged: st.Pinged}
+	s.conn = f.loop.Restore(fd, st.Conn, s)
+	s.conn.Wait()
+	s.due(time.Unix(0, st.Until))
 }
