Carried connections: played exchanges for both fronts; idle ones aren't sent off, ids differ

Tests through changes of the process (testdata/carry): half lines and stanzas of both sides, idle connections, sides that end or reset on the way, a line that waits for its answer, classes that left, SIGHUP meanwhile, 400 connections with room for a few at a time, no room at all. Found by them: a process that had lent its room took itself for full and refused those that had said nothing yet (share); XMPP session ids of the new process repeated the old one's, since both read one seed, and got internal-server-error.

--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -29,7 +29,7 @@
 }
 
 // Share sets the number for a node that may share its descriptors with another process, as it is now. What Limit set
-// holds beside it.
+// holds beside it. 0: none goes.
 func (l *Loop) Share(idleAbove int) {
 	if l.most = idleAbove; l.own > 0 {
 		l.most = min(l.own, idleAbove)
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -193,10 +193,20 @@
 		}
 		debug.SetMemoryLimit(limit)
 	}
+	if b.leaving && (ready || linked && !p.ready()) {
+		b.closed = true
+		for _, k := range b.listeners {
+			k.Close()
+		}
+	}
 	if n := p.platform; n != nil {
 		most := max(b.own()-spareSockets, 0)
 		n.front.Share(most)
-		p.loop.Share(max(most-b.own()/8, 1))
+		if b.closed { // nobody comes here any more, and those that have said nothing yet go to the other process
+			p.loop.Share(0)
+		} else {
+			p.loop.Share(max(most-b.own()/8, 1))
+		}
 		parts := 1
 		if !alone {
 			parts = 2
@@ -207,12 +217,6 @@
 		// Whoever is to take the clients hears the other nodes, too.
 		n.others.hear(!ready && !(b.place != nil && b.place.Before() && !p.ready()))
 	}
-	if b.leaving && (ready || linked && !p.ready()) {
-		b.closed = true
-		for _, k := range b.listeners {
-			k.Close()
-		}
-	}
 }
 
 // leave begins the planned stop, and reports whether another process takes the clients over.
--- /dev/null
+++ b/internal/node/carry_test.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"spurwinch/internal/exchange"
+	"spurwinch/internal/loop"
+)
+
+// replaced is a node whose processes are all in this program, each on a loop of its own.
+type replaced struct {
+	t       testing.TB
+	env     map[string]string
+	file    string // the operator's
+	config  string
+	now     *process
+	next    *process
+	started int
+}
+
+// newReplaced sets a node up with both fronts, over one host of each.
+func newReplaced(t testing.TB, host string, sockets int) *replaced {
+	dir := t.TempDir()
+	r := &replaced{t: t, config: filepath.Join(dir, "config.json"), file: filepath.Join(dir, "operator.toml")}
+	r.env = map[string]string{"GW_CONFIG": r.config, "TMPDIR": dir, "GW_LISTEN": exchange.FreeAddr(t), "XMPP": exchange.FreeAddr(t)}
+	r.write(`{"name":"n1","listen":"-","discovery":"` + (&exchange.Player{}).Listen(t, "d") + `","seed":"1","limits":{"cores":1,"sockets":` + fmt.Sprint(sockets) +
+		`},"known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":"` + host + `","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}]},"settings":` +
+		strings.NewReplacer("REPORTS", "off", `"messageAimS":[0.06]`, `"messageAimS":[600]`).Replace(settings) + `}`)
+	text := "[limits]\nheader_time = \"20s\"\n[[listener]]\naddr = \"" + r.env["XMPP"] + "\"\nprotocol = \"xmpp\"\n[[class]]\nname = \"c\"\n" +
+		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n[[cluster.host]]\naddr = \"" + host + "\"\n"
+	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.now = r.start()
+	return r
+}
+
+func (r *replaced) write(text string) {
+	if err := os.WriteFile(r.config, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *replaced) start() *process {
+	l, err := loop.New()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	program, err := New(l, func(k string) string { return r.env[k] }, r.file)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	p := &process{Program: program, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		l.Run()
+		l.Close()
+	}()
+	r.t.Cleanup(func() {
+		p.loop.Post(p.loop.Stop)
+		<-p.done
+	})
+	exchange.Until(r.t, "the process is ready", func() (ready bool) {
+		p.on(func() { ready = p.ready() })
+		return ready
+	})
+	return p
+}
+
+// begin starts the next process and has the present one leave once after has returned; nothing happens there meanwhile.
+func (r *replaced) begin(after func()) {
+	r.next = r.start()
+	exchange.Until(r.t, "and the present one knows", func() (ready bool) {
+		r.now.on(func() { _, ready = r.now.beside.place.After() })
+		return ready
+	})
+	old := r.now
+	old.loop.Post(func() {
+		after()
+		old.Leave()
+	})
+}
+
+// end waits until the process that leaves has ended by itself.
+func (r *replaced) end() {
+	r.t.Helper()
+	select {
+	case <-r.now.done:
+	case <-time.After(20 * time.Second):
+		r.t.Fatal("the process that leaves does not end")
+	}
+	r.now = r.next
+}
+
+// TestCarried plays exchanges through changes of the process.
+func TestCarried(t *testing.T) {
+	each(t, "carry", func(t *testing.T, text string) {
+		p := &exchange.Player{Values: map[string]string{"ns": "xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'"}}
+		r := newReplaced(t, p.Listen(t, "h1"), 512)
+		p.Addr, p.Values["xmpp"] = r.env["GW_LISTEN"], r.env["XMPP"]
+		thaw := make(chan struct{})
+		p.Do = map[string]func(){
+			"wait":       func() { time.Sleep(1200 * time.Millisecond) },
+			"long":       func() { time.Sleep(3 * time.Second) },
+			"upgrade":    func() { r.begin(func() {}); r.end() },
+			"upgrade-on": func() { r.begin(func() {}) },
+			"upgraded":   func() { r.end() },
+			"freeze":     func() { r.begin(func() { <-thaw }) },
+			"thaw":       func() { close(thaw); r.end() },
+			"sigterm":    func() { r.now.loop.Post(r.now.Leave) },
+			"trade": func() {
+				raw, err := os.ReadFile(r.config)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.write(strings.Replace(string(raw), `"name":"chat"`, `"name":"trade"`, 1))
+			},
+			"hup": func() {
+				r.now.loop.Post(r.now.Reload)
+				r.next.loop.Post(r.next.Reload)
+			},
+		}
+		p.Play(t, text)
+	})
+}
+
+// TestCarriedInBatches has a node with little room to spare pass on many connections, more at a time as room comes, and
+// through a chain of processes.
+func TestCarriedInBatches(t *testing.T) {
+	const connections = 400
+	r := newReplaced(t, exchange.Host(t), 2*connections+spareSockets+256)
+	s := &exchange.Streams{Addr: r.env["GW_LISTEN"], At: "s-1"}
+	s.Run(t, connections, exchange.Steady)
+	for i := range 3 {
+		old := r.now
+		r.begin(func() {})
+		r.end()
+		if old.beside.gave != connections {
+			t.Errorf("process %d gave %d connections of %d", i, old.beside.gave, connections)
+		}
+		held := 0
+		r.now.on(func() { held = r.now.platform.core.Held() })
+		if held != connections {
+			t.Errorf("process %d holds %d", i+1, held)
+		}
+	}
+	pauses := s.Stop(t)
+	t.Logf("%d lines, the slowest after %v", len(pauses), pauses[len(pauses)-1])
+}
+
+// TestNoRoomForAll has the taker hold all but none of the descriptors: what can't go is told to move, and nobody is cut off.
+func TestNoRoomForAll(t *testing.T) {
+	r := newReplaced(t, exchange.Host(t), 120)
+	c := &exchange.Crowd{Addr: r.env["GW_LISTEN"]}
+	c.Run(20)
+	for range 3 {
+		r.begin(func() {})
+		r.end()
+	}
+	c.Stop()
+	c.Check(t, "a node without room")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,9 @@
 		p.reloads = append(p.reloads, p.rereads(front, getenv("GW_CONFIG")))
 	}
 	if len(o.Clusters) > 0 {
+		// A process started beside another one reads the same seed; the ids that it gives its sessions must differ from those
+		// that it takes over.
+		seed ^= uint64(time.Now().UnixNano())
 		more, op, err := serveOperator(l, operator, o, seed, p)
 		if err != nil {
 			return nil, err
