--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -54,6 +54,9 @@
 	c.finish(end, done)
 }
 
+// MovedAway counts the connections told to move since HandOver.
+func (c *Core) MovedAway() int { return c.moved }
+
 // MoveRest has the connections that stand go from now on, evenly over all the time there is, since each client finds its
 // node at once.
 func (c *Core) MoveRest() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -165,6 +165,7 @@
 	draining bool
 	leaveBy  time.Time // of a handover: when the last connections go
 	moving   bool      // of a handover: they are told to move
+	moved    int       // of a handover: connections that were
 	minAim   time.Duration
 	seq      uint64
 	counts   []*Counts // by class
@@ -585,6 +586,9 @@
 		return
 	}
 	r.over = true
+	if !r.core.leaveBy.IsZero() {
+		r.core.moved++
+	}
 	r.observeEnd(Moved)
 	r.client.Move()
 	r.attempt.Ended(choice.Cancelled, nil)
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -40,7 +40,10 @@
 	told      bool // what could not go that way goes the other
 	gave, got int  // connections given and taken
 	queue     []portable
-	gone      bool // all were given, and this process ends
+	gone      bool          // all were given, and this process ends
+	began     time.Time     // giving
+	took      time.Duration // to the last one given
+	size      int           // bytes of what was told of those given
 }
 
 // ask asks a process that runs already for what it lends, where there is one.
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -120,7 +120,7 @@
 			}
 		}
 		if taken {
-			b.gave += len(batch)
+			b.gave, b.size, b.took = b.gave+len(batch), b.size+size, l.Now().Sub(b.began)
 			b.lendMore()
 		} else {
 			b.carries = false
@@ -230,7 +230,7 @@
 
 // giveAll begins to give connections to the process that takes over, and ends this one once nothing is left here.
 func (b *beside) giveAll() {
-	b.carries = true
+	b.carries, b.began = true, b.program.loop.Now()
 	b.place.Tell(b.learned())
 	b.look()
 }
@@ -244,12 +244,24 @@
 
 func (b *beside) give() {
 	if b.carry(); b.nothingLeft() && !b.gone {
-		b.gone = true
-		zap.L().Info("connections_given", zap.Int("connections", b.gave))
 		b.program.loop.Stop()
+		b.report()
 	}
 }
 
+// report logs what became of the connections, once.
+func (b *beside) report() {
+	if b.gone {
+		return
+	}
+	b.gone = true
+	moved := 0
+	for _, core := range b.program.cores {
+		moved += core.MovedAway()
+	}
+	zap.L().Info("connections_handed_over", zap.Int("given", b.gave), zap.Int("moved", moved), zap.Int("bytes", b.size), zap.Duration("took", b.took))
+}
+
 // learned is what the modules of this process have found out, by the names of their clusters.
 func (b *beside) learned() []byte {
 	all := map[string]choice.Learned{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,7 +186,10 @@
 		zap.L().Info("leaving", zap.Stringer("core", core), zap.Bool("handed_over", over))
 		left := func() { zap.L().Info("left", zap.Stringer("core", core)) }
 		if over {
-			core.HandOver(left)
+			core.HandOver(func() {
+				left()
+				p.beside.report()
+			})
 		} else {
 			core.Drain(left)
 		}
