--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -35,6 +35,7 @@
 const (
 	Steady Kind = iota // one by one, each timed
 	Pieces             // byte by byte
+	Still              // none
 	Bulk               // as much as goes, to a client that reads in fits: all buffers on the way fill up
 )
 
@@ -72,9 +73,12 @@
 		s.wait.Add(1)
 		go func() {
 			defer s.wait.Done()
-			if kind == Steady {
+			switch kind {
+			case Still:
+				<-s.stop
+			case Steady:
 				s.steady(c, in, id)
-			} else {
+			default:
 				s.flow(c, in, id, kind)
 			}
 		}()
--- a/internal/node/beside.go
+++ b/internal/node/beside.go
@@ -43,6 +43,7 @@
 	gone      bool          // all were given, and this process ends
 	began     time.Time     // giving
 	took      time.Duration // to the last one given
+	away      time.Duration // that the loop was away for one batch, at the most
 	size      int           // bytes of what was told of those given
 }
 
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -20,6 +20,9 @@
 	batchBytes = 256 << 10             // of one batch, but for a single connection with more
 )
 
+// batchMost is the most connections of a batch.
+var batchMost = handover.MostConnections
+
 // carried is one connection as it's told to another process.
 type carried struct {
 	Front   string          `cbor:"1,keyasint"`
@@ -94,7 +97,7 @@
 	begin, size := l.Now(), 0
 	var batch []bearer
 	var parcels []handover.Parcel
-	for looked := false; len(batch) < handover.MostConnections && size <= batchBytes && room >= 2 && l.Now().Sub(begin) <= batchTime; {
+	for looked := false; len(batch) < batchMost && size <= batchBytes && room >= 2 && l.Now().Sub(begin) <= batchTime; {
 		if len(b.queue) == 0 && !looked {
 			b.queue, looked = b.portable(), true
 		}
@@ -111,6 +114,7 @@
 	if len(batch) == 0 {
 		return
 	}
+	defer func() { b.away = max(b.away, l.Now().Sub(begin)) }()
 	b.place.Give(parcels, func(taken bool) {
 		for _, k := range batch {
 			if taken {
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -8,8 +9,14 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"spurwinch/choice"
+	"spurwinch/internal/edge"
 	"spurwinch/internal/exchange"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/platform/downstream"
+	"spurwinch/internal/platform/upstream"
 )
 
 // replaced is a node whose processes are all in this program, each on a loop of its own.
@@ -165,3 +172,58 @@
 	c.Stop()
 	c.Check(t, "a node without room")
 }
+
+// BenchmarkCarry passes 400 connections on that say nothing, in batches of several sizes: bytes and time for one, and for how
+// long the loop is away at the most. go test -run - -bench Carry -benchtime 5x ./internal/node
+func BenchmarkCarry(b *testing.B) {
+	const connections = 400
+	for _, most := range []int{1, 8, 64} {
+		b.Run(fmt.Sprint(most), func(b *testing.B) {
+			defer func(was int) { batchMost = was }(batchMost)
+			batchMost = most
+			r := newReplaced(b, exchange.Host(b), 8*connections)
+			s := &exchange.Streams{Addr: r.env["GW_LISTEN"], At: "s-1"}
+			s.Run(b, connections, exchange.Still)
+			size, took, away := 0, time.Duration(0), time.Duration(0)
+			b.ResetTimer()
+			for range b.N {
+				old := r.now
+				r.begin(func() {})
+				r.end()
+				size, took, away = size+old.beside.size, took+old.beside.took, max(away, old.beside.away)
+			}
+			b.StopTimer()
+			s.Stop(b)
+			n := float64(b.N * connections)
+			b.ReportMetric(float64(size)/n, "B/conn")
+			b.ReportMetric(float64(took.Nanoseconds())/1000/n, "µs/conn")
+			b.ReportMetric(float64(away.Microseconds())/1000, "ms-away")
+		})
+	}
+}
+
+// BenchmarkTold writes and reads what is told of one connection.
+func BenchmarkTold(b *testing.B) {
+	c := carried{Front: platformFront, Open: &edge.Standing{ID: "9b1f03aa5c7e2d41", Tenant: "ferma-ro", Key: 1 << 60, Group: 1 << 61, Usual: 0.012, Now: 0.013,
+		Class: choice.Class{Name: "field-sync", SetupAim: 8e8, Deadline: 48e8, MessageAim: 15e7, Worth: 1}, Host: choice.Server{ID: "s-5be2a07c", Zone: "cluj-1", Kind: "std-2c", Size: 1}, Addr: "10.1.0.18:3000"}}
+	c.State, _ = cbor.Marshal(downstream.Standing{Host: &upstream.Standing{}})
+	for name, code := range map[string]struct {
+		write func(any) ([]byte, error)
+		read  func([]byte, any) error
+	}{"cbor": {cbor.Marshal, cbor.Unmarshal}, "json": {json.Marshal, json.Unmarshal}} {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for range b.N {
+				told, err := code.write(c)
+				if err == nil {
+					err = code.read(told, &carried{})
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(told)
+			}
+			b.ReportMetric(float64(size), "B")
+		})
+	}
+}
