XMPP: a session is resumed at the host where it lives; SASL2 and Bind 2 sessions stand

Cause: a resuming client was placed like a new one; a <bound/> inside a SASL2 success was no answer. A session that can be resumed is not closed at its host when the node sends its client away.

--- a/choice/api.go
+++ b/choice/api.go
@@ -187,6 +187,7 @@
 		Group    uint64 // 0: none
 		Left     time.Duration
 		Load     float64 // told usual load, work a second; 0: not told
+		Home     ServerID // where what it resumes lives: it goes there while it may; empty: nowhere
 		MidFlow  bool    // packets of an open connection come here now
 		Returned bool    // the client came back after a break or a move
 	}
@@ -197,6 +198,11 @@
 		Was    *Class  // its class as it was when its request came, for one that another process has had; nil: as the settings say
 		Now    float64 // its load now; 0: not told
 	}
+	// Homed tells where what a request under way resumes lives.
+	Homed struct {
+		ID     RequestID
+		Server ServerID
+	}
 	// HandedOver says that another process of this node has an open connection from now on. It has not ended.
 	HandedOver struct{ ID RequestID }
 	// Inherited is what another process of this node has found out.
@@ -254,6 +260,7 @@
 func (ServerList) event()     {}
 func (Request) event()        {}
 func (OpenConnection) event() {}
+func (Homed) event()          {}
 func (HandedOver) event()     {}
 func (Inherited) event()      {}
 func (Established) event()    {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -302,8 +302,7 @@
 	if b.set.Grouped { // who leaves its group makes one more server pay for it
 		chance /= 2
 	}
-	if r != nil && r.open && r.on == s && e.Took > r.class.MessageAim &&
-		b.rng.Float64() < chance {
+	if r != nil && r.open && r.on == s && e.Took > r.class.MessageAim && b.rng.Float64() < chance {
 		s.mover = r
 		b.probe(s)
 	}
@@ -404,6 +403,10 @@
 
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
 func (b *Balancer) place(r *request) {
+	if s := b.find(r.Home); s != nil && b.now >= s.badUntil && b.eligible(r, s) { // resumes there
+		b.send(r, s)
+		return
+	}
 	if b.keeps && r.rounds < maxMuted {
 		b.consult(r)
 		return
--- a/choice/step.go
+++ b/choice/step.go
@@ -26,6 +26,10 @@
 			b.arrive(e)
 		case OpenConnection:
 			b.adopt(e)
+		case Homed:
+			if r := b.reqs[e.ID]; r != nil {
+				r.Home = e.Server
+			}
 		case HandedOver:
 			b.handed(e.ID)
 		case Inherited:
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -27,6 +27,7 @@
 	StanzaBytes int      `toml:"stanza_bytes,omitzero"` // of one stanza
 	EarlyBytes  int      `toml:"early_bytes,omitzero"`  // of a client, kept for another host
 	HeaderTime  Duration `toml:"header_time,omitzero"`  // for the stream header
+	Resumable   int      `toml:"resumable,omitzero"`    // sessions whose host is kept in mind, for their clients to resume
 }
 
 // Listener is an address where clients connect.
@@ -114,6 +115,7 @@
 	fill(&o.Limits.Connections, 4096)
 	fill(&o.Limits.StanzaBytes, 256<<10)
 	fill(&o.Limits.EarlyBytes, 64<<10)
+	fill(&o.Limits.Resumable, 10000)
 	tomlfile.Fill(&o.Limits.HeaderTime, Duration(2500*time.Millisecond))
 	between := func(key string, v, lo, hi int) {
 		if v < lo || v > hi {
@@ -122,6 +124,7 @@
 	}
 	between("limits.connections", o.Limits.Connections, 1, 1<<20)
 	between("limits.stanza_bytes", o.Limits.StanzaBytes, 10000, 512<<10)
+	between("limits.resumable", o.Limits.Resumable, 1, 1<<20)
 	between("limits.early_bytes", o.Limits.EarlyBytes, 4096, 512<<10)
 	if c := &o.Capture; f.Has("capture") {
 		fill(&c.FileMB, 64)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -125,6 +125,7 @@
 	Load     float64
 	Returned bool
 	Deadline time.Time       // absolute: by then it has its final answer
+	Home     choice.ServerID // where what the request resumes lives, if anywhere
 	At       choice.ServerID // a connection that was open at this host before the node started; else empty
 }
 
@@ -476,7 +477,7 @@
 
 func (r *Request) event() choice.Request {
 	return choice.Request{ID: r.ID, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Group: r.Group, Load: r.Load,
-		Returned: r.Returned, Left: r.Deadline.Sub(r.core.o.Clock.Now())}
+		Returned: r.Returned, Home: r.Home, Left: r.Deadline.Sub(r.core.o.Clock.Now())}
 }
 
 func (r *Request) expired() {
@@ -595,6 +596,27 @@
 	r.settle()
 }
 
+// Serving reports whether a host takes new requests, as the process that started then.
+func (c *Core) Serving(id choice.ServerID, started time.Duration) bool {
+	h := c.hosts[id]
+	return h != nil && h.State == choice.Ready && h.Started == started
+}
+
+// MayTurn reports whether a request that has no answer yet may go to another host with one more attempt.
+func (r *Request) MayTurn(home choice.ServerID) bool {
+	h := r.core.hosts[home]
+	return !r.over && !r.open && r.At == "" && r.attempt != nil && r.attempts < r.core.o.Settings.Limits.Attempts &&
+		h != nil && h.State == choice.Ready
+}
+
+// Turn calls the attempt in hand off and tells the module where what the request resumes lives. The front answers for it
+// that nothing the client has seen of the first host binds it to that one.
+func (r *Request) Turn(home choice.ServerID) {
+	r.Home, r.committed = home, false
+	r.core.tell(choice.Homed{ID: r.ID, Server: home})
+	r.attempt.giveUp(choice.Cancelled)
+}
+
 // Attempt is one upstream request.
 type Attempt struct {
 	request  *Request
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -72,7 +72,7 @@
 	}
 	l.Limit(o.Limits.Connections-o.Limits.Connections/8, o.Limits.Connections, 0)
 	front := xmpp.New(l, domains, xmpp.Limits{Stanza: o.Limits.StanzaBytes, Early: o.Limits.EarlyBytes,
-		HeaderTime: time.Duration(o.Limits.HeaderTime), MostOpen: o.Limits.Connections}, seed)
+		HeaderTime: time.Duration(o.Limits.HeaderTime), MostOpen: o.Limits.Connections, Resumable: o.Limits.Resumable}, seed)
 	op.front, p.xmpp = front, front
 	if p.platform == nil {
 		p.beside.total = o.Limits.Connections + spareSockets
--- a/internal/xmpp/carry.go
+++ b/internal/xmpp/carry.go
@@ -7,6 +7,7 @@
 
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+	sessions "spurwinch/internal/session"
 )
 
 // Stream is where a scanner is in its stream.
@@ -29,6 +30,8 @@
 	Host   *Host        `cbor:"4,keyasint,omitempty"`
 	Until  int64        `cbor:"5,keyasint,omitempty"` // Unix time in ns by which the header must be there
 	Opened bool         `cbor:"6,keyasint,omitempty"` // the client waits for a stream header
+
+	Resumes *sessions.Session `cbor:"7,keyasint,omitempty"` // that its client can resume
 }
 
 // Host is the host's side of an established session.
@@ -61,6 +64,9 @@
 		return nil, nil, false
 	}
 	st := Standing{In: s.in.stream(), To: s.to, Opened: s.headerDue, Host: &Host{In: h.in.stream(), Inside: h.passedPart}}
+	if known, ok := s.front.sessions.Find(s.front.loop.Now(), s.sm); ok {
+		st.Resumes = &known
+	}
 	fds = make([]int, 2)
 	if fds[0], st.Conn, ok = s.conn.Lend(); !ok {
 		return nil, nil, false
@@ -82,6 +88,9 @@
 
 // Release lets go of a lent session that another process has.
 func (s *session) Release() {
+	delete(s.front.owners, s.sm) // it is the other process's to know of
+	s.front.sessions.Forget(s.sm)
+	s.sm = sessions.Key{}
 	s.done()
 	s.conn.Release()
 	if h := s.upstream; h != nil {
@@ -145,7 +154,7 @@
 		return nil, err
 	case len(fds) != want:
 		return nil, fmt.Errorf("%d sockets of a connection that has %d", len(fds), want)
-	case (open != nil) != (st.Host != nil):
+	case (open != nil) != (st.Host != nil) || st.Resumes != nil && (st.Host == nil || st.Resumes.ID == "" || st.Resumes.Host == ""):
 		return nil, errors.New("half a session")
 	case open == nil:
 		return func() { f.restoreIdle(st, fds[0]) }, nil
@@ -160,6 +169,10 @@
 	s.upstream = h
 	h.conn = f.loop.Restore(fds[1], st.Host.Conn, h)
 	s.attempt.Goes(h)
+	if st.Resumes != nil {
+		s.user = st.Resumes.User
+		s.stands(*st.Resumes)
+	}
 	s.conn = f.loop.Restore(fds[0], st.Conn, s)
 	if len(st.Conn.Out) == 0 { // no side waits for what is with the kernel already
 		h.conn.Resume()
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -13,6 +13,7 @@
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+	sessions "spurwinch/internal/session"
 
 	"go.uber.org/zap"
 )
@@ -30,6 +31,7 @@
 	Early      int           // bytes of a client that are kept for a replay on another host
 	HeaderTime time.Duration // for the stream header, from the connection on
 	MostOpen   int           // connections, both sides, from which on new sessions are refused
+	Resumable  int           // sessions whose host is kept in mind
 }
 
 // Front serves XMPP clients.
@@ -39,6 +41,9 @@
 	domains map[string]Domain
 	ids     *rand.Rand
 	Answers Answers
+
+	sessions *sessions.Table
+	owners   map[sessions.Key]*session // of those that stand on a connection of this process
 }
 
 // Answers counts the final answers given.
@@ -56,7 +61,8 @@
 
 // New makes a front for the given domains; "*" stands for all that are not named.
 func New(l *loop.Loop, domains map[string]Domain, limits Limits, seed uint64) *Front {
-	return &Front{loop: l, domains: domains, limits: limits, ids: rand.New(rand.NewPCG(seed, 2))}
+	return &Front{loop: l, domains: domains, limits: limits, ids: rand.New(rand.NewPCG(seed, 2)),
+		sessions: sessions.New(limits.Resumable), owners: map[sessions.Key]*session{}}
 }
 
 func (f *Front) domain(to string) (Domain, bool) {
@@ -108,6 +114,7 @@
 	leaving   bool   // told to leave at the end of the present stanza
 	stop      func()
 	until     time.Time // for the stream header
+	resuming
 }
 
 // OnConnect is for connections dialled; a client's is up from the start.
@@ -123,8 +130,18 @@
 		if why := s.token(t); why != "" {
 			s.fail(why, "")
 		}
-		if !s.over {
+		switch {
+		case s.over:
+		case !s.holding:
 			pass = append(pass, t.raw...)
+		default:
+			if s.hold = append(s.hold, t.raw...); t.whole || len(s.hold) > mostAuth {
+				s.pass(pass)
+				pass = nil
+				if !s.over {
+					s.introduced()
+				}
+			}
 		}
 		return !s.over
 	})
@@ -161,12 +178,15 @@
 		return s.header(t)
 	case t.kind == start && t.depth == 2:
 		s.top = token{name: local(t.name), attrs: t.attrs}
+		s.introduces(t)
 		if s.top.name == "starttls" && t.attr("xmlns") == tlsNS {
 			s.refuseTLS()
 		}
 	case t.kind == start && t.depth == 3 && s.top.name == "iq" && s.top.attr("type") == "set" &&
 		local(t.name) == "bind" && t.attr("xmlns") == bindNS:
 		s.bindID = s.top.attr("id")
+	default:
+		s.introduces(t)
 	}
 	return ""
 }
@@ -194,10 +214,11 @@
 		return hostUnknown
 	}
 	s.to = to
+	s.user = localPart(t.attr("from"), to)
 	s.cancelTimer()
 	s.deadline = s.front.loop.Now().Add(d.Patience)
 	id := choice.RequestID(strconv.FormatUint(s.front.ids.Uint64(), 16))
-	spec := edge.Spec{ID: id, Class: d.Class, Tenant: -1, Key: s.front.ids.Uint64(), Deadline: s.deadline}
+	spec := edge.Spec{ID: id, Class: d.Class, Tenant: -1, Key: s.front.ids.Uint64(), Deadline: s.deadline, Home: s.home(d)}
 	if s.front.loop.Open()+2 > s.front.limits.MostOpen {
 		// Guards against running out of descriptors half way: a session taken needs one more for its host.
 		zap.L().Warn("connection_limit_refused", zap.String("front", "xmpp"))
@@ -317,11 +338,12 @@
 
 // end writes a last text and ends both sides.
 func (s *session) end(last string) {
+	resumable := s.sm.ID != "" // a closing tag would end the session at its host, and its client may come again elsewhere
 	s.done()
 	s.conn.Write([]byte(last))
 	s.conn.End()
 	if s.upstream != nil {
-		s.upstream.farewell()
+		s.upstream.farewell(!resumable)
 	}
 	if s.request != nil {
 		s.request.Broken()
@@ -330,7 +352,8 @@
 
 func (s *session) done() {
 	s.over = true
-	s.sent = nil
+	s.front.gone(s, s.in.ended)
+	s.sent, s.greeting, s.hold = nil, nil, nil
 	s.cancelTimer()
 }
 
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -25,6 +25,7 @@
 	held       []byte
 	top        token
 	errored    condition // the condition in a stream error of the host
+	bound      bool      // inside a SASL2 success: the resource is bound, or the session resumed (XEP-0386, XEP-0198)
 	passedPart bool      // an unfinished stanza has been passed on
 }
 
@@ -76,7 +77,7 @@
 		return
 	}
 	if t.kind == start && t.depth == 2 {
-		h.top = token{name: local(t.name), attrs: t.attrs}
+		h.top, h.bound = token{name: local(t.name), attrs: t.attrs}, false
 		if h.top.name == "success" && t.attr("xmlns") == saslNS {
 			s.in.restart, h.in.restart = true, true
 		}
@@ -84,6 +85,11 @@
 	if h.top.name == "error" && t.kind == start && t.depth == 3 && local(t.name) != "text" {
 		h.errored = condition(local(t.name))
 	}
+	if t.kind == start && t.depth == 3 && h.top.name == "success" && h.top.attr("xmlns") == sasl2NS {
+		ns := t.attr("xmlns")
+		h.bound = h.bound || local(t.name) == "bound" && ns == bind2NS || local(t.name) == "resumed" && ns == smNS
+	}
+	h.managed(t)
 	if t.kind == end && t.depth == 1 {
 		h.closed(t)
 		return
@@ -103,8 +109,13 @@
 		h.refused()
 		return
 	}
+	if s.swallow { // its greeting: the client has had one, and has answered it
+		s.swallow, h.held = false, h.held[:0]
+		h.commit()
+		return
+	}
 	established := h.top.name == "iq" && h.top.attr("type") == "result" && s.bindID != "" && h.top.attr("id") == s.bindID ||
-		h.top.name == "resumed"
+		h.top.name == "resumed" || h.top.name == "success" && h.bound
 	if established {
 		// The answer is told first and passed on next: both happen in this call, and nothing comes in between.
 		s.open = true
@@ -121,6 +132,9 @@
 	if s.committed {
 		return
 	}
+	if !s.asked && len(s.sent) <= mostGreeting {
+		s.greeting = s.sent
+	}
 	s.committed, s.sent = true, nil
 	h.attempt.Commit()
 }
@@ -206,12 +220,12 @@
 	}
 }
 
-// farewell closes the stream towards the host where the front, not the client, ends it.
-func (h *upstreamRequest) farewell() {
+// farewell ends the host's side where the front, not the client, ends a session; closes has its stream closed, too.
+func (h *upstreamRequest) farewell(closes bool) {
 	if h.over {
 		return
 	}
-	if h.up && h.session.in.started && !h.session.in.ended && h.session.in.between() && h.session.in.prefix != "" {
+	if closes && h.up && h.session.in.started && !h.session.in.ended && h.session.in.between() && h.session.in.prefix != "" {
 		h.conn.Write([]byte("</" + h.session.in.prefix + ":stream>"))
 	}
 	h.finish(false)
--- a/internal/xmpp/scanner.go
+++ b/internal/xmpp/scanner.go
@@ -58,6 +58,7 @@
 
 const (
 	badFormat              condition = "bad-format"
+	conflict               condition = "conflict"
 	connectionTimeout      condition = "connection-timeout"
 	hostUnknown            condition = "host-unknown"
 	internalServerError    condition = "internal-server-error"
