--- a/choice/api.go
+++ b/choice/api.go
@@ -186,10 +186,10 @@
 		Key      uint64
 		Group    uint64 // 0: none
 		Left     time.Duration
-		Load     float64 // told usual load, work a second; 0: not told
+		Load     float64  // told usual load, work a second; 0: not told
 		Home     ServerID // where what it resumes lives: it goes there while it may; empty: nowhere
-		MidFlow  bool    // packets of an open connection come here now
-		Returned bool    // the client came back after a break or a move
+		MidFlow  bool     // packets of an open connection come here now
+		Returned bool     // the client came back after a break or a move
 	}
 	// OpenConnection is a connection that stands already, bound as attempt 0: open when the node starts, or taken over.
 	OpenConnection struct {
--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -11,6 +11,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/operate/handover"
+	"spurwinch/internal/session"
 	"spurwinch/internal/xmpp"
 )
 
@@ -266,29 +267,44 @@
 	zap.L().Info("connections_handed_over", zap.Int("given", b.gave), zap.Int("moved", moved), zap.Int("bytes", b.size), zap.Duration("took", b.took))
 }
 
-// learned is what the modules of this process have found out, by the names of their clusters.
+// known is what a process knows beside its connections.
+type known struct {
+	Modules  map[string]choice.Learned `cbor:"1,keyasint"` // by the names of their clusters
+	Sessions []session.Session         `cbor:"2,keyasint,omitempty"`
+}
+
+// mostSessions is how many sessions without a stream are told to another process; those with one go with it.
+const mostSessions = 1000
+
+// learned is what this process knows.
 func (b *beside) learned() []byte {
-	all := map[string]choice.Learned{}
+	k := known{Modules: map[string]choice.Learned{}}
 	for name, core := range b.program.named {
-		all[name] = core.Learned()
+		k.Modules[name] = core.Learned()
 	}
-	told, err := cbor.Marshal(all)
+	if f := b.program.xmpp; f != nil {
+		k.Sessions = f.Broken(mostSessions)
+	}
+	told, err := cbor.Marshal(k)
 	if err != nil {
 		zap.L().Error("learned_not_told", zap.Error(err))
 	}
 	return told
 }
 
-// inherit hands the modules what those of another process have found out.
+// inherit takes in what another process knows.
 func (b *beside) inherit(told []byte) {
-	var all map[string]choice.Learned
-	if err := cbor.Unmarshal(told, &all); err != nil {
+	var k known
+	if err := cbor.Unmarshal(told, &k); err != nil {
 		zap.L().Warn("learned_not_read", zap.Error(err))
 		return
 	}
-	for name, l := range all {
+	for name, l := range k.Modules {
 		if core := b.program.named[name]; core != nil {
 			core.Inherit(l)
 		}
 	}
+	if f := b.program.xmpp; f != nil {
+		f.Inherit(k.Sessions)
+	}
 }
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -17,6 +17,7 @@
 	"spurwinch/internal/loop"
 	"spurwinch/internal/platform/downstream"
 	"spurwinch/internal/platform/upstream"
+	"spurwinch/internal/session"
 )
 
 // replaced is a node whose processes are all in this program, each on a loop of its own.
@@ -160,6 +161,22 @@
 	t.Logf("%d lines, the slowest after %v", len(pauses), pauses[len(pauses)-1])
 }
 
+// TestSessionsGoAlong has a process take over from one that knows where sessions live whose streams are gone.
+func TestSessionsGoAlong(t *testing.T) {
+	r := newReplaced(t, exchange.Host(t), 200)
+	r.now.on(func() {
+		r.now.xmpp.Inherit([]session.Session{{Key: session.Key{Domain: "farm.example", ID: "1"}, User: "ana", Host: "h", Started: 5, Max: time.Minute,
+			Until: time.Now().Add(time.Minute)}})
+	})
+	r.begin(func() {})
+	r.end()
+	r.now.on(func() {
+		if all := r.now.xmpp.Broken(9); len(all) != 1 || all[0].Host != "h" || all[0].Started != 5 || time.Until(all[0].Until) < 50*time.Second {
+			t.Errorf("the new process knows of %+v", all)
+		}
+	})
+}
+
 // TestNoRoomForAll has the taker hold all but none of the descriptors: what can't go is told to move, and nobody is cut off.
 func TestNoRoomForAll(t *testing.T) {
 	r := newReplaced(t, exchange.Host(t), 120)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -25,7 +25,7 @@
 	Host    choice.ServerID
 	Started time.Duration // of the host's process, as the list told it: another one knows nothing of the session
 	Max     time.Duration // how long the host keeps it once its stream is gone
-	Until   time.Time     // zero: its stream stands
+	Until   time.Time     // zero: its stream stands; a second more or less is told to another process
 }
 
 // Table holds sessions, most recent last. The zero Table holds none: use New.
