--- a/internal/node/carry.go
+++ b/internal/node/carry.go
@@ -11,7 +11,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/operate/handover"
-	"spurwinch/internal/session"
+	resumable "spurwinch/internal/session"
 	"spurwinch/internal/xmpp"
 )
 
@@ -270,7 +270,7 @@
 // known is what a process knows beside its connections.
 type known struct {
 	Modules  map[string]choice.Learned `cbor:"1,keyasint"` // by the names of their clusters
-	Sessions []session.Session         `cbor:"2,keyasint,omitempty"`
+	Sessions []resumable.Session       `cbor:"2,keyasint,omitempty"`
 }
 
 // mostSessions is how many sessions without a stream are told to another process; those with one go with it.
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -17,7 +17,7 @@
 	"spurwinch/internal/loop"
 	"spurwinch/internal/platform/downstream"
 	"spurwinch/internal/platform/upstream"
-	"spurwinch/internal/session"
+	resumable "spurwinch/internal/session"
 )
 
 // replaced is a node whose processes are all in this program, each on a loop of its own.
@@ -165,7 +165,7 @@
 func TestSessionsGoAlong(t *testing.T) {
 	r := newReplaced(t, exchange.Host(t), 200)
 	r.now.on(func() {
-		r.now.xmpp.Inherit([]session.Session{{Key: session.Key{Domain: "farm.example", ID: "1"}, User: "ana", Host: "h", Started: 5, Max: time.Minute,
+		r.now.xmpp.Inherit([]resumable.Session{{Key: resumable.Key{Domain: "farm.example", ID: "1"}, User: "ana", Host: "h", Started: 5, Max: time.Minute,
 			Until: time.Now().Add(time.Minute)}})
 	})
 	r.begin(func() {})
