XMPP over TLS: STARTTLS and direct, keys changed on SIGHUP, handshakes apart from the loop

Need: clients of today want TLS. internal/transport/tls: crypto/tls over a pipe in memory, at most eight handshakes at once on goroutines of their own, all else read and written by the loop. In the clear a starttls listener gives nothing but STARTTLS, and bytes behind it end the stream. Checked: bytes through full buffers and records cut anywhere, 60 handshakes that come to nothing under a standing connection, spoilt key files, nine ways to get something in the clear (no host is asked), three ways to authenticate and resume over both kinds of TLS.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/tomlfile"
+	"spurwinch/internal/transport/tls"
 )
 
 // Operator is the operator's file: the fronts and clusters beside the platform's own. The tags are its keys.
@@ -19,21 +20,33 @@
 	Classes   []Class    `toml:"class"`
 	Clusters  []Cluster  `toml:"cluster"`
 	Capture   Capture    `toml:"capture,omitempty"`
+
+	Certificates      []Certificate `toml:"certificate,omitempty"`
+	ClientAuthorities string        `toml:"client_authorities,omitempty"` // PEM file; clients may show a certificate of theirs
+	Keys              *tls.Set      `toml:"-"`                            // as they were read with the file; nil: none are named
+}
+
+// Certificate names the PEM files of a certificate with its chain, and of its key.
+type Certificate struct {
+	Cert string `toml:"cert"`
+	Key  string `toml:"key"`
 }
 
 // Limits bound what connections may take.
 type Limits struct {
-	Connections int      `toml:"connections,omitzero"`  // both sides together
-	StanzaBytes int      `toml:"stanza_bytes,omitzero"` // of one stanza
-	EarlyBytes  int      `toml:"early_bytes,omitzero"`  // of a client, kept for another host
-	HeaderTime  Duration `toml:"header_time,omitzero"`  // for the stream header
-	Resumable   int      `toml:"resumable,omitzero"`    // sessions whose host is kept in mind, for their clients to resume
+	Connections int      `toml:"connections,omitzero"`    // both sides together
+	StanzaBytes int      `toml:"stanza_bytes,omitzero"`   // of one stanza
+	EarlyBytes  int      `toml:"early_bytes,omitzero"`    // of a client, kept for another host
+	HeaderTime  Duration `toml:"header_time,omitzero"`    // for the stream header
+	ShakeTime   Duration `toml:"handshake_time,omitzero"` // for a TLS handshake
+	Resumable   int      `toml:"resumable,omitzero"`      // sessions whose host is kept in mind, for their clients to resume
 }
 
 // Listener is an address where clients connect.
 type Listener struct {
 	Addr     string `toml:"addr"`
 	Protocol string `toml:"protocol"`
+	TLS      string `toml:"tls,omitempty"` // "starttls", "direct", or empty: none
 }
 
 // Domain is an address that a stream header may name; "*" stands for any other.
@@ -117,6 +130,7 @@
 	fill(&o.Limits.EarlyBytes, 64<<10)
 	fill(&o.Limits.Resumable, 10000)
 	tomlfile.Fill(&o.Limits.HeaderTime, Duration(2500*time.Millisecond))
+	tomlfile.Fill(&o.Limits.ShakeTime, Duration(10*time.Second))
 	between := func(key string, v, lo, hi int) {
 		if v < lo || v > hi {
 			f.Fault(key, "%s = %d: a number from %d to %d is wanted", key[strings.LastIndexByte(key, '.')+1:], v, lo, hi)
@@ -158,7 +172,14 @@
 		if l.Protocol != "xmpp" {
 			f.Fault(at+"protocol", "listener %s: unknown protocol %q: it must be \"xmpp\"", l.Addr, l.Protocol)
 		}
+		switch {
+		case l.TLS != "" && l.TLS != "starttls" && l.TLS != "direct":
+			f.Fault(at+"tls", "listener %s: tls = %q: it must be \"starttls\" or \"direct\"", l.Addr, l.TLS)
+		case l.TLS != "" && len(o.Certificates) == 0:
+			f.Fault(at+"tls", "listener %s: tls without a certificate: a [[certificate]] with cert and key is wanted", l.Addr)
+		}
 	}
+	o.readKeys(f)
 	if len(o.Classes) == 0 {
 		o.Classes = []Class{{Name: "session"}}
 	}
@@ -204,6 +225,25 @@
 	}
 }
 
+// readKeys reads the files of the certificates, so that a fault in one is a fault of the operator's file.
+func (o *Operator) readKeys(f *tomlfile.File) {
+	var pairs []tls.Pair
+	for i, c := range o.Certificates {
+		if _, err := tls.Read([]tls.Pair{{Cert: c.Cert, Key: c.Key}}, ""); err != nil {
+			f.Fault(fmt.Sprintf("certificate.%d.cert", i), "%v", err)
+			return
+		}
+		pairs = append(pairs, tls.Pair{Cert: c.Cert, Key: c.Key})
+	}
+	if len(pairs) == 0 {
+		return
+	}
+	var err error
+	if o.Keys, err = tls.Read(pairs, o.ClientAuthorities); err != nil {
+		f.Fault("client_authorities", "%v", err)
+	}
+}
+
 func (c *Cluster) check(f *tomlfile.File, at string) {
 	tomlfile.Fill(&c.Sessions, 1000)
 	tomlfile.Fill(&c.Nodes, 1)
--- a/internal/lab/xmppserver/client.go
+++ b/internal/lab/xmppserver/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"encoding/base64"
 	"fmt"
 	"net"
@@ -96,6 +97,34 @@
 	return false, err
 }
 
+// ConnectTLS is Connect behind TLS, direct or by STARTTLS.
+func ConnectTLS(addr, user, id string, how How, config *tls.Config, direct bool, by time.Time) (c *Client, resumed bool, err error) {
+	conn, err := net.DialTimeout("tcp", addr, time.Until(by))
+	if err != nil {
+		return nil, false, err
+	}
+	c = &Client{Conn: conn, in: bufio.NewReader(conn), by: by}
+	if !direct {
+		_, err = c.Say("<?xml version='1.0'?><stream:stream to='farm.example' version='1.0' xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'>", "</stream:features>")
+		if err == nil {
+			_, err = c.Say("<starttls xmlns='urn:ietf:params:xml:ns:xmpp-tls'/>", ">")
+		}
+	}
+	if err == nil {
+		secure := tls.Client(conn, config)
+		conn.SetDeadline(by)
+		if err = secure.Handshake(); err == nil {
+			c.Conn, c.in = secure, bufio.NewReader(secure)
+			resumed, err = c.up(user, id, how)
+		}
+	}
+	if err != nil {
+		conn.Close()
+		return nil, false, err
+	}
+	return c, resumed, nil
+}
+
 // Say writes and reads up to what must come.
 func (c *Client) Say(what, until string) (string, error) {
 	c.Conn.SetDeadline(c.by)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -10,6 +10,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/platform/cluster"
+	"spurwinch/internal/transport/tls"
 	"spurwinch/internal/xmpp"
 
 	"go.uber.org/zap"
@@ -34,7 +35,8 @@
 	at    []netip.AddrPort
 	cores map[string]*edge.Core
 	watch map[string]*cluster.Watch // of the clusters with a discovery
-	seen  map[string]time.Time      // when a static host came in, by cluster and id; zero: with the start
+	keys  tls.Keys
+	seen  map[string]time.Time // when a static host came in, by cluster and id; zero: with the start
 }
 
 // serveOperator sets up the fronts and clusters of an operator's file.
@@ -72,13 +74,18 @@
 	}
 	l.Limit(o.Limits.Connections-o.Limits.Connections/8, o.Limits.Connections, 0)
 	front := xmpp.New(l, domains, xmpp.Limits{Stanza: o.Limits.StanzaBytes, Early: o.Limits.EarlyBytes,
-		HeaderTime: time.Duration(o.Limits.HeaderTime), MostOpen: o.Limits.Connections, Resumable: o.Limits.Resumable}, seed)
+		HeaderTime: time.Duration(o.Limits.HeaderTime), ShakeTime: time.Duration(o.Limits.ShakeTime), MostOpen: o.Limits.Connections, Resumable: o.Limits.Resumable}, seed)
 	op.front, p.xmpp = front, front
 	if p.platform == nil {
 		p.beside.total = o.Limits.Connections + spareSockets
 	}
+	if o.Keys != nil {
+		op.keys.Use(o.Keys)
+		front.Use(&op.keys)
+		op.expiring()
+	}
 	for _, ls := range o.Listeners {
-		k, err := p.beside.listen(ls.Addr, front.Accept)
+		k, err := p.beside.listen(ls.Addr, front.AcceptBy(map[string]xmpp.Security{"starttls": xmpp.StartTLS, "direct": xmpp.Direct}[ls.TLS]))
 		if err != nil {
 			return nil, nil, err
 		}
@@ -88,6 +95,21 @@
 	return all, op, nil
 }
 
+const expiryCheck = 24 * time.Hour
+
+// expiring has certificates that end soon in the log, each day.
+func (op *operated) expiring() {
+	op.expired()
+	op.loop.At(op.loop.Now().Add(expiryCheck), op.expiring)
+}
+
+func (op *operated) expired() {
+	for _, e := range op.keys.Ending(op.loop.Now()) {
+		zap.L().Warn("certificate_ends", zap.String("file", e.File), zap.Strings("names", e.Names), zap.Time("at", e.At),
+			zap.String("remedy", "put the new certificate and key in the files and send SIGHUP"))
+	}
+}
+
 // first tells when a host came in; one not seen yet comes in now.
 func (op *operated) first(cluster string, now time.Time) func(string) time.Time {
 	return func(id string) time.Time {
@@ -109,6 +131,11 @@
 
 // take takes in the static hosts and the discovery addresses of a file.
 func (op *operated) take(o config.Operator) {
+	if o.Keys != nil {
+		op.keys.Use(o.Keys)
+		op.expired()
+		zap.L().Info("keys_taken", zap.Int("certificates", len(o.Certificates)))
+	}
 	for _, c := range o.Clusters {
 		core, watch := op.cores[c.Name], op.watch[c.Name]
 		if core == nil || (watch != nil) != (c.Discovery != "") {
--- a/internal/node/resume_test.go
+++ b/internal/node/resume_test.go
@@ -20,12 +20,13 @@
 	servers []*xmppserver.Server
 	file    string
 	addr    string
+	more    string // further listeners, certificates
 	l       *loop.Loop
 	op      *operated
 }
 
-func newVillage(t testing.TB, servers int) *village {
-	f := &village{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), addr: exchange.FreeAddr(t)}
+func newVillage(t testing.TB, servers int, more string) *village {
+	f := &village{t: t, file: filepath.Join(t.TempDir(), "operator.toml"), addr: exchange.FreeAddr(t), more: more}
 	for i := range servers {
 		s, err := xmppserver.Listen(fmt.Sprint("h", i))
 		if err != nil {
@@ -58,7 +59,7 @@
 // write writes the operator's file, in which one of the servers drains; -1: none.
 func (f *village) write(drains int) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[[listener]]\naddr = %q\nprotocol = \"xmpp\"\n[[class]]\nname = \"c\"\n[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n", f.addr)
+	fmt.Fprintf(&b, f.more+"[[listener]]\naddr = %q\nprotocol = \"xmpp\"\n[[class]]\nname = \"c\"\n[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n", f.addr)
 	for i, s := range f.servers {
 		state := "serving"
 		if i == drains {
@@ -116,7 +117,7 @@
 // forgotten, costs the session and nothing else.
 func TestResumeWhereTheSessionLives(t *testing.T) {
 	const n = 24
-	f := newVillage(t, 4)
+	f := newVillage(t, 4, "")
 	for _, how := range []xmppserver.How{xmppserver.Plain, xmppserver.Named, xmppserver.SASL2} {
 		first, resumed := f.all(make([]string, n), how)
 		if t.Failed() || resumed != 0 {
--- a/internal/xmpp/carry.go
+++ b/internal/xmpp/carry.go
@@ -60,6 +60,9 @@
 // Lend takes both sides of an established session off the loop. One that is about to leave stays.
 func (s *session) Lend() (fds []int, state any, ok bool) {
 	h := s.upstream
+	if s.secured { // its keys can't be told
+		return nil, nil, false
+	}
 	if s.over || !s.open || s.leaving || h == nil || h.over || len(h.held) > 0 {
 		return nil, nil, false
 	}
@@ -68,11 +71,11 @@
 		st.Resumes = &known
 	}
 	fds = make([]int, 2)
-	if fds[0], st.Conn, ok = s.conn.Lend(); !ok {
+	if fds[0], st.Conn, ok = s.raw.Lend(); !ok {
 		return nil, nil, false
 	}
 	if fds[1], st.Host.Conn, ok = h.conn.Lend(); !ok {
-		s.conn.Return()
+		s.raw.Return()
 		return nil, nil, false
 	}
 	return fds, st, true
@@ -80,7 +83,7 @@
 
 // Return has a lent session go on.
 func (s *session) Return() {
-	s.conn.Return()
+	s.raw.Return()
 	if s.upstream != nil {
 		s.upstream.conn.Return()
 	}
@@ -92,7 +95,7 @@
 	s.front.sessions.Forget(s.sm)
 	s.sm = sessions.Key{}
 	s.done()
-	s.conn.Release()
+	s.raw.Release()
 	if h := s.upstream; h != nil {
 		h.over = true
 		h.conn.Release()
@@ -115,10 +118,10 @@
 // Lend takes the connection off the loop.
 func (i Idle) Lend() (fds []int, state any, ok bool) {
 	s := i.s
-	if s.over || s.request != nil {
+	if s.over || s.request != nil || s.clear || s.secured {
 		return nil, nil, false
 	}
-	fd, conn, ok := s.conn.Lend()
+	fd, conn, ok := s.raw.Lend()
 	if !ok {
 		return nil, nil, false
 	}
@@ -173,7 +176,8 @@
 		s.user = st.Resumes.User
 		s.stands(*st.Resumes)
 	}
-	s.conn = f.loop.Restore(fds[0], st.Conn, s)
+	s.raw = f.loop.Restore(fds[0], st.Conn, s)
+	s.conn = s.raw
 	if len(st.Conn.Out) == 0 { // no side waits for what is with the kernel already
 		h.conn.Resume()
 	}
@@ -185,7 +189,8 @@
 func (f *Front) restoreIdle(st Standing, fd int) {
 	f.Answers.Sessions++
 	s := &session{front: f, in: f.scanner(st.In), headerDue: true}
-	s.conn = f.loop.Restore(fd, st.Conn, s)
-	s.conn.Wait()
+	s.raw = f.loop.Restore(fd, st.Conn, s)
+	s.conn = s.raw
+	s.raw.Wait()
 	s.due(time.Unix(0, st.Until))
 }
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -14,6 +14,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	sessions "spurwinch/internal/session"
+	"spurwinch/internal/transport/tls"
 
 	"go.uber.org/zap"
 )
@@ -30,6 +31,7 @@
 	Stanza     int           // bytes of one stanza
 	Early      int           // bytes of a client that are kept for a replay on another host
 	HeaderTime time.Duration // for the stream header, from the connection on
+	ShakeTime  time.Duration // for a TLS handshake
 	MostOpen   int           // connections, both sides, from which on new sessions are refused
 	Resumable  int           // sessions whose host is kept in mind
 }
@@ -42,6 +44,9 @@
 	ids     *rand.Rand
 	Answers Answers
 
+	shakes   *tls.Handshakes
+	keys     *tls.Keys                // nil: no listener has TLS
+	plus     map[choice.ServerID]bool // hosts that were told of: they offer what can't hold behind TLS
 	sessions *sessions.Table
 	owners   map[sessions.Key]*session // of those that stand on a connection of this process
 }
@@ -62,7 +67,7 @@
 // New makes a front for the given domains; "*" stands for all that are not named.
 func New(l *loop.Loop, domains map[string]Domain, limits Limits, seed uint64) *Front {
 	return &Front{loop: l, domains: domains, limits: limits, ids: rand.New(rand.NewPCG(seed, 2)),
-		sessions: sessions.New(limits.Resumable), owners: map[sessions.Key]*session{}}
+		shakes: tls.NewHandshakes(l), plus: map[choice.ServerID]bool{}, sessions: sessions.New(limits.Resumable), owners: map[sessions.Key]*session{}}
 }
 
 func (f *Front) domain(to string) (Domain, bool) {
@@ -73,14 +78,40 @@
 	return d, ok
 }
 
-// Accept takes a new connection. Beyond the limit some are still taken, to refuse them with a stream error; then none.
-func (f *Front) Accept(c *loop.Conn) loop.Handler {
+// Security is how a listener's clients come by TLS.
+type Security int
+
+const (
+	Clear    Security = iota // not at all: a terminator stands in front, or all are on one machine
+	StartTLS                 // RFC 6120, 5: required
+	Direct                   // XEP-0368
+)
+
+// Use has TLS go by keys, which may change while the front runs.
+func (f *Front) Use(keys *tls.Keys) { f.keys = keys }
+
+// Accept takes a new connection in the clear.
+func (f *Front) Accept(c *loop.Conn) loop.Handler { return f.accept(c, Clear) }
+
+// AcceptBy is Accept for a listener whose clients come by TLS.
+func (f *Front) AcceptBy(how Security) func(*loop.Conn) loop.Handler {
+	return func(c *loop.Conn) loop.Handler { return f.accept(c, how) }
+}
+
+// accept takes a new connection. Beyond the limit some are still taken, to refuse them with a stream error; then none.
+func (f *Front) accept(c *loop.Conn, how Security) loop.Handler {
 	if f.loop.Open() > f.limits.MostOpen+politeOver {
 		return nil
 	}
 	f.Answers.Sessions++
-	s := &session{front: f, conn: c, in: scanner{most: f.limits.Stanza}, headerDue: true}
-	s.due(f.loop.Now().Add(f.limits.HeaderTime))
+	s := &session{front: f, conn: c, raw: c, in: scanner{most: f.limits.Stanza}, headerDue: true, clear: how == StartTLS}
+	now := f.loop.Now()
+	s.due(now.Add(f.limits.HeaderTime))
+	if how == Direct {
+		s.cancelTimer()
+		s.due(now.Add(f.limits.ShakeTime + f.limits.HeaderTime))
+		return s.secure(now)
+	}
 	return s
 }
 
@@ -96,7 +127,8 @@
 // session is one client's connection.
 type session struct {
 	front     *Front
-	conn      *loop.Conn
+	conn      wire
+	raw       *loop.Conn // below TLS
 	in        scanner
 	request   *edge.Request
 	deadline  time.Time
@@ -114,6 +146,9 @@
 	leaving   bool   // told to leave at the end of the present stanza
 	stop      func()
 	until     time.Time // for the stream header
+	clear     bool      // the stream is ours up to <starttls/>
+	upgrading bool      // that has come
+	secured   bool      // by TLS
 	resuming
 }
 
@@ -126,7 +161,7 @@
 		return
 	}
 	var pass []byte
-	_, bad := s.in.feed(p, func(t token) bool {
+	rest, bad := s.in.feed(p, func(t token) bool {
 		if why := s.token(t); why != "" {
 			s.fail(why, "")
 		}
@@ -143,11 +178,18 @@
 				}
 			}
 		}
-		return !s.over
+		return !s.over && !s.upgrading
 	})
 	if s.over {
 		return
 	}
+	if s.upgrading {
+		s.startTLS(rest)
+		return
+	}
+	if s.clear { // nothing of it is for a host
+		pass = nil
+	}
 	s.pass(pass)
 	switch {
 	case bad != "":
@@ -179,7 +221,12 @@
 	case t.kind == start && t.depth == 2:
 		s.top = token{name: local(t.name), attrs: t.attrs}
 		s.introduces(t)
-		if s.top.name == "starttls" && t.attr("xmlns") == tlsNS {
+		switch {
+		case s.top.name == "starttls" && t.attr("xmlns") == tlsNS && s.clear:
+			s.upgrading = true
+		case s.clear:
+			return policyViolation // before TLS stands there is nothing to be had
+		case s.top.name == "starttls" && t.attr("xmlns") == tlsNS:
 			s.refuseTLS()
 		}
 	case t.kind == start && t.depth == 3 && s.top.name == "iq" && s.top.attr("type") == "set" &&
@@ -213,6 +260,10 @@
 	if !ok || to == "" {
 		return hostUnknown
 	}
+	if s.clear {
+		s.offerTLS(to)
+		return ""
+	}
 	s.to = to
 	s.user = localPart(t.attr("from"), to)
 	s.cancelTimer()
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -90,6 +90,7 @@
 		h.bound = h.bound || local(t.name) == "bound" && ns == bind2NS || local(t.name) == "resumed" && ns == smNS
 	}
 	h.managed(t)
+	h.unbindable(t)
 	if t.kind == end && t.depth == 1 {
 		h.closed(t)
 		return
--- /dev/null
+++ b/internal/xmpp/secure.go
@@ -0,0 +1,66 @@
+package xmpp
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"spurwinch/internal/loop"
+
+	"go.uber.org/zap"
+)
+
+// wire is a client's connection: one of the loop's, or TLS over one.
+type wire interface {
+	Write(p []byte)
+	End()
+	Abort()
+	Pause()
+	Resume()
+	Full() bool
+	Spoke()
+}
+
+// protocol is the ALPN name of direct TLS (XEP-0368).
+const protocol = "xmpp-client"
+
+// secure has TLS begin on the connection. What it returns is the connection's handler from now on.
+func (s *session) secure(now time.Time) loop.Handler {
+	s.clear, s.upgrading, s.secured = false, false, true
+	c := s.front.shakes.Server(s.raw, s.front.keys.Config(protocol), now.Add(s.front.limits.ShakeTime), s)
+	s.conn = c
+	return c
+}
+
+// offerTLS answers the header of a stream in the clear: there is nothing to be had before TLS.
+func (s *session) offerTLS(to string) {
+	s.headerDue, s.to = false, to
+	s.conn.Write([]byte("<?xml version='1.0'?><stream:stream from='" + escape(to) + "' id='" + strconv.FormatUint(s.front.ids.Uint64(), 16) +
+		"' version='1.0' xml:lang='en' xmlns='" + clientNS + "' xmlns:stream='" + streamNS + "'><stream:features><starttls xmlns='" + tlsNS +
+		"'><required/></starttls></stream:features>"))
+}
+
+// startTLS has TLS begin behind <starttls/>. Bytes that came behind it in the clear end the stream: whoever put them there could
+// have the client's words begin with his own.
+func (s *session) startTLS(behind []byte) {
+	if len(behind) > 0 || len(s.in.part) > 0 || !s.in.between() {
+		s.fail(policyViolation, "bytes behind <starttls/>")
+		return
+	}
+	s.conn.Write([]byte("<proceed xmlns='" + tlsNS + "'/>"))
+	now := s.front.loop.Now()
+	s.cancelTimer()
+	s.due(now.Add(s.front.limits.ShakeTime + s.front.limits.HeaderTime))
+	s.in, s.headerDue, s.to, s.top = scanner{most: s.front.limits.Stanza}, true, "", token{}
+	s.raw.SetHandler(s.secure(now))
+}
+
+// unbindable names a host that offers channel binding to a client whose TLS ends here, once: it can't hold.
+func (h *upstreamRequest) unbindable(t token) {
+	s := h.session
+	if s.secured && t.kind == text && h.top.name == "features" && strings.HasSuffix(strings.TrimSpace(string(t.raw)), "-PLUS") && !s.front.plus[h.attempt.Host.ID] {
+		s.front.plus[h.attempt.Host.ID] = true
+		zap.L().Warn("host_offers_channel_binding", zap.String("host", string(h.attempt.Host.ID)), zap.String("mechanism", string(t.raw)),
+			zap.String("remedy", "TLS ends at this node, so no binding can hold: have the host offer no -PLUS mechanisms"))
+	}
+}
