--- a/choice/api.go
+++ b/choice/api.go
@@ -29,6 +29,7 @@
 	OverQuotaWorth float64
 	WorthByWork    bool // worth counts for each unit of work, not for each request
 	Round          time.Duration
+	FirstCost      float64 // load that a mean connection puts on a server of size 1, where it is known; 0: guessed until learned
 	Limits         Limits
 	Rules          Rules
 	Tariffs        Tariffs
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -159,10 +159,10 @@
 	for _, t := range b.set.Tenants {
 		shares += max(0, t.Connections)
 	}
-	if n := float64(len(b.servers)); shares > 0 && finite(shares) && n > 0 {
+	if n := float64(len(b.servers)); b.set.FirstCost == 0 && shares > 0 && finite(shares) && n > 0 {
 		return clamp(n/shares, firstCost/4, 0.5)
 	}
-	return firstCost
+	return b.first
 }
 
 // predict is told load x cost, anchored at the last report; that fades to the average: silence is no news.
--- a/choice/learned_test.go
+++ b/choice/learned_test.go
@@ -204,3 +204,39 @@
 		t.Error("an older report was taken for a newer one")
 	}
 }
+
+// TestKnownCost has far more connections come than the guess of a connection's load allows for, before reports can tell better:
+// where the settings know the load, all are placed.
+func TestKnownCost(t *testing.T) {
+	for _, known := range []float64{1e-5, 0} {
+		s := knows()
+		s.Nodes, s.FirstCost = 1, known
+		b, err := New(s, 1, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		on, refused := map[ServerID]int{}, 0
+		events := []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Kind: "k", Size: 1}, {ID: "b", Kind: "k", Size: 1}}}}
+		for i := range 2000 {
+			events = append(events, Request{ID: RequestID(fmt.Sprint(i)), Tenant: -1, Left: 4 * time.Second})
+			for len(events) > 0 {
+				acts := b.Step(time.Hour+time.Duration(i)*time.Millisecond, events)
+				events = nil
+				for _, a := range acts {
+					switch a := a.(type) {
+					case Send:
+						on[a.Server]++
+						events = append(events, Established{ID: a.ID, Server: a.Server})
+					case Refuse:
+						refused++
+					case Probe:
+						events = append(events, ProbeResult{Server: a.Server, Report: []float64{float64(on[a.Server]) * 1e-5}})
+					}
+				}
+			}
+		}
+		if refused > 0 == (known > 0) {
+			t.Errorf("known cost %v: %d refused, %v placed", known, refused, on)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -103,7 +103,8 @@
 	seen      []seenKey
 	seenAt    int
 	dropped   int
-	joined    bool // connections of another process came: costs are to be set anew
+	first     float64 // load of a mean connection before anything is learned
+	joined    bool    // connections of another process came: costs are to be set anew
 }
 
 // New makes the balancer of one node. It acts first on its first Step.
@@ -146,6 +147,9 @@
 	if s.Reports == NoReports { // there is nothing to ask hosts for on the module's own account
 		s.TellsDelay = true
 	}
+	if b.first = firstCost; s.FirstCost > 0 && finite(s.FirstCost) {
+		b.first = s.FirstCost
+	}
 	s.Nodes, s.Limits.Attempts = max(1, s.Nodes), max(1, s.Limits.Attempts)
 	for len(b.silent) < s.Nodes {
 		b.silent = append(b.silent, 0)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -293,7 +293,7 @@
 func (o *Operator) Settings(c Cluster) choice.Settings {
 	// Load is the core's own count: there is nothing to find out by asking, and sessions stay where they are.
 	s := choice.Settings{Nodes: c.Nodes, Zone: c.Zone, TellsDelay: true, Subscribe: c.Discovery != "", Sizes: choice.NominalSize,
-		Reports: choice.ProbeReports, Fields: []choice.Field{choice.Load}, Round: 5 * time.Millisecond,
+		Reports: choice.ProbeReports, Fields: []choice.Field{choice.Load}, Round: 5 * time.Millisecond, FirstCost: 1 / c.Sessions,
 		Limits: choice.Limits{Attempts: c.Attempts, MayProbe: true, MayCancel: true, RetryAdvice: true,
 			MaxRetryAdvice: 2 * time.Second, ConnectTimeout: time.Duration(c.ConnectTimeout)},
 		Rules: choice.Rules{AskWithin: 10 * time.Second, DrainGrace: time.Duration(c.DrainGrace), ColdShare: c.ColdShare,
