XMPP: limits by peer and by domain, networks kept out or free of limits, changed on SIGHUP

Need: nothing bounded what one network may open. internal/transport/admit counts streams, those not authenticated yet and new ones a second by network prefix and domain, in bounded memory: in a flood those without a place share one count.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/tomlfile"
+	"spurwinch/internal/transport/admit"
 	"spurwinch/internal/transport/tls"
 )
 
@@ -21,9 +23,49 @@
 	Clusters  []Cluster  `toml:"cluster"`
 	Capture   Capture    `toml:"capture,omitempty"`
 
-	Certificates      []Certificate `toml:"certificate,omitempty"`
-	ClientAuthorities string        `toml:"client_authorities,omitempty"` // PEM file; clients may show a certificate of theirs
-	Keys              *tls.Set      `toml:"-"`                            // as they were read with the file; nil: none are named
+	Peers             Peers           `toml:"peers,omitempty"`
+	Networks          *admit.Networks `toml:"-"` // as they were read with the file
+	Certificates      []Certificate   `toml:"certificate,omitempty"`
+	ClientAuthorities string          `toml:"client_authorities,omitempty"` // PEM file; clients may show a certificate of theirs
+	Keys              *tls.Set        `toml:"-"`                            // as they were read with the file; nil: none are named
+}
+
+// Peers says what one peer, which is a network prefix, may have, and which networks are kept out or free of limits.
+type Peers struct {
+	Bits4   int    `toml:"bits4,omitzero"`
+	Bits6   int    `toml:"bits6,omitzero"`
+	Most    int    `toml:"most,omitzero"`   // peers that are told apart
+	Deny    string `toml:"deny,omitempty"`  // file of networks that are kept out, one a line
+	Allow   string `toml:"allow,omitempty"` // and of those that no limit holds for
+	Streams        // of one peer
+}
+
+// Streams bound the streams of a peer or a domain; 0: no limit.
+type Streams struct {
+	Streams int     `toml:"streams,omitzero"`
+	Waiting int     `toml:"unauthenticated,omitzero"`
+	Rate    float64 `toml:"new_per_second,omitzero"`
+	Burst   int     `toml:"burst,omitzero"`
+}
+
+func (s Streams) limits() admit.Limits {
+	return admit.Limits{Streams: s.Streams, Waiting: s.Waiting, Rate: s.Rate, Burst: s.Burst}
+}
+
+func (s Streams) check(f *tomlfile.File, at string) {
+	if s.Streams < 0 || s.Waiting < 0 || s.Burst < 0 || !(s.Rate >= 0) {
+		f.Fault(at, "streams, unauthenticated, new_per_second and burst are 0, for no limit, or more")
+	}
+}
+
+// Guard is what holds for who comes.
+func (o *Operator) Guard() (admit.Rules, *admit.Networks, map[string]admit.Limits) {
+	domains := map[string]admit.Limits{}
+	for _, d := range o.Domains {
+		domains[d.Name] = d.limits()
+	}
+	p := o.Peers
+	return admit.Rules{Bits4: p.Bits4, Bits6: p.Bits6, Peer: p.limits(), Most: p.Most}, o.Networks, domains
 }
 
 // Certificate names the PEM files of a certificate with its chain, and of its key.
@@ -54,6 +96,7 @@
 	Name    string `toml:"name"`
 	Cluster string `toml:"cluster"`
 	Class   string `toml:"class,omitempty"`
+	Streams        // of all its clients
 }
 
 // Class is a class of sessions.
@@ -180,6 +223,7 @@
 		}
 	}
 	o.readKeys(f)
+	o.readPeers(f)
 	if len(o.Classes) == 0 {
 		o.Classes = []Class{{Name: "session"}}
 	}
@@ -225,6 +269,40 @@
 	}
 }
 
+// readPeers checks the limits of peers and reads the lists of networks.
+func (o *Operator) readPeers(f *tomlfile.File) {
+	p := &o.Peers
+	tomlfile.Fill(&p.Bits4, 32)
+	tomlfile.Fill(&p.Bits6, 64)
+	tomlfile.Fill(&p.Most, 65536)
+	if p.Bits4 < 1 || p.Bits4 > 32 || p.Bits6 < 1 || p.Bits6 > 128 || p.Most < 1 || p.Most > 1<<20 {
+		f.Fault("peers", "[peers] bits4 is 1 to 32, bits6 1 to 128, most 1 to %d", 1<<20)
+	}
+	p.check(f, "peers")
+	for i, d := range o.Domains {
+		d.check(f, fmt.Sprintf("domain.%d", i))
+	}
+	if p.Deny+p.Allow == "" {
+		return
+	}
+	o.Networks = &admit.Networks{}
+	for _, list := range []struct {
+		key, path string
+		free      bool
+	}{{"deny", p.Deny, false}, {"allow", p.Allow, true}} {
+		if list.path == "" {
+			continue
+		}
+		raw, err := os.ReadFile(list.path)
+		if err == nil {
+			err = o.Networks.Read(list.path, raw, list.free)
+		}
+		if err != nil {
+			f.Fault("peers."+list.key, "%v", err)
+		}
+	}
+}
+
 // readKeys reads the files of the certificates, so that a fault in one is a fault of the operator's file.
 func (o *Operator) readKeys(f *tomlfile.File) {
 	var pairs []tls.Pair
--- a/internal/loop/carry.go
+++ b/internal/loop/carry.go
@@ -52,6 +52,9 @@
 	unix.SetNonblock(fd, true)
 	c := l.attach(fd, false)
 	c.h, c.out, c.paused = h, state.Out, state.Paused
+	if sa, err := unix.Getpeername(fd); err == nil {
+		c.Peer = addrPort(sa).Addr()
+	}
 	l.fds[fd] = c.ready
 	c.register()
 	return c
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -41,6 +41,8 @@
 
 // Conn is one stream connection.
 type Conn struct {
+	Peer netip.Addr // of a connection accepted or taken over; not valid where there is none
+
 	l         *Loop
 	fd        int
 	h         Handler
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -137,7 +137,7 @@
 		if !k.on {
 			return
 		}
-		fd, _, err := unix.Accept4(k.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, from, err := unix.Accept4(k.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
 		case err == unix.EMFILE || err == unix.ENFILE:
 			// Guards against a listener that spins, and clients that hang, when descriptors run out: the spare one
@@ -158,6 +158,7 @@
 		}
 		setOptions(fd)
 		c := l.attach(fd, k.apart)
+		c.Peer = addrPort(from).Addr()
 		if !k.apart {
 			l.makeRoom()
 		}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -76,6 +76,7 @@
 	front := xmpp.New(l, domains, xmpp.Limits{Stanza: o.Limits.StanzaBytes, Early: o.Limits.EarlyBytes,
 		HeaderTime: time.Duration(o.Limits.HeaderTime), ShakeTime: time.Duration(o.Limits.ShakeTime), MostOpen: o.Limits.Connections, Resumable: o.Limits.Resumable}, seed)
 	op.front, p.xmpp = front, front
+	front.Guard(o.Guard())
 	if p.platform == nil {
 		p.beside.total = o.Limits.Connections + spareSockets
 	}
@@ -131,6 +132,7 @@
 
 // take takes in the static hosts and the discovery addresses of a file.
 func (op *operated) take(o config.Operator) {
+	op.front.Guard(o.Guard())
 	if o.Keys != nil {
 		op.keys.Use(o.Keys)
 		op.expired()
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -14,6 +14,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	sessions "spurwinch/internal/session"
+	"spurwinch/internal/transport/admit"
 	"spurwinch/internal/transport/tls"
 
 	"go.uber.org/zap"
@@ -47,6 +48,7 @@
 	shakes   *tls.Handshakes
 	keys     *tls.Keys                // nil: no listener has TLS
 	plus     map[choice.ServerID]bool // hosts that were told of: they offer what can't hold behind TLS
+	door     *admit.Door
 	sessions *sessions.Table
 	owners   map[sessions.Key]*session // of those that stand on a connection of this process
 }
@@ -67,7 +69,7 @@
 // New makes a front for the given domains; "*" stands for all that are not named.
 func New(l *loop.Loop, domains map[string]Domain, limits Limits, seed uint64) *Front {
 	return &Front{loop: l, domains: domains, limits: limits, ids: rand.New(rand.NewPCG(seed, 2)),
-		shakes: tls.NewHandshakes(l), plus: map[choice.ServerID]bool{}, sessions: sessions.New(limits.Resumable), owners: map[sessions.Key]*session{}}
+		shakes: tls.NewHandshakes(l), plus: map[choice.ServerID]bool{}, door: admit.NewDoor(admit.Rules{}, nil, nil), sessions: sessions.New(limits.Resumable), owners: map[sessions.Key]*session{}}
 }
 
 func (f *Front) domain(to string) (Domain, bool) {
@@ -78,6 +80,14 @@
 	return d, ok
 }
 
+// named is the name under which a domain is set up.
+func (f *Front) named(domain string) string {
+	if _, ok := f.domains[domain]; ok {
+		return domain
+	}
+	return "*"
+}
+
 // Security is how a listener's clients come by TLS.
 type Security int
 
@@ -103,10 +113,18 @@
 	if f.loop.Open() > f.limits.MostOpen+politeOver {
 		return nil
 	}
-	f.Answers.Sessions++
-	s := &session{front: f, conn: c, raw: c, in: scanner{most: f.limits.Stanza}, headerDue: true, clear: how == StartTLS}
 	now := f.loop.Now()
+	guest, verdict := f.door.Come(now, c.Peer)
+	if verdict == admit.KeptOut {
+		return nil
+	}
+	f.Answers.Sessions++
+	s := &session{front: f, conn: c, raw: c, guest: guest, in: scanner{most: f.limits.Stanza}, headerDue: true, clear: how == StartTLS}
 	s.due(now.Add(f.limits.HeaderTime))
+	if verdict != admit.Welcome { // in the clear also where TLS is due: a handshake would cost what the limit saves
+		f.loop.At(now, func() { s.turnAway(verdict) })
+		return s
+	}
 	if how == Direct {
 		s.cancelTimer()
 		s.due(now.Add(f.limits.ShakeTime + f.limits.HeaderTime))
@@ -149,6 +167,7 @@
 	clear     bool      // the stream is ours up to <starttls/>
 	upgrading bool      // that has come
 	secured   bool      // by TLS
+	guest     *admit.Stream
 	resuming
 }
 
@@ -265,6 +284,10 @@
 		return ""
 	}
 	s.to = to
+	if v := s.front.door.For(s.front.loop.Now(), s.guest, s.front.named(s.domain())); v != admit.Welcome {
+		s.turnAway(v)
+		return ""
+	}
 	s.user = localPart(t.attr("from"), to)
 	s.cancelTimer()
 	s.deadline = s.front.loop.Now().Add(d.Patience)
@@ -404,6 +427,7 @@
 func (s *session) done() {
 	s.over = true
 	s.front.gone(s, s.in.ended)
+	s.guest.Gone()
 	s.sent, s.greeting, s.hold = nil, nil, nil
 	s.cancelTimer()
 }
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -81,6 +81,9 @@
 		if h.top.name == "success" && t.attr("xmlns") == saslNS {
 			s.in.restart, h.in.restart = true, true
 		}
+		if h.top.name == "success" {
+			s.guest.Known()
+		}
 	}
 	if h.top.name == "error" && t.kind == start && t.depth == 3 && local(t.name) != "text" {
 		h.errored = condition(local(t.name))
--- a/internal/xmpp/secure.go
+++ b/internal/xmpp/secure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"spurwinch/internal/loop"
+	"spurwinch/internal/transport/admit"
 
 	"go.uber.org/zap"
 )
@@ -21,6 +22,20 @@
 	Spoke()
 }
 
+// Guard has the door go by other rules, for streams that come from now on.
+func (f *Front) Guard(r admit.Rules, n *admit.Networks, domains map[string]admit.Limits) {
+	f.door.Adapt(r, n, domains)
+}
+
+// Turned counts the streams that were turned away, by verdict.
+func (f *Front) Turned() [admit.TooWaiting + 1]int { return f.door.Turned }
+
+// turnAway tells a client that it is not let in, and why.
+func (s *session) turnAway(v admit.Verdict) {
+	zap.L().Warn("client_turned_away", zap.Stringer("peer", s.raw.Peer), zap.String("domain", s.to), zap.Stringer("cause", v))
+	s.fail(resourceConstraint, v.String())
+}
+
 // protocol is the ALPN name of direct TLS (XEP-0368).
 const protocol = "xmpp-client"
 
