--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -212,12 +212,14 @@
 		if _, err := netip.ParseAddrPort(l.Addr); err != nil {
 			f.Fault(at+"addr", "listener: address %q is not IP:PORT", l.Addr)
 		}
-		if l.Protocol != "xmpp" {
-			f.Fault(at+"protocol", "listener %s: unknown protocol %q: it must be \"xmpp\"", l.Addr, l.Protocol)
+		if l.Protocol != "xmpp" && l.Protocol != "xmpp-websocket" {
+			f.Fault(at+"protocol", "listener %s: unknown protocol %q: it must be \"xmpp\" or \"xmpp-websocket\"", l.Addr, l.Protocol)
 		}
 		switch {
 		case l.TLS != "" && l.TLS != "starttls" && l.TLS != "direct":
 			f.Fault(at+"tls", "listener %s: tls = %q: it must be \"starttls\" or \"direct\"", l.Addr, l.TLS)
+		case l.TLS == "starttls" && l.Protocol == "xmpp-websocket":
+			f.Fault(at+"tls", "listener %s: WebSocket has no STARTTLS: tls = \"direct\" is wanted", l.Addr)
 		case l.TLS != "" && len(o.Certificates) == 0:
 			f.Fault(at+"tls", "listener %s: tls without a certificate: a [[certificate]] with cert and key is wanted", l.Addr)
 		}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -86,7 +86,12 @@
 		op.expiring()
 	}
 	for _, ls := range o.Listeners {
-		k, err := p.beside.listen(ls.Addr, front.AcceptBy(map[string]xmpp.Security{"starttls": xmpp.StartTLS, "direct": xmpp.Direct}[ls.TLS]))
+		how := map[string]xmpp.Security{"starttls": xmpp.StartTLS, "direct": xmpp.Direct}[ls.TLS]
+		accept := front.AcceptBy(how)
+		if ls.Protocol == "xmpp-websocket" {
+			accept = front.AcceptWeb(how)
+		}
+		k, err := p.beside.listen(ls.Addr, accept)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/xmpp/carry.go
+++ b/internal/xmpp/carry.go
@@ -60,7 +60,7 @@
 // Lend takes both sides of an established session off the loop. One that is about to leave stays.
 func (s *session) Lend() (fds []int, state any, ok bool) {
 	h := s.upstream
-	if s.secured { // its keys can't be told
+	if s.layered { // keys of TLS can't be told, and messages of WebSocket may be in the middle
 		return nil, nil, false
 	}
 	if s.over || !s.open || s.leaving || h == nil || h.over || len(h.held) > 0 {
@@ -118,7 +118,7 @@
 // Lend takes the connection off the loop.
 func (i Idle) Lend() (fds []int, state any, ok bool) {
 	s := i.s
-	if s.over || s.request != nil || s.clear || s.secured {
+	if s.over || s.request != nil || s.clear || s.layered {
 		return nil, nil, false
 	}
 	fd, conn, ok := s.raw.Lend()
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -101,15 +101,20 @@
 func (f *Front) Use(keys *tls.Keys) { f.keys = keys }
 
 // Accept takes a new connection in the clear.
-func (f *Front) Accept(c *loop.Conn) loop.Handler { return f.accept(c, Clear) }
+func (f *Front) Accept(c *loop.Conn) loop.Handler { return f.accept(c, Clear, false) }
 
 // AcceptBy is Accept for a listener whose clients come by TLS.
 func (f *Front) AcceptBy(how Security) func(*loop.Conn) loop.Handler {
-	return func(c *loop.Conn) loop.Handler { return f.accept(c, how) }
+	return func(c *loop.Conn) loop.Handler { return f.accept(c, how, false) }
+}
+
+// AcceptWeb is AcceptBy for clients that come by WebSocket (RFC 7395), in the clear or by direct TLS.
+func (f *Front) AcceptWeb(how Security) func(*loop.Conn) loop.Handler {
+	return func(c *loop.Conn) loop.Handler { return f.accept(c, how, true) }
 }
 
 // accept takes a new connection. Beyond the limit some are still taken, to refuse them with a stream error; then none.
-func (f *Front) accept(c *loop.Conn, how Security) loop.Handler {
+func (f *Front) accept(c *loop.Conn, how Security, web bool) loop.Handler {
 	if f.loop.Open() > f.limits.MostOpen+politeOver {
 		return nil
 	}
@@ -128,7 +133,23 @@
 	if how == Direct {
 		s.cancelTimer()
 		s.due(now.Add(f.limits.ShakeTime + f.limits.HeaderTime))
-		return s.secure(now)
+	}
+	switch {
+	case web:
+		s.layered = true
+		m := s.frame()
+		if how == Direct {
+			t := s.secure(now, m.under)
+			m.under.On(t)
+			s.conn = m
+			return t
+		}
+		m.under.On(c)
+		return m.under
+	case how == Direct:
+		t := s.secure(now, s)
+		s.conn = t
+		return t
 	}
 	return s
 }
@@ -166,7 +187,7 @@
 	until     time.Time // for the stream header
 	clear     bool      // the stream is ours up to <starttls/>
 	upgrading bool      // that has come
-	secured   bool      // by TLS
+	layered   bool      // TLS or WebSocket is between it and raw
 	guest     *admit.Stream
 	resuming
 }
--- a/internal/xmpp/secure.go
+++ b/internal/xmpp/secure.go
@@ -7,6 +7,7 @@
 
 	"spurwinch/internal/loop"
 	"spurwinch/internal/transport/admit"
+	"spurwinch/internal/transport/tls"
 
 	"go.uber.org/zap"
 )
@@ -39,12 +40,14 @@
 // protocol is the ALPN name of direct TLS (XEP-0368).
 const protocol = "xmpp-client"
 
-// secure has TLS begin on the connection. What it returns is the connection's handler from now on.
-func (s *session) secure(now time.Time) loop.Handler {
-	s.clear, s.upgrading, s.secured = false, false, true
-	c := s.front.shakes.Server(s.raw, s.front.keys.Config(protocol), now.Add(s.front.limits.ShakeTime), s)
-	s.conn = c
-	return c
+// secure has TLS begin on the connection, for a handler above it. What it returns is the connection's handler from now on.
+func (s *session) secure(now time.Time, above loop.Handler) *tls.Conn {
+	s.clear, s.upgrading, s.layered = false, false, true
+	protocols := []string{protocol}
+	if above != loop.Handler(s) {
+		protocols = []string{"http/1.1"}
+	}
+	return s.front.shakes.Server(s.raw, s.front.keys.Config(protocols...), now.Add(s.front.limits.ShakeTime), above)
 }
 
 // offerTLS answers the header of a stream in the clear: there is nothing to be had before TLS.
@@ -67,13 +70,15 @@
 	s.cancelTimer()
 	s.due(now.Add(s.front.limits.ShakeTime + s.front.limits.HeaderTime))
 	s.in, s.headerDue, s.to, s.top = scanner{most: s.front.limits.Stanza}, true, "", token{}
-	s.raw.SetHandler(s.secure(now))
+	t := s.secure(now, s)
+	s.conn = t
+	s.raw.SetHandler(t)
 }
 
 // unbindable names a host that offers channel binding to a client whose TLS ends here, once: it can't hold.
 func (h *upstreamRequest) unbindable(t token) {
 	s := h.session
-	if s.secured && t.kind == text && h.top.name == "features" && strings.HasSuffix(strings.TrimSpace(string(t.raw)), "-PLUS") && !s.front.plus[h.attempt.Host.ID] {
+	if s.layered && t.kind == text && h.top.name == "features" && strings.HasSuffix(strings.TrimSpace(string(t.raw)), "-PLUS") && !s.front.plus[h.attempt.Host.ID] {
 		s.front.plus[h.attempt.Host.ID] = true
 		zap.L().Warn("host_offers_channel_binding", zap.String("host", string(h.attempt.Host.ID)), zap.String("mechanism", string(t.raw)),
 			zap.String("remedy", "TLS ends at this node, so no binding can hold: have the host offer no -PLUS mechanisms"))
