XMPP: a second unmodified client library, stanza, resumes over WebSocket

TestClients: @xmpp/client over STARTTLS, direct TLS and WebSocket in the clear and over TLS, stanza over both WebSockets; all resume. Tried and left out: gosrc.io/xmpp 0.5.1 connects and binds over STARTTLS, but its own Resume sends a second stream header in place of STARTTLS on the new connection (its stream log shows it), which no server can take.

--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,8 @@
 		t.Skip("XMPP_CLIENTS is not set")
 	}
 	cert, key := exchange.Keys(t, t.TempDir(), time.Now().Add(time.Hour*24*90), "farm.example")
-	listeners := []struct{ name, scheme, protocol, tls string }{
+	type listener struct{ name, scheme, protocol, tls string }
+	listeners := []listener{
 		{"STARTTLS", "xmpp", "xmpp", "starttls"}, {"direct TLS", "xmpps", "xmpp", "direct"},
 		{"WebSocket", "ws", "xmpp-websocket", ""}, {"WebSocket over TLS", "wss", "xmpp-websocket", "direct"}}
 	more := fmt.Sprintf("[[certificate]]\ncert = %q\nkey = %q\n", cert, key)
@@ -30,9 +32,11 @@
 		services = append(services, l.scheme+"://"+addr)
 	}
 	f := newVillage(t, 4, more)
-	for i, l := range listeners {
-		t.Run(l.name, func(t *testing.T) {
-			c := exec.Command("node", "client.mjs", services[i], fmt.Sprint("user", i))
+	for i, run := range []struct{ script, listener string }{{"client.mjs", "STARTTLS"}, {"client.mjs", "direct TLS"}, {"client.mjs", "WebSocket"},
+		{"client.mjs", "WebSocket over TLS"}, {"stanza.mjs", "WebSocket"}, {"stanza.mjs", "WebSocket over TLS"}}} {
+		at := slices.IndexFunc(listeners, func(l listener) bool { return l.name == run.listener })
+		t.Run(run.script+" by "+run.listener, func(t *testing.T) {
+			c := exec.Command("node", run.script, services[at], fmt.Sprint("user", i))
 			c.Dir = "testdata/clients"
 			c.Env = append(os.Environ(), "NODE_TLS_REJECT_UNAUTHORIZED=0", "NODE_NO_WARNINGS=1", "NODE_OPTIONS=--experimental-websocket")
 			out, err := c.CombinedOutput()
