--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -33,7 +33,7 @@
 	}
 	f := newVillage(t, 4, more)
 	for i, run := range []struct{ script, listener string }{{"client.mjs", "STARTTLS"}, {"client.mjs", "direct TLS"}, {"client.mjs", "WebSocket"},
-		{"client.mjs", "WebSocket over TLS"}, {"stanza.mjs", "WebSocket"}, {"stanza.mjs", "WebSocket over TLS"}}} {
+		{"client.mjs", "WebSocket over TLS"}, {"stanza.mjs", "WebSocket"}, {"stanza.mjs", "WebSocket over TLS"}} {
 		at := slices.IndexFunc(listeners, func(l listener) bool { return l.name == run.listener })
 		t.Run(run.script+" by "+run.listener, func(t *testing.T) {
 			c := exec.Command("node", run.script, services[at], fmt.Sprint("user", i))
