XMPP: see-other-host is followed to a host of the list, as one of the attempts

Until now it counted as a refusal, and the module's next choice was any host. The core looks the address up in its list and tells the module (Homed); an address that is not listed is never dialled.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -617,6 +617,16 @@
 	r.attempt.giveUp(choice.Cancelled)
 }
 
+// Redirected says that a host has named another one, by its address or id, before its attempt ends. One that is not in the list, or
+// leaves, is nobody's to go to.
+func (r *Request) Redirected(to string) {
+	for _, h := range r.core.hosts {
+		if (h.Addr == to || string(h.ID) == to) && h.State == choice.Ready {
+			r.core.tell(choice.Homed{ID: r.ID, Server: h.ID})
+		}
+	}
+}
+
 // Attempt is one upstream request.
 type Attempt struct {
 	request  *Request
--- a/internal/lab/xmppserver/server.go
+++ b/internal/lab/xmppserver/server.go
@@ -25,6 +25,8 @@
 type Server struct {
 	Addr string
 	Max  int // seconds that a session can be resumed, as clients are told
+	// SeeOther is the address that clients are sent to; empty: they are served here.
+	SeeOther string
 
 	name     string
 	listener net.Listener
@@ -167,6 +169,11 @@
 
 func (st *stream) greet() {
 	fmt.Fprintf(st.c, "<?xml version='1.0'?><stream:stream from='farm.example' id='%s' version='1.0' xmlns='jabber:client' xmlns:stream='http://etherx.jabber.org/streams'>", st.s.name)
+	if o := st.s.SeeOther; o != "" {
+		fmt.Fprintf(st.c, "<stream:error><see-other-host xmlns='urn:ietf:params:xml:ns:xmpp-streams'>%s</see-other-host></stream:error></stream:stream>", o)
+		st.c.Close()
+		return
+	}
 	st.features()
 }
 
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
@@ -25,10 +26,13 @@
 	held       []byte
 	top        token
 	errored    condition // the condition in a stream error of the host
+	other      []byte    // the address in a see-other-host
 	bound      bool      // inside a SASL2 success: the resource is bound, or the session resumed (XEP-0386, XEP-0198)
 	passedPart bool      // an unfinished stanza has been passed on
 }
 
+const mostAddress = 300 // bytes of one that a host names
+
 // OnConnect gives the host all that the client sent so far.
 func (h *upstreamRequest) OnConnect() {
 	h.up = true
@@ -94,6 +98,9 @@
 	}
 	h.managed(t)
 	h.unbindable(t)
+	if t.kind == text && t.depth == 3 && h.errored == seeOtherHost && len(h.other)+len(t.raw) <= mostAddress {
+		h.other = append(h.other, t.raw...)
+	}
 	if t.kind == end && t.depth == 1 {
 		h.closed(t)
 		return
@@ -174,8 +181,11 @@
 	}
 	o := choice.Failed
 	switch h.errored {
-	case resourceConstraint, systemShutdown, policyViolation, "reset", "see-other-host":
+	case resourceConstraint, systemShutdown, policyViolation, "reset":
+		o = choice.Full
+	case seeOtherHost: // a hint like any other: only to a host of the list, and as one of the attempts that there are
 		o = choice.Full
+		s.request.Redirected(strings.TrimSpace(string(h.other)))
 	}
 	h.fail(o)
 }
--- a/internal/xmpp/scanner.go
+++ b/internal/xmpp/scanner.go
@@ -68,6 +68,7 @@
 	remoteConnectionFailed condition = "remote-connection-failed"
 	resourceConstraint     condition = "resource-constraint"
 	restrictedXML          condition = "restricted-xml"
+	seeOtherHost           condition = "see-other-host"
 	systemShutdown         condition = "system-shutdown"
 	unsupportedEncoding    condition = "unsupported-encoding"
 	unsupportedVersion     condition = "unsupported-version"
