TLS: stalled handshakes don't keep newcomers out; two reckon at a time, 256 are under way

Found on a second reading: eight clients that began a handshake and fell silent held all places for ten seconds, and those that waited were kept in a queue without a bound. A handshake takes a place with its first byte; for want of one the oldest goes; two reckon at a time, so that the loop never waits behind more.

--- a/internal/transport/tls/tls.go
+++ b/internal/transport/tls/tls.go
@@ -1,8 +1,10 @@
-// Package tls puts TLS between a connection of the loop and its handler. Handshakes run apart from the loop, a bounded number
-// at once, since crypto/tls can't interrupt one; all that follows is read and written by the loop, and nothing is started for it.
+// Package tls puts TLS between a connection of the loop and its handler. Handshakes run apart from the loop, since crypto/tls can't
+// interrupt one: a bounded number at once, of which the oldest goes for a new one, and few of them work at a time. All that
+// follows is read and written by the loop, and nothing is started for it.
 package tls
 
 import (
+	"container/list"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -19,7 +21,8 @@
 const (
 	mostEarly   = 64 << 10 // of a peer, kept for a handshake
 	mostPending = 1 << 20  // to be written once the handshake is done
-	mostAtOnce  = 8        // handshakes: beyond, they wait in turn
+	mostAtOnce  = 256      // handshakes under way, most of them waiting for the other side
+	mostWorking = 2        // of these that reckon at a time: the loop must not wait behind them
 	readSize    = 16 << 10 // a record's most
 )
 
@@ -33,18 +36,20 @@
 // Handshakes runs the handshakes of a loop's connections, so many at once. Its methods belong to the loop's goroutine.
 type Handshakes struct {
 	l       *loop.Loop
-	running int
-	waiting []*Conn
+	running list.List // of *Conn, oldest first
+	work    chan struct{}
 	buf     [readSize]byte
 	Done    int // handshakes that came to their end
 	Failed  int // and that did not
 }
 
 // NewHandshakes makes them for a loop.
-func NewHandshakes(l *loop.Loop) *Handshakes { return &Handshakes{l: l} }
+func NewHandshakes(l *loop.Loop) *Handshakes {
+	return &Handshakes{l: l, work: make(chan struct{}, mostWorking)}
+}
 
-// Waiting counts the handshakes that run or wait for their turn.
-func (hs *Handshakes) Waiting() int { return hs.running + len(hs.waiting) }
+// Running counts the handshakes that are under way.
+func (hs *Handshakes) Running() int { return hs.running.Len() }
 
 // Conn is a TLS connection. It has the loop's connection's methods, and its handler the same callbacks: OnData when there is
 // plain text, OnEnd at the other side's end.
@@ -62,41 +67,38 @@
 	reading bool
 	eof     bool
 	pending []byte // plain text, until the handshake is done
+	place   *list.Element
 }
 
 // Server begins the server's side of a handshake on a connection; by is when it must be done.
 func (hs *Handshakes) Server(under *loop.Conn, config *tls.Config, by time.Time, h loop.Handler) *Conn {
-	c := &Conn{hs: hs, under: under, h: h, pipe: newPipe(hs.l)}
+	c := &Conn{hs: hs, under: under, h: h, pipe: newPipe(hs)}
 	c.pipe.write = under.Write
 	c.tls = tls.Server(c.pipe, config)
 	c.stop = hs.l.At(by, func() { c.broke(ErrHandshakeTime) })
-	hs.waiting = append(hs.waiting, c)
-	hs.next()
 	return c
 }
 
-// next starts handshakes that wait, while there is room.
-func (hs *Handshakes) next() {
-	for hs.running < mostAtOnce && len(hs.waiting) > 0 {
-		c := hs.waiting[0]
-		if hs.waiting = hs.waiting[1:]; c.over {
-			continue
-		}
-		hs.running++
-		ctx, cancel := context.WithCancel(context.Background())
-		c.cancel = cancel
-		go func() {
-			err := c.tls.HandshakeContext(ctx)
-			hs.l.Post(func() { c.shaken(err) })
-		}()
+// begin starts a handshake, once something of it has come: who says nothing takes no place. For want of one the oldest goes, which
+// has had its time more than any other.
+func (hs *Handshakes) begin(c *Conn) {
+	if hs.running.Len() >= mostAtOnce {
+		hs.running.Front().Value.(*Conn).broke(errNoRoom)
 	}
+	c.place = hs.running.PushBack(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go func() {
+		hs.work <- struct{}{}
+		err := c.tls.HandshakeContext(ctx)
+		<-hs.work
+		hs.l.Post(func() { c.shaken(err) })
+	}()
 }
 
 // shaken is called on the loop once a handshake has ended.
 func (c *Conn) shaken(err error) {
-	c.hs.running--
 	c.cancel()
-	c.hs.next()
 	if c.over {
 		return
 	}
@@ -107,6 +109,7 @@
 		return
 	}
 	c.stop()
+	c.leave()
 	c.hs.Done++
 	c.up = true
 	c.pipe.byLoop()
@@ -138,6 +141,9 @@
 		c.broke(errTooMuch)
 		return
 	}
+	if !c.up && c.cancel == nil {
+		c.hs.begin(c)
+	}
 	if c.up {
 		c.read()
 	}
@@ -181,8 +187,17 @@
 	c.h.OnEnd(err)
 }
 
+// leave gives the place of a handshake up.
+func (c *Conn) leave() {
+	if c.place != nil {
+		c.hs.running.Remove(c.place)
+		c.place = nil
+	}
+}
+
 func (c *Conn) done() {
 	c.over = true
+	c.leave()
 	c.stop()
 	if c.cancel != nil {
 		c.cancel()
@@ -289,7 +304,7 @@
 // pipe is the network under crypto/tls: what came waits in it, and what is written goes to the loop. While a handshake runs it
 // is used from two goroutines, and its reader waits; from then on the loop alone has it, and nobody waits.
 type pipe struct {
-	l     *loop.Loop
+	hs    *Handshakes
 	write func([]byte)
 
 	mu     sync.Mutex
@@ -301,8 +316,8 @@
 	closed bool
 }
 
-func newPipe(l *loop.Loop) *pipe {
-	p := &pipe{l: l}
+func newPipe(hs *Handshakes) *pipe {
+	p := &pipe{hs: hs}
 	p.more = sync.NewCond(&p.mu)
 	return p
 }
@@ -335,7 +350,7 @@
 		case p.loops:
 			return 0, errNotNow
 		}
-		p.more.Wait()
+		p.wait()
 	}
 	n := copy(b, p.in)
 	if p.in = p.in[n:]; len(p.in) == 0 {
@@ -344,6 +359,17 @@
 	return n, nil
 }
 
+// wait waits for more of a handshake. Meanwhile others may work.
+func (p *pipe) wait() {
+	<-p.hs.work
+	for len(p.in) == 0 && !p.closed {
+		p.more.Wait()
+	}
+	p.mu.Unlock() // the loop must not wait for this one's turn
+	p.hs.work <- struct{}{}
+	p.mu.Lock()
+}
+
 // Write is crypto/tls's.
 func (p *pipe) Write(b []byte) (int, error) {
 	p.mu.Lock()
@@ -357,7 +383,7 @@
 		p.out = append(p.out, b...)
 		if !p.posted {
 			p.posted = true
-			p.l.Post(p.flush)
+			p.hs.l.Post(p.flush)
 		}
 	}
 	return len(b), nil
