--- a/internal/transport/tls/tls.go
+++ b/internal/transport/tls/tls.go
@@ -65,7 +65,8 @@
 	over    bool
 	paused  bool
 	reading bool
-	eof     bool
+	ended   bool   // the other side has ended the connection
+	eof     bool   // and the handler knows
 	pending []byte // plain text, until the handshake is done
 	place   *list.Element
 }
@@ -163,8 +164,11 @@
 			continue
 		}
 		switch {
-		case err == nil || errors.Is(err, errNotNow):
+		case (err == nil || errors.Is(err, errNotNow)) && !c.ended:
 			return
+		case err == nil || errors.Is(err, errNotNow):
+			c.eof = true
+			c.h.OnEnd(io.EOF)
 		case err == io.EOF:
 			c.eof = true
 			c.h.OnEnd(io.EOF)
@@ -222,8 +226,8 @@
 		c.h.OnEnd(io.ErrUnexpectedEOF)
 		return
 	}
-	c.eof = true
-	c.h.OnEnd(io.EOF)
+	c.ended = true
+	c.read() // what came before the end comes first, also where the handler has paused
 }
 
 // OnDrained tells the handler that all is with the kernel.
--- a/internal/transport/websocket/websocket.go
+++ b/internal/transport/websocket/websocket.go
@@ -50,6 +50,7 @@
 	paused   bool
 	reading  bool
 	over     bool
+	ended    bool // the other side has ended the connection
 	closed   bool // our close frame is sent
 	later    func(func())
 }
@@ -102,6 +103,9 @@
 	}
 	for !c.over && !c.paused && c.frame() {
 	}
+	if c.ended && !c.over && !c.paused {
+		c.gone(io.EOF)
+	}
 	if len(c.in) == 0 {
 		c.in = nil // an idle connection keeps no buffer
 	}
@@ -242,6 +246,9 @@
 	if c.over {
 		return
 	}
+	if c.ended = true; err == io.EOF && c.up && c.paused {
+		return // what came before the end comes first, once the handler goes on
+	}
 	c.over = true
 	c.h.OnEnd(err)
 	if err == io.EOF {
--- a/internal/transport/websocket/websocket_test.go
+++ b/internal/transport/websocket/websocket_test.go
@@ -88,6 +88,22 @@
 	}
 }
 
+// TestPausedAtTheEnd has a client send and end while the handler has paused: what was sent comes first, then the end does.
+func TestPausedAtTheEnd(t *testing.T) {
+	h, _ := start(100)
+	h.c.OnData([]byte(request))
+	h.c.Pause()
+	h.c.OnData(append(frame(ws.OpText, true, "a"), frame(ws.OpText, true, "b")...))
+	h.c.OnEnd(io.EOF)
+	if len(h.got) != 0 || h.end != nil {
+		t.Errorf("while paused came %q, %v", h.got, h.end)
+	}
+	h.c.Resume()
+	if fmt.Sprint(h.got) != "[a b]" || h.end != io.EOF {
+		t.Errorf("then came %q, %v", h.got, h.end)
+	}
+}
+
 // TestSpoilt has what the protocol doesn't allow end the connection with the code that says why.
 func TestSpoilt(t *testing.T) {
 	for name, c := range map[string]struct {
