--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -36,11 +36,11 @@
 	dir := t.TempDir()
 	r := &replaced{t: t, config: filepath.Join(dir, "config.json"), file: filepath.Join(dir, "operator.toml")}
 	r.env = map[string]string{"GW_CONFIG": r.config, "TMPDIR": dir, "GW_LISTEN": exchange.FreeAddr(t), "XMPP": exchange.FreeAddr(t)}
-	r.write(`{"name":"n1","listen":"-","discovery":"` + (&exchange.Player{}).Listen(t, "d") + `","seed":"1","limits":{"cores":1,"sockets":` + fmt.Sprint(sockets) +
+	r.write(`{"name":"n1","listen":"` + r.env["GW_LISTEN"] + `","discovery":"` + (&exchange.Player{}).Listen(t, "d") + `","seed":"1","limits":{"cores":1,"sockets":` + fmt.Sprint(sockets) +
 		`},"known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":"` + host + `","zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}]},"settings":` +
 		strings.NewReplacer("REPORTS", "off", `"messageAimS":[0.06]`, `"messageAimS":[600]`).Replace(settings) + `}`)
 	text := "[limits]\nheader_time = \"20s\"\n[[listener]]\naddr = \"" + r.env["XMPP"] + "\"\nprotocol = \"xmpp\"\n[[class]]\nname = \"c\"\n" +
-		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n[[cluster.host]]\naddr = \"" + host + "\"\n"
+		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\nleave = \"1s\"\n[[cluster.host]]\naddr = \"" + host + "\"\n"
 	if err := os.WriteFile(r.file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -94,6 +94,15 @@
 	})
 }
 
+// reload has the next process read its files again, which are sound.
+func (r *replaced) reload() {
+	r.next.on(func() {
+		if r.next.Reload(); r.next.figures.ReloadsFailed > 0 {
+			r.t.Error("the files were turned down")
+		}
+	})
+}
+
 // end waits until the process that leaves has ended by itself.
 func (r *replaced) end() {
 	r.t.Helper()
@@ -128,9 +137,19 @@
 				}
 				r.write(strings.Replace(string(raw), `"name":"chat"`, `"name":"trade"`, 1))
 			},
+			"drain": func() {
+				raw, err := os.ReadFile(r.file)
+				if err == nil {
+					err = os.WriteFile(r.file, append(raw, "state = \"draining\"\n"...), 0o600)
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.reload()
+			},
 			"hup": func() {
 				r.now.loop.Post(r.now.Reload)
-				r.next.loop.Post(r.next.Reload)
+				r.reload()
 			},
 		}
 		p.Play(t, text)
