--- a/choice/choice.go
+++ b/choice/choice.go
@@ -99,21 +99,20 @@
 // price sets each server's cost, its own ratio shrunk to its kind's: where this node holds little, its own
 // ratio is noise. Equal costs over registered size where there are no reports.
 func (b *Balancer) price() {
+	servers := 0.0
 	for _, k := range b.kindList {
 		k.told, k.servers = 0, 0
 	}
 	for _, s := range b.servers {
 		if s.State == Ready {
 			s.kind.told, s.kind.servers = s.kind.told+s.told, s.kind.servers+1
+			servers++
 		}
 	}
 	// What this node holds is a sample of the fleet, on a large one of a few connections or none: then
 	// the told cost stands, not reported load over next to nothing.
-	first, servers := b.firstCost(), 0.0
+	first := b.firstCost()
 	num, den, sum := 0.5, 0.5*b.unit/first, 0.0
-	for _, k := range b.kindList {
-		servers += k.servers
-	}
 	for _, k := range b.kindList {
 		prior := 0.0
 		if !b.tellsHeld { // one server's own load is noise on a large fleet: take the kind's
@@ -212,13 +211,11 @@
 		s.prevErr = err
 		if age := b.now - s.reportAt; !b.set.TellsDelay && s.told > 0 && s.State == Ready &&
 			(age > patrolAfter || s.report > crowded-2*spill && age > tick/2) {
-			if b.keeps {
-				if age > patrolAfter || age > tick*9/10 {
-					b.question(relieveMe, s, nil, s.told/b.unit)
-				}
-				continue
+			if !b.keeps { // guards connections whose server filled up later, where nobody tells of that
+				b.probe(s)
+			} else if age > tick*9/10 {
+				b.question(relieveMe, s, nil, s.told/b.unit)
 			}
-			b.probe(s) // guards connections whose server filled up later, where nobody tells of slow messages
 		}
 	}
 }
@@ -359,8 +356,6 @@
 // sample draws n more servers by weight. A group draws by a hash in place of chance, and without a bonus
 // for low load, so that nodes choose alike without talking: each server holding any of a group pays for it.
 func (b *Balancer) sample(r *request, n int) {
-	var keys []float64
-	var picks []*server
 	bad, ready := 0, 0
 	for _, s := range b.servers {
 		if s.State == Ready {
@@ -370,18 +365,12 @@
 			}
 		}
 	}
-	for _, s := range b.servers {
+	r.picks = append(r.picks, lowest(b.servers, n, func(s *server) float64 {
 		if b.now < s.badUntil && 2*bad <= ready || slices.Contains(r.picks, s) || !b.eligible(r, s) {
-			continue // where most look bad, the information is suspect, not the servers
-		}
-		key := -math.Log(b.chance(r, s)) / b.weight(r, s, 0, b.avg)
-		i, _ := slices.BinarySearch(keys, key)
-		if i < n {
-			keys, picks = slices.Insert(keys, i, key), slices.Insert(picks, i, s)
-			keys, picks = keys[:min(n, len(keys))], picks[:min(n, len(picks))]
+			return never // where most look bad, the information is suspect, not the servers
 		}
-	}
-	r.picks = append(r.picks, picks...)
+		return -math.Log(b.chance(r, s)) / b.weight(r, s, 0, b.avg)
+	})...)
 }
 
 func (b *Balancer) chance(r *request, s *server) float64 {
@@ -492,26 +481,20 @@
 
 // consult asks the keeper of the next server in a request's order whether it bears one more.
 func (b *Balancer) consult(r *request) {
-	var next *server
-	least := math.Inf(1)
-	for _, s := range b.servers {
+	next := lowest(b.servers, 1, func(s *server) float64 {
 		if b.now < max(s.badUntil, s.denied) || slices.Contains(r.picks, s) || !b.eligible(r, s) {
-			continue
+			return never
+		} else if r.bind != 0 {
+			return -math.Log(b.chance(r, s))
 		}
-		key := -math.Log(b.chance(r, s))
-		if r.bind == 0 {
-			key /= b.weight(r, s, r.load, b.avg)
-		}
-		if key < least {
-			next, least = s, key
-		}
-	}
-	if next == nil || len(r.picks) >= maxRounds {
+		return -math.Log(b.chance(r, s)) / b.weight(r, s, r.load, b.avg)
+	})
+	if len(next) == 0 || len(r.picks) >= maxRounds {
 		b.answer(r)
 		return
 	}
-	r.picks = append(r.picks, next)
-	b.question(mayISend, next, r, r.load)
+	r.picks = append(r.picks, next...)
+	b.question(mayISend, next[0], r, r.load)
 }
 
 // decide lets a connection come while the server bears it; a group it doesn't pay for yet must leave room.
@@ -587,9 +570,8 @@
 	r.waiting = 0
 	b.waits = slices.DeleteFunc(b.waits, func(o *request) bool { return o == r })
 	picks := slices.DeleteFunc(slices.Clone(r.picks), func(s *server) bool { return !b.eligible(r, s) })
-	if heard := slices.DeleteFunc(slices.Clone(picks), func(s *server) bool {
-		return s.probing || b.now < s.badUntil // silence is not low load
-	}); len(heard) > 0 {
+	silent := func(s *server) bool { return s.probing || b.now < s.badUntil } // which is not low load
+	if heard := slices.DeleteFunc(slices.Clone(picks), silent); len(heard) > 0 {
 		picks = heard
 	}
 	ref, low := 0.0, math.Inf(1)
@@ -609,13 +591,10 @@
 		b.answer(r)
 		return
 	}
-	best, least := picks[0], math.Inf(1)
-	for _, s := range picks {
-		if key := -math.Log(b.chance(r, s)) / b.weight(r, s, r.load, ref); key < least {
-			best, least = s, key
-		}
-	}
-	b.send(r, best)
+	best := lowest(picks, 1, func(s *server) float64 {
+		return -math.Log(b.chance(r, s)) / b.weight(r, s, r.load, ref)
+	})
+	b.send(r, append(best, picks[0])[0])
 }
 
 func (b *Balancer) send(r *request, s *server) {
--- a/choice/math.go
+++ b/choice/math.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 )
@@ -34,3 +35,18 @@
 func compareID(s *server, id ServerID) int { return strings.Compare(string(s.ID), string(id)) }
 
 func relative(p, avg float64) float64 { return clamp((p-avg)/max(avg, 0.05), -1, 3) }
+
+var never = math.Inf(1)
+
+// lowest is the n servers with the lowest keys, lowest first; one whose key is never is not among them.
+func lowest(all []*server, n int, key func(*server) float64) (picks []*server) {
+	keys := make([]float64, 0, n+1)
+	for _, s := range all {
+		k := key(s)
+		if i, _ := slices.BinarySearch(keys, k); k < never && i < n {
+			keys, picks = slices.Insert(keys, i, k), slices.Insert(picks, i, s)
+			keys, picks = keys[:min(n, len(keys))], picks[:min(n, len(picks))]
+		}
+	}
+	return picks
+}
