Choice: a plan of zones says where requests go, and what was seen of zones can be told

The need: failover decided in common has to reach the module as an event, like settings, with the decision left there. Change: ZonePlan has grants by class and zone, nearest first, in whole hosts; a request goes to the nearest zone where this node's connections of its class leave room, to the next where nothing is left in that one, and is refused at once with spread advice where no grant has room. News tells load, hosts left out and outcomes by zone, arrivals and refusals by class. Without a plan nothing changes. Ruled out: a draw by shares, which holds only while traffic stays as it was; the gate together with a plan, since it turns away by chance what the plan has room for.

--- a/choice/api.go
+++ b/choice/api.go
@@ -251,6 +251,12 @@
 	// NewSettings replaces the settings. Classes and tenants keep their indices; new ones come behind. Requests under way
 	// keep the class and the number of attempts that they came with.
 	NewSettings struct{ Settings }
+	// ZonePlan says in which zones this node's requests may go from now on, for each class the nearest one first. Without
+	// grants nothing is placed; nil grants end the plan: each node chooses for itself, among all zones.
+	ZonePlan struct {
+		Grants    []Grant
+		ComeAgain time.Duration // advice for what no grant has room for, spread by half
+	}
 	// PeerMessage is a message of another node, by its number. What can't be read, is late or repeats is dropped.
 	PeerMessage struct {
 		From int
@@ -272,8 +278,16 @@
 func (ClientGone) event()     {}
 func (TimerFired) event()     {}
 func (NewSettings) event()    {}
+func (ZonePlan) event()       {}
 func (PeerMessage) event()    {}
 
+// Grant lets this node's connections of a class take so much of a zone.
+type Grant struct {
+	Class int
+	Zone  string
+	Room  float64 // in whole hosts: learned cost times told load
+}
+
 // Outcome is how an attempt or a probe ended.
 type Outcome uint8
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -123,7 +123,7 @@
 	}
 	all := num / den
 	b.keeps = b.set.Limits.MayTell && b.set.Limits.MayProbe && b.set.Reports != NoReports &&
-		first*float64(len(b.silent)) > 1 &&
+		first*float64(len(b.silent)) > 1 && b.plan == nil &&
 		b.set.Tariffs.Peer*(questionBytes+answerBytes)/256 <= b.set.Tariffs.Probe
 	b.bases = 0
 	for _, s := range b.servers {
@@ -330,7 +330,7 @@
 	r := &request{Request: q, load: b.loadOf(q), bind: b.bindOf(q), deadline: b.now + q.Left,
 		class: &b.set.Classes[q.Class], most: b.set.Limits.Attempts}
 	b.reqs[q.ID] = r
-	if len(b.servers) > 0 && !q.MidFlow && !b.keeps &&
+	if len(b.servers) > 0 && !q.MidFlow && !b.keeps && b.plan == nil &&
 		b.rng.Float64() > math.Pow(b.gate, b.meanWorth/b.worth(r)) {
 		if s := b.servers[b.rng.IntN(len(b.servers))]; s.State == Ready && b.rng.Float64() < peek {
 			b.probe(s)
@@ -349,7 +349,7 @@
 		c.Scope != ScopeAll && s.Zone != r.may.Zone || c.Scope == ScopeCell && s.Cell != r.may.Cell) {
 		return false
 	}
-	return s.State == Ready && !slices.Contains(r.tried, s) &&
+	return s.State == Ready && !slices.Contains(r.tried, s) && (r.zone == "" || s.Zone == r.zone) &&
 		(b.keeps && (r.rounds < maxMuted || b.warm(s) == 1) || !b.keeps && b.coldCredit(s))
 }
 
@@ -390,6 +390,19 @@
 	return int(clamp(math.Ceil(size*cost/groupShare), 1, float64(len(b.servers))))
 }
 
+// allot finds the nearest zone where the plan leaves room for a request. All that this node's connections of
+// the class have there counts, whenever they came: plans change, and none may take what another promised.
+func (b *Balancer) allot(r *request) bool {
+	for _, g := range b.plan {
+		if g.Class == r.Class && !slices.Contains(r.shut, g.Zone) &&
+			(b.inZone[zoneClass{g.Zone, g.Class}]+r.load)*b.zoneCost(g.Zone) <= g.Room {
+			r.zone = g.Zone
+			return true
+		}
+	}
+	return b.plan == nil
+}
+
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
 func (b *Balancer) place(r *request) {
 	if s := b.find(r.Home); s != nil && b.now >= s.badUntil && b.eligible(r, s) { // resumes there
@@ -405,7 +418,11 @@
 		n = b.spread(r)
 	}
 	r.wide = false
-	b.sample(r, n)
+	for had := len(r.picks); b.allot(r); r.shut = append(r.shut, r.zone) {
+		if b.sample(r, n); b.plan == nil || len(r.picks) > had { // else nothing is left in this zone
+			break
+		}
+	}
 	r.waiting, r.rounds, r.wide = 0, r.rounds+1, r.bind != 0 && n > 1
 	hold := r.class.SetupAim / holdShare
 	for _, s := range r.picks {
@@ -644,9 +661,8 @@
 		r.may, r.mayAt = s, r.sentAt
 	}
 	r.tried = append(r.tried, s)
-	c := r.class
 	if r.attempts >= r.most || r.deadline-b.now <= 4*b.set.Round ||
-		r.may != nil && c.Repeat == Unsafe {
+		r.may != nil && r.class.Repeat == Unsafe {
 		b.answer(r)
 		return
 	}
@@ -656,8 +672,14 @@
 // answer ends a request without a connection: refused where trying again is harmless, else failed.
 func (b *Balancer) answer(r *request) {
 	c := r.class
+	b.refused = append(b.refused, r.Class)
 	if r.on == nil && r.may == nil || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
-		b.out = append(b.out, Refuse{ID: r.ID})
+		after := time.Duration(0) // by then there may be another plan; spread, so that returns are no wave
+		if b.plan != nil && b.set.Limits.RetryAdvice && r.attempts == 0 {
+			after = time.Duration((0.5 + b.rng.Float64()) * float64(b.comeAgain))
+		}
+		after = min(after, b.set.Limits.MaxRetryAdvice)
+		b.out = append(b.out, Refuse{r.ID, after})
 	} else {
 		b.out = append(b.out, Fail{r.ID})
 	}
--- /dev/null
+++ b/choice/evidence.go
@@ -0,0 +1,172 @@
+package choice
+
+import (
+	"slices"
+	"time"
+)
+
+// What a node tells of zones to those who plan for all. No decisions here.
+
+type zoneClass struct {
+	zone  string
+	class int
+}
+
+type zoneCount struct{ attempts, failed float64 }
+
+type classCount struct{ arrived, refused float64 }
+
+// ZoneNews is what a node knows of one zone.
+type ZoneNews struct {
+	Zone     string
+	Ready    int       // hosts that are listed as serving
+	Out      int       // of these, left out after failures
+	Warm     float64   // what the ready ones can do now, in whole hosts
+	Load     float64   // their predicted load, in whole hosts
+	Held     []float64 // this node's own part of it, by class
+	Attempts float64   // since the last news, probes counted as attempts
+	Failed   float64   // of these: no connection, no answer in time, an error, a reset
+}
+
+// ClassNews is what clients asked of a node since the last news, in whole hosts of the mean cost.
+type ClassNews struct{ Arrived, Refused float64 }
+
+// News is what the module saw since it was last asked, and what stands.
+type News struct {
+	Zones   []ZoneNews // by name
+	Classes []ClassNews
+}
+
+// News tells what was seen since the last call.
+func (b *Balancer) News(now time.Duration) News {
+	b.now = max(b.now, now)
+	at := map[string]*ZoneNews{}
+	n := News{}
+	for _, s := range b.servers {
+		z := at[s.Zone]
+		if z == nil {
+			z = &ZoneNews{Zone: s.Zone, Held: make([]float64, len(b.set.Classes))}
+			if c := b.zoneNews[s.Zone]; c != nil {
+				z.Attempts, z.Failed = c.attempts, c.failed
+			}
+			at[s.Zone] = z
+		}
+		if s.State != Ready {
+			continue
+		}
+		z.Ready++
+		if b.now < s.badUntil {
+			z.Out++
+		}
+		z.Warm += b.warm(s)
+		z.Load += max(0, b.predict(s))
+	}
+	for name, z := range at {
+		for c := range z.Held {
+			z.Held[c] = b.inZone[zoneClass{name, c}] * b.zoneCost(name)
+		}
+		n.Zones = append(n.Zones, *z)
+	}
+	slices.SortFunc(n.Zones, func(x, y ZoneNews) int {
+		if x.Zone < y.Zone {
+			return -1
+		}
+		return 1
+	})
+	mean := b.meanCost()
+	n.Classes = make([]ClassNews, len(b.set.Classes))
+	for c, k := range b.classNews {
+		if c < len(n.Classes) {
+			n.Classes[c] = ClassNews{k.arrived * mean, k.refused * mean}
+		}
+	}
+	b.classNews = b.classNews[:0]
+	clear(b.zoneNews)
+	return n
+}
+
+// zoneCost is the load that a unit of told load puts on the mean host of a zone.
+func (b *Balancer) zoneCost(zone string) float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.Zone == zone && s.State == Ready {
+			sum, n = sum+s.cost, n+1
+		}
+	}
+	if n == 0 {
+		return b.meanCost()
+	}
+	return sum / n
+}
+
+// zoned keeps what the node has in a zone, by class.
+func (b *Balancer) zoned(r *request, load float64) {
+	key := zoneClass{r.on.Zone, r.Class}
+	if b.inZone[key] += load; b.inZone[key] < 1e-9 {
+		delete(b.inZone, key)
+	}
+}
+
+func (b *Balancer) countZone(zone string, failed bool) {
+	c := b.zoneNews[zone]
+	if c == nil {
+		if len(b.zoneNews) >= mostZones { // guards against a list that names a zone for each host
+			return
+		}
+		c = &zoneCount{}
+		b.zoneNews[zone] = c
+	}
+	c.attempts++
+	if failed {
+		c.failed++
+	}
+}
+
+const mostZones = 256
+
+func (b *Balancer) countClass(class int) *classCount {
+	if class < 0 || class >= len(b.set.Classes) {
+		return &classCount{}
+	}
+	for len(b.classNews) <= class {
+		b.classNews = append(b.classNews, classCount{})
+	}
+	return &b.classNews[class]
+}
+
+func (b *Balancer) countArrival(q Request) {
+	if load := q.Load; load > 0 && finite(load) {
+		b.countClass(q.Class).arrived += load
+	} else {
+		b.countClass(q.Class).arrived += b.unit
+	}
+}
+
+func (b *Balancer) countUp(r *request) { b.countZone(r.on.Zone, false) }
+
+func (b *Balancer) countOutcome(e AttemptEnded) {
+	r := b.reqs[e.ID]
+	if r == nil || r.on == nil || r.open || e.Attempt != r.attempts-1 {
+		return
+	}
+	switch e.Outcome {
+	case Served, Full:
+		b.countZone(r.on.Zone, false)
+	case Failed, TimedOut, ConnectFailed, Reset:
+		b.countZone(r.on.Zone, true)
+	}
+}
+
+func (b *Balancer) countProbe(e ProbeResult) {
+	if s := b.find(e.Server); s != nil && s.State == Ready {
+		b.countZone(s.Zone, e.Outcome != Served)
+	}
+}
+
+// countRefusals counts what the module gave up in this step.
+func (b *Balancer) countRefusals() {
+	for _, class := range b.refused {
+		b.countClass(class).refused += b.unit
+	}
+	b.refused = b.refused[:0]
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -63,6 +63,8 @@
 	rounds   int       // samples taken for the placement in hand
 	waiting  int       // probes a placement waits for
 	picks    []*server // the sampled table of the placement in hand
+	zone     string    // where the plan of zones has it go; empty: anywhere
+	shut     []string  // zones in which it found nothing
 	wide     bool      // its group is on several servers: among the picks load decides
 }
 
@@ -104,7 +106,13 @@
 	seenAt    int
 	dropped   int
 	first     float64 // load of a mean connection before anything is learned
-	joined    bool    // connections of another process came: costs are to be set anew
+	plan      []Grant // by class, nearest zone first; nil: there is none, and any zone will do
+	comeAgain time.Duration
+	inZone    map[zoneClass]float64 // own told load by zone and class
+	zoneNews  map[string]*zoneCount
+	classNews []classCount
+	refused   []int // classes of the requests given up in this step
+	joined    bool  // connections of another process came: costs are to be set anew
 }
 
 // New makes the balancer of one node. It acts first on its first Step.
@@ -113,7 +121,8 @@
 		return nil, err
 	}
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
-		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{}}
+		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{},
+		inZone: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
 	b.asked, b.meanWorth = map[uint16]asked{}, s.Classes[0].Worth
 	b.adapt(s)
 	return b, nil
@@ -211,6 +220,7 @@
 		}
 		b.bear(r.on, -r.load)
 		b.group(r, -r.load)
+		b.zoned(r, -r.load)
 	}
 	r.on, r.open = nil, false
 }
@@ -314,6 +324,7 @@
 	if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Load >= 0 && finite(e.Load) {
 		b.bear(r.on, e.Load-r.load)
 		b.group(r, e.Load-r.load)
+		b.zoned(r, e.Load-r.load)
 		r.load = e.Load
 	}
 }
@@ -370,6 +381,7 @@
 	}
 	b.bear(s, r.load)
 	b.group(r, r.load)
+	b.zoned(r, r.load)
 }
 
 // group adds to what a request's group bears on this node.
--- a/choice/step.go
+++ b/choice/step.go
@@ -23,6 +23,7 @@
 		case ServerList:
 			b.list(e)
 		case Request:
+			b.countArrival(e)
 			b.arrive(e)
 		case OpenConnection:
 			b.adopt(e)
@@ -37,10 +38,13 @@
 		case Established:
 			if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Attempt == r.attempts-1 {
 				r.open, r.on.strikes = true, 0
+				b.countUp(r)
 			}
 		case AttemptEnded:
+			b.countOutcome(e)
 			b.ended(e)
 		case ProbeResult:
+			b.countProbe(e)
 			b.probed(e)
 		case LoadNote:
 			b.reload(e)
@@ -54,6 +58,9 @@
 			if e.Check() == nil {
 				b.adapt(e.Settings)
 			}
+		case ZonePlan:
+			b.plan, b.comeAgain = e.Grants, e.ComeAgain
+			b.price()
 		case PeerMessage:
 			b.heard(e)
 		}
@@ -62,6 +69,7 @@
 		b.joined = false
 		b.price()
 	}
+	b.countRefusals()
 	return b.out
 }
 
--- /dev/null
+++ b/choice/zones_test.go
@@ -0,0 +1,84 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestPlanOfZones plays requests of one class against plans: the nearest zone with room is taken, what has no room is refused at
+// once with advice, and what stands in a zone counts against a later plan.
+func TestPlanOfZones(t *testing.T) {
+	const wide = 100
+	for _, c := range []struct {
+		name   string
+		grants []Grant
+		ends   string // zone whose hosts can't be reached
+		want   map[string]int
+	}{
+		{"no plan: any zone", nil, "", nil},
+		{"own zone while it has room", []Grant{{0, "a", wide}, {0, "b", wide}}, "", map[string]int{"a": 20}},
+		{"what doesn't fit goes on", []Grant{{0, "a", 0.1}, {0, "b", wide}}, "", map[string]int{"a": 5, "b": 15}},
+		{"and what fits nowhere is refused", []Grant{{0, "a", 0.1}, {0, "b", 0.1}}, "", map[string]int{"a": 5, "b": 5, "refused": 10}},
+		{"another class has no grant of it", []Grant{{1, "a", wide}}, "", map[string]int{"refused": 20}},
+		{"a plan without grants", []Grant{}, "", map[string]int{"refused": 20}},
+		{"a zone that fails is left for the next", []Grant{{0, "a", wide}, {0, "b", wide}}, "a", map[string]int{"b": 20}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, err := New(Settings{Nodes: 1, Zone: "a", FirstCost: 0.02,
+				Classes: []Class{{Name: "c", SetupAim: time.Second, Deadline: 4 * time.Second}, {Name: "d", Deadline: time.Second}},
+				Limits:  Limits{Attempts: 4, RetryAdvice: true, MaxRetryAdvice: 2 * time.Second}}, 1, time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var hosts []Server
+			for i := range 6 {
+				hosts = append(hosts, Server{ID: ServerID(fmt.Sprint(i)), Zone: string("ab"[i%2])})
+			}
+			zone := func(id ServerID) string { return string("ab"[(id[0]-'0')&1]) }
+			b.Step(time.Hour, []Event{ServerList{Kind: ListWhole, Servers: hosts}, ZonePlan{Grants: c.grants, ComeAgain: time.Second}})
+			got := map[string]int{}
+			for i := range 20 {
+				id := RequestID(fmt.Sprint(i))
+				events := []Event{Request{ID: id, Tenant: -1, Left: 4 * time.Second}}
+				for n := 0; len(events) > 0 && n < 10; n++ {
+					var next []Event
+					for _, a := range b.Step(time.Hour+time.Duration(i)*time.Millisecond, events) {
+						switch a := a.(type) {
+						case Send:
+							if zone(a.Server) == c.ends {
+								next = append(next, AttemptEnded{ID: id, Attempt: n, Server: a.Server, Outcome: ConnectFailed})
+								continue
+							}
+							next = append(next, Established{ID: id, Attempt: n, Server: a.Server})
+							got[zone(a.Server)]++
+						case Refuse:
+							got["refused"]++
+							if c.grants != nil && (a.After < time.Second/2 || a.After > 3*time.Second/2) {
+								t.Errorf("advice %v", a.After)
+							}
+						}
+					}
+					events = next
+				}
+			}
+			if c.want != nil && fmt.Sprint(got) != fmt.Sprint(c.want) {
+				t.Errorf("went to %v, wanted %v", got, c.want)
+			}
+			if c.want == nil && (got["a"] < 3 || got["b"] < 3 || got["refused"] > 0) {
+				t.Errorf("without a plan %v", got)
+			}
+			// The next plan takes all room back: what stands counts, and nothing new comes.
+			news := b.News(time.Hour + time.Second)
+			if n := news.Zones[0]; n.Zone != "a" || n.Ready != 3 || n.Held[0] < 0.02*float64(got["a"])*0.99 {
+				t.Errorf("news of zone a: %+v", n)
+			}
+			b.Step(time.Hour+time.Second, []Event{ZonePlan{Grants: []Grant{{0, "b", news.Zones[1].Held[0]}}}})
+			for _, a := range b.Step(time.Hour+time.Second, []Event{Request{ID: "late", Tenant: -1, Left: 4 * time.Second}}) {
+				if s, ok := a.(Send); ok {
+					t.Errorf("sent to %s beyond the new plan", s.Server)
+				}
+			}
+		})
+	}
+}
