--- /dev/null
+++ b/internal/agree/voter.go
@@ -0,0 +1,555 @@
+package agree
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// Tick is the time between two calls of Voter.Tick.
+	Tick          = 50 * time.Millisecond
+	electionTicks = 12  // without a leader's word, and as many more by chance
+	beatTicks     = 3   // between two words of a leader
+	helloTicks    = 10  // between two hellos of a voter that has no log
+	keepEntries   = 256 // behind the newest, for voters that lag, before they get the state whole
+	mostInflight  = 64
+	// MostVoters bounds the voters of a log.
+	MostVoters = 7
+)
+
+// Record is what must be on disk before anything that follows from it leaves the machine. Later records beat earlier ones.
+type Record struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation uint64   // drawn with the first record of a disk: a voter that lost its disk is another one
+	Log         uint64
+	Hard        []byte   // raftpb.HardState; none: as before
+	Entries     [][]byte // raftpb.Entry
+	Snapshot    []byte   // raftpb.Snapshot; nothing before it is needed any more
+	Newest      []Entry  // what a follower acts on; none: as before
+}
+
+// Message goes to another voter, by its place in the list of voters.
+type Message struct {
+	To   int
+	Data []byte
+}
+
+// hello is what voters tell one another while one of them has no log.
+type hello struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation uint64
+	Log         uint64 // 0: none
+	Raft        []byte // a message of Raft, in place of a hello
+}
+
+// Voter is one of those who agree.
+type Voter struct {
+	self, n     int
+	incarnation uint64
+	log         uint64
+	raft        *raft.RawNode
+	mem         *raft.MemoryStorage
+	state       State
+	applied     uint64
+	conf        *raftpb.ConfState
+	ready       *raft.Ready // the one in hand; nil: none
+	busy        bool        // a record is on its way to the disk
+	fresh       bool        // the disk's beginning, or the log's, is not on it yet
+	first       bool        // the record on its way is that one
+	heard       []hello
+	ticks       int
+	out         []Message
+	decided     []Decided
+	broken      error
+	quiet       silence
+}
+
+type silence struct{}
+
+func (silence) Debug(...any)            {}
+func (silence) Debugf(string, ...any)   {}
+func (silence) Info(...any)             {}
+func (silence) Infof(string, ...any)    {}
+func (silence) Warning(...any)          {}
+func (silence) Warningf(string, ...any) {}
+func (silence) Error(...any)            {}
+func (silence) Errorf(string, ...any)   {}
+func (silence) Fatal(a ...any)          { panic(fmt.Sprint(a...)) }
+func (silence) Panic(a ...any)          { panic(fmt.Sprint(a...)) }
+func (silence) Fatalf(f string, a ...any) {
+	panic(fmt.Sprintf(f, a...))
+}
+func (silence) Panicf(f string, a ...any) {
+	panic(fmt.Sprintf(f, a...))
+}
+
+// id is a voter's name in Raft: its place, and which of its disks.
+func id(place int, incarnation uint64) uint64 { return incarnation<<8 | uint64(place+1) }
+
+func place(id uint64) int { return int(id&0xff) - 1 }
+
+// NewVoter makes voter number self of n, with what its disk kept, oldest first. rng draws the incarnation of a new disk.
+func NewVoter(self, n int, kept []Record, rng *rand.Rand) (v *Voter, err error) {
+	if n < 1 || n > MostVoters || self < 0 || self >= n {
+		return nil, fmt.Errorf("voter %d of %d: 1 to %d voters are possible", self, n, MostVoters)
+	}
+	v = &Voter{self: self, n: n, heard: make([]hello, n), mem: raft.NewMemoryStorage(), state: State{Newest: map[Kind]Entry{}}}
+	defer func() { // Raft panics on what can't follow from what it was told
+		if r := recover(); r != nil {
+			err = fmt.Errorf("what the disk kept doesn't fit together: %v", r)
+		}
+	}()
+	for _, r := range kept {
+		if r.Incarnation != 0 {
+			v.incarnation = r.Incarnation
+		}
+		if r.Log != 0 {
+			v.log = r.Log
+		}
+		if err := v.keep(r); err != nil {
+			return nil, err
+		}
+	}
+	if v.incarnation == 0 {
+		v.incarnation, v.fresh = rng.Uint64()>>9|1, true
+	}
+	if v.log != 0 {
+		return v, v.begin()
+	}
+	return v, nil
+}
+
+// keep puts a record into Raft's view of the disk.
+func (v *Voter) keep(r Record) error {
+	if len(r.Snapshot) > 0 {
+		s := &raftpb.Snapshot{}
+		if err := proto.Unmarshal(r.Snapshot, s); err != nil {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+		if err := v.mem.ApplySnapshot(s); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+	}
+	var entries []*raftpb.Entry
+	for _, b := range r.Entries {
+		e := &raftpb.Entry{}
+		if err := proto.Unmarshal(b, e); err != nil {
+			return fmt.Errorf("entry: %w", err)
+		}
+		entries = append(entries, e)
+	}
+	if err := v.mem.Append(entries); err != nil {
+		return fmt.Errorf("entries: %w", err)
+	}
+	if len(r.Hard) > 0 {
+		h := &raftpb.HardState{}
+		if err := proto.Unmarshal(r.Hard, h); err != nil {
+			return fmt.Errorf("state: %w", err)
+		}
+		return v.mem.SetHardState(h)
+	}
+	return nil
+}
+
+// begin starts Raft on what the disk kept.
+func (v *Voter) begin() error {
+	s, err := v.mem.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := v.restore(s); err != nil {
+		return err
+	}
+	v.raft, err = raft.NewRawNode(&raft.Config{ID: id(v.self, v.incarnation), ElectionTick: electionTicks, HeartbeatTick: beatTicks,
+		Storage: v.mem, Applied: v.applied, MaxSizePerMsg: 512 << 10, MaxInflightMsgs: mostInflight, MaxUncommittedEntriesSize: 4 << 20,
+		CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, Logger: v.quiet})
+	return err
+}
+
+func (v *Voter) restore(s *raftpb.Snapshot) error {
+	v.applied, v.conf = s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
+	if len(s.GetData()) == 0 {
+		return nil
+	}
+	var state State
+	if err := decoding.Unmarshal(s.GetData(), &state); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	if state.Newest == nil {
+		state.Newest = map[Kind]Entry{}
+	}
+	v.state = state
+	return nil
+}
+
+// guard has a panic of Raft stop this voter, not the node: it votes no more until it is started again.
+func (v *Voter) guard() {
+	if r := recover(); r != nil {
+		v.broken = fmt.Errorf("%v", r)
+	}
+}
+
+// Broken is why this voter can't go on; nil: it can.
+func (v *Voter) Broken() error { return v.broken }
+
+// Tick tells that agree.Tick has passed.
+func (v *Voter) Tick() {
+	if v.broken != nil {
+		return
+	}
+	defer v.guard()
+	v.ticks++
+	if v.raft != nil {
+		v.raft.Tick()
+		v.welcome()
+	}
+	if !v.fresh && v.ticks%helloTicks == 1 && (v.raft == nil || !v.member()) {
+		v.toAll(hello{Incarnation: v.incarnation, Log: v.log})
+		v.bootstrap()
+	}
+}
+
+// member says whether the voters' list, as far as this one knows, has it.
+func (v *Voter) member() bool {
+	_, ok := v.raft.Status().Config.Voters.IDs()[id(v.self, v.incarnation)]
+	return ok
+}
+
+func (v *Voter) toAll(h hello) {
+	for i := range v.n {
+		if i != v.self {
+			v.out = append(v.out, Message{i, encode(h)})
+		}
+	}
+}
+
+// bootstrap begins a log once every voter has said that it has none. A majority's word is not enough: the others may hold a
+// log of which this majority lost its disks, and its numbers would be given a second time.
+func (v *Voter) bootstrap() {
+	v.heard[v.self] = hello{Incarnation: v.incarnation, Log: v.log}
+	if v.raft != nil {
+		return
+	}
+	var ids []uint64
+	for i, h := range v.heard {
+		if h.Incarnation == 0 || h.Log != 0 {
+			return
+		}
+		ids = append(ids, id(i, h.Incarnation))
+	}
+	log := uint64(14695981039346656037)
+	for _, i := range ids {
+		log = (log ^ i) * 1099511628211
+	}
+	v.log = log | 1
+	first := &raftpb.Snapshot{Data: encode(State{Log: v.log, Newest: map[Kind]Entry{}}),
+		Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1), ConfState: raftpb.EnsureConfState(&raftpb.ConfState{Voters: ids})}}
+	if err := v.mem.ApplySnapshot(first); err != nil {
+		v.broken = err
+		return
+	}
+	v.broken = v.begin()
+	v.fresh = true // the log's beginning goes to the disk before anything is said
+}
+
+// Receive takes a message of another voter.
+func (v *Voter) Receive(from int, data []byte) error {
+	var h hello
+	if v.broken != nil || from < 0 || from >= v.n || from == v.self {
+		return nil
+	}
+	if err := decoding.Unmarshal(data, &h); err != nil {
+		return fmt.Errorf("voter's message: %w", err)
+	}
+	defer v.guard()
+	v.heard[from] = hello{Incarnation: h.Incarnation, Log: h.Log}
+	if len(h.Raft) == 0 {
+		switch {
+		case h.Log == 0 && !v.fresh: // it wants to know
+			v.out = append(v.out, Message{from, encode(hello{Incarnation: v.incarnation, Log: v.log, Raft: nil})})
+		case v.log == 0:
+			v.join(h.Log)
+		case h.Log != 0 && h.Log != v.log && v.raft != nil && v.applied <= 1 && v.raft.BasicStatus().GetTerm() <= 1:
+			// A beginning of its own that came to nothing: two voters heard different beginnings of a third one.
+			v.broken = fmt.Errorf("a log began twice, %x and %x: remove this voter's files and start it again", v.log, h.Log)
+		}
+		return nil
+	}
+	if v.log == 0 {
+		v.join(h.Log)
+	}
+	if v.raft == nil || v.fresh || h.Log != v.log {
+		return nil
+	}
+	m := &raftpb.Message{}
+	if err := proto.Unmarshal(h.Raft, m); err != nil {
+		return fmt.Errorf("voter's message: %w", err)
+	}
+	if place(m.GetFrom()) != from || m.GetTo() != id(v.self, v.incarnation) || raft.IsLocalMsg(m.GetType()) {
+		return nil // of a voter that was, or to one
+	}
+	if err := v.raft.Step(m); err != nil && !errors.Is(err, raft.ErrProposalDropped) && !errors.Is(err, raft.ErrStepPeerNotFound) {
+		return fmt.Errorf("voter's message: %w", err)
+	}
+	return nil
+}
+
+// join begins to listen to a log that others have.
+func (v *Voter) join(log uint64) {
+	if log == 0 || v.fresh {
+		return
+	}
+	v.log = log
+	v.broken = v.begin()
+	v.fresh = true
+}
+
+// welcome has the leader put a voter that lost its disk in the place of the one that it was: first as a learner, so that no
+// majority leans on a disk that has nothing yet.
+func (v *Voter) welcome() {
+	s := v.raft.Status()
+	if s.RaftState != raft.StateLeader || v.ticks%helloTicks != 0 {
+		return
+	}
+	for i, h := range v.heard {
+		now := id(i, h.Incarnation)
+		// A late word of a disk that is gone must not bring it back.
+		if h.Incarnation == 0 || i == v.self || slices.Contains(v.state.Retired, now) {
+			continue
+		}
+		_, voter := s.Config.Voters.IDs()[now]
+		p, learner := s.Progress[now]
+		switch {
+		case voter:
+		case learner && p.Match+8 >= s.GetCommit():
+			v.raft.ProposeConfChange(&raftpb.ConfChangeV2{Changes: []*raftpb.ConfChangeSingle{change(raftpb.ConfChangeAddNode, now)}})
+			return
+		case !learner:
+			changes := []*raftpb.ConfChangeSingle{change(raftpb.ConfChangeAddLearnerNode, now)}
+			for _, old := range slices.Sorted(keys(s.Progress)) {
+				if place(old) == i {
+					changes = append(changes, change(raftpb.ConfChangeRemoveNode, old))
+				}
+			}
+			v.raft.ProposeConfChange(&raftpb.ConfChangeV2{Changes: changes})
+			return
+		}
+	}
+}
+
+func change(t raftpb.ConfChangeType, node uint64) *raftpb.ConfChangeSingle {
+	return &raftpb.ConfChangeSingle{Type: &t, NodeId: &node}
+}
+
+func keys[K comparable, V any](m map[K]V) func(func(K) bool) {
+	return func(yield func(K) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// ErrNotLeader says that another voter is to be asked, or that nobody leads now.
+var ErrNotLeader = errors.New("this voter does not lead")
+
+// Propose asks for an entry. How it ends is told by Decided, or later by Ended; it may never be told, and then the same proposal can be
+// made again.
+func (v *Voter) Propose(p Proposal) (err error) {
+	if err := p.check(); err != nil {
+		return err
+	}
+	if v.broken != nil || !v.Leads() {
+		return ErrNotLeader
+	}
+	defer v.guard()
+	return v.raft.Propose(encode(p))
+}
+
+// Leads says whether this voter leads, as far as it knows: one that was stopped learns of another leader only afterwards. What
+// it proposes until then is not agreed to.
+func (v *Voter) Leads() bool {
+	return v.broken == nil && v.raft != nil && !v.fresh && v.raft.BasicStatus().RaftState == raft.StateLeader
+}
+
+// Leader is the place of the voter that leads, as far as known; -1: none.
+func (v *Voter) Leader() int {
+	if v.raft == nil {
+		return -1
+	}
+	return place(v.raft.BasicStatus().Lead)
+}
+
+// Term counts elections.
+func (v *Voter) Term() uint64 {
+	if v.raft == nil {
+		return 0
+	}
+	return v.raft.BasicStatus().GetTerm()
+}
+
+// State is what this voter knows to be decided.
+func (v *Voter) State() State { return v.state }
+
+// Ended tells how a proposal ended, while that is remembered.
+func (v *Voter) Ended(id string) (Decided, bool) { return v.state.ended(id) }
+
+// Ready gives what has to be kept on disk next; whole says that it replaces all that was kept before. After ok, Kept is called once the
+// record is safe; an empty record needs no disk.
+func (v *Voter) Ready() (rec Record, whole, ok bool) {
+	if v.busy || v.broken != nil {
+		return rec, false, false
+	}
+	defer v.guard()
+	if v.fresh {
+		v.busy, v.first = true, true
+		rec = Record{Incarnation: v.incarnation, Log: v.log}
+		if s, err := v.mem.Snapshot(); err == nil && v.raft != nil && !raft.IsEmptySnap(s) {
+			rec.Snapshot = must(proto.Marshal(s))
+		}
+		return rec, false, true
+	}
+	if v.raft == nil || !v.raft.HasReady() {
+		if len(v.out) > 0 {
+			v.busy = true
+			return rec, false, true
+		}
+		return rec, false, false
+	}
+	rd := v.raft.Ready()
+	v.busy, v.ready = true, &rd
+	if v.ready.HardState != nil && !raft.IsEmptyHardState(v.ready.HardState) {
+		rec.Hard = must(proto.Marshal(v.ready.HardState))
+	}
+	for _, e := range v.ready.Entries {
+		rec.Entries = append(rec.Entries, must(proto.Marshal(e)))
+	}
+	if !raft.IsEmptySnap(v.ready.Snapshot) {
+		rec.Snapshot = must(proto.Marshal(v.ready.Snapshot))
+	}
+	return rec, false, true
+}
+
+// Empty says that a record needs no disk.
+func (r Record) Empty() bool {
+	return r.Incarnation == 0 && len(r.Hard) == 0 && len(r.Entries) == 0 && len(r.Snapshot) == 0 && len(r.Newest) == 0
+}
+
+// Kept tells that the record of the last Ready is safe, and gives what follows from it.
+func (v *Voter) Kept() (out []Message, decided []Decided) {
+	if !v.busy || v.broken != nil {
+		return nil, nil
+	}
+	defer v.guard()
+	v.busy = false
+	if v.first {
+		v.fresh, v.first = false, false
+		return v.take(), nil
+	}
+	if v.ready == nil { // there were only words that are not Raft's
+		return v.take(), nil
+	}
+	rd := *v.ready
+	v.ready = nil
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		if err := v.mem.ApplySnapshot(rd.Snapshot); err != nil {
+			v.broken = err
+			return nil, nil
+		}
+		if v.broken = v.restore(rd.Snapshot); v.broken != nil {
+			return nil, nil
+		}
+	}
+	if rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState) {
+		v.mem.SetHardState(rd.HardState)
+	}
+	v.mem.Append(rd.Entries)
+	for _, m := range rd.Messages {
+		b := must(proto.Marshal(m))
+		v.out = append(v.out, Message{place(m.GetTo()), encode(hello{Incarnation: v.incarnation, Log: v.log, Raft: b})})
+		if m.GetType() == raftpb.MsgSnap {
+			v.raft.ReportSnapshot(m.GetTo(), raft.SnapshotFinish) // one that is lost is sent again after the next beat
+		}
+	}
+	for _, e := range rd.CommittedEntries {
+		v.commit(e)
+	}
+	v.raft.Advance(rd)
+	return v.take(), v.told()
+}
+
+func (v *Voter) take() []Message { out := v.out; v.out = nil; return out }
+func (v *Voter) told() []Decided { d := v.decided; v.decided = nil; return d }
+
+func (v *Voter) commit(e *raftpb.Entry) {
+	switch e.GetType() {
+	case raftpb.EntryNormal:
+		if d, news := v.state.apply(e.GetIndex(), e.GetData()); news {
+			v.decided = append(v.decided, d)
+		}
+	case raftpb.EntryConfChange:
+		c := &raftpb.ConfChange{}
+		if proto.Unmarshal(e.GetData(), c) == nil {
+			v.changed(e, v.raft.ApplyConfChange(c))
+		}
+	case raftpb.EntryConfChangeV2:
+		c := &raftpb.ConfChangeV2{}
+		if proto.Unmarshal(e.GetData(), c) == nil {
+			conf := v.raft.ApplyConfChange(c)
+			for _, one := range c.GetChanges() {
+				if one.GetType() == raftpb.ConfChangeRemoveNode {
+					v.state.retire(one.GetNodeId())
+				}
+			}
+			v.changed(e, conf)
+		}
+	}
+	v.applied = e.GetIndex()
+}
+
+// changed has the next snapshot that Raft hands out name the voters as they are now: one that doesn't name its taker is not taken.
+func (v *Voter) changed(e *raftpb.Entry, conf *raftpb.ConfState) {
+	v.conf = conf
+	if _, err := v.mem.CreateSnapshot(e.GetIndex(), conf, encode(v.state)); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+		v.broken = err
+	}
+}
+
+// Fold makes one record of all that is known, once the log has grown; it replaces what the disk has. It is called while no other
+// record is under way.
+func (v *Voter) Fold() (rec Record, ok bool) {
+	first, _ := v.mem.FirstIndex()
+	if v.raft == nil || v.busy || v.fresh || v.broken != nil || v.applied < first+2*keepEntries {
+		return rec, false
+	}
+	defer v.guard()
+	s, err := v.mem.CreateSnapshot(v.applied, v.conf, encode(v.state))
+	if err != nil {
+		return rec, false
+	}
+	rec = Record{Incarnation: v.incarnation, Log: v.log, Snapshot: must(proto.Marshal(s))}
+	hard, _, _ := v.mem.InitialState()
+	rec.Hard = must(proto.Marshal(hard))
+	last, _ := v.mem.LastIndex()
+	if last > v.applied {
+		entries, err := v.mem.Entries(v.applied+1, last+1, 1<<62)
+		if err != nil {
+			return rec, false
+		}
+		for _, e := range entries {
+			rec.Entries = append(rec.Entries, must(proto.Marshal(e)))
+		}
+	}
+	if to := v.applied - keepEntries; to > first {
+		v.mem.Compact(to)
+	}
+	return rec, true
+}
