Choice: grants of a plan in told load, and parts let in by class

Cause: a grant by class and in learned cost had each placement walk the hosts, and bound what a class may have even where its zone had room to spare. Change: a grant is the told load that all of a node's connections together may have in a zone, except for classes that must stay; what part of a class is let in stands beside it. The plan takes the gate's place: the gate turns away by chance what the plan has room for.

--- a/choice/api.go
+++ b/choice/api.go
@@ -251,11 +251,12 @@
 	// NewSettings replaces the settings. Classes and tenants keep their indices; new ones come behind. Requests under way
 	// keep the class and the number of attempts that they came with.
 	NewSettings struct{ Settings }
-	// ZonePlan says in which zones this node's requests may go from now on, for each class the nearest one first. Without
-	// grants nothing is placed; nil grants end the plan: each node chooses for itself, among all zones.
+	// ZonePlan says where this node's requests may go from now on. Without grants nothing is placed; nil Grants end the
+	// plan: the node chooses for itself, among all zones.
 	ZonePlan struct {
-		Grants    []Grant
-		ComeAgain time.Duration // advice for what no grant has room for, spread by half
+		Grants    []Grant       // nearest zone first
+		Admit     []float64     // part of each class's requests that is let in; classes beyond are let in whole
+		ComeAgain time.Duration // advice for what is refused, spread by half
 	}
 	// PeerMessage is a message of another node, by its number. What can't be read, is late or repeats is dropped.
 	PeerMessage struct {
@@ -281,11 +282,11 @@
 func (ZonePlan) event()       {}
 func (PeerMessage) event()    {}
 
-// Grant lets this node's connections of a class take so much of a zone.
+// Grant lets this node's connections take so much told load in a zone.
 type Grant struct {
-	Class int
-	Zone  string
-	Room  float64 // in whole hosts: learned cost times told load
+	Zone   string
+	Load   float64
+	Except []int // classes that may not go there
 }
 
 // Outcome is how an attempt or a probe ended.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -175,11 +175,6 @@
 	return b.avg + fade(s.report-b.avg, b.now-s.reportAt, memory) + s.cost*b.mirror(s)*(s.told-s.toldAt)
 }
 
-// usual is how many mean connections a second this node sends to the server at an even spread.
-func (b *Balancer) usual(s *server) float64 {
-	return b.recent / rateMemory.Seconds() * s.base / b.bases
-}
-
 // mirror is how much load the fleet likely put on a server for each unit that this node did: its own share
 // is sure, the others draw alike; the less a node sees of a server, the more the fleet's average counts.
 func (b *Balancer) mirror(s *server) float64 {
@@ -257,7 +252,8 @@
 	// Connections a second that would fill it, this node's part: by the usual traffic, and by what fills it
 	// over its warm-up, as in a storm of retries the usual traffic says nothing of what a server can do.
 	fill := s.cost * b.unit * rules.WarmUp.Seconds() * float64(b.set.Nodes)
-	able := coldSafety * min(b.usual(s)/max(b.avg, 0.5), 1/fill)
+	usual := b.recent / rateMemory.Seconds() * s.base / b.bases // of this node, at an even spread
+	able := coldSafety * min(usual/max(b.avg, 0.5), 1/fill)
 	if b.keeps { // its keeper spends the budget for all
 		able = coldKept * float64(b.set.Nodes) / fill
 	}
@@ -319,6 +315,14 @@
 	return w
 }
 
+// admitted is the part of a class that is let in: what the plan has room for, else what the gate leaves.
+func (b *Balancer) admitted(r *request) float64 {
+	if b.plan != nil {
+		return b.plan.Admit[r.Class]
+	}
+	return math.Pow(b.gate, b.meanWorth/b.worth(r))
+}
+
 func (b *Balancer) arrive(q Request) {
 	if b.reqs[q.ID] != nil || q.ID == "" {
 		return
@@ -330,8 +334,7 @@
 	r := &request{Request: q, load: b.loadOf(q), bind: b.bindOf(q), deadline: b.now + q.Left,
 		class: &b.set.Classes[q.Class], most: b.set.Limits.Attempts}
 	b.reqs[q.ID] = r
-	if len(b.servers) > 0 && !q.MidFlow && !b.keeps && b.plan == nil &&
-		b.rng.Float64() > math.Pow(b.gate, b.meanWorth/b.worth(r)) {
+	if len(b.servers) > 0 && !q.MidFlow && !b.keeps && b.rng.Float64() > b.admitted(r) {
 		if s := b.servers[b.rng.IntN(len(b.servers))]; s.State == Ready && b.rng.Float64() < peek {
 			b.probe(s)
 		}
@@ -356,15 +359,7 @@
 // sample draws n more servers by weight. A group draws by a hash in place of chance, and without a bonus
 // for low load, so that nodes choose alike without talking: each server holding any of a group pays for it.
 func (b *Balancer) sample(r *request, n int) {
-	bad, ready := 0, 0
-	for _, s := range b.servers {
-		if s.State == Ready {
-			ready++
-			if b.now < s.badUntil {
-				bad++
-			}
-		}
-	}
+	bad, ready := b.ejected()
 	r.picks = append(r.picks, lowest(b.servers, n, func(s *server) float64 {
 		if b.now < s.badUntil && 2*bad <= ready || slices.Contains(r.picks, s) || !b.eligible(r, s) {
 			return never // where most look bad, the information is suspect, not the servers
@@ -390,17 +385,20 @@
 	return int(clamp(math.Ceil(size*cost/groupShare), 1, float64(len(b.servers))))
 }
 
-// allot finds the nearest zone where the plan leaves room for a request. All that this node's connections of
-// the class have there counts, whenever they came: plans change, and none may take what another promised.
+// allot finds the nearest zone where the plan leaves room for a request. All that this node's connections
+// have there counts, whenever they came: plans change, and none may take what another promised.
 func (b *Balancer) allot(r *request) bool {
-	for _, g := range b.plan {
-		if g.Class == r.Class && !slices.Contains(r.shut, g.Zone) &&
-			(b.inZone[zoneClass{g.Zone, g.Class}]+r.load)*b.zoneCost(g.Zone) <= g.Room {
-			r.zone = g.Zone
-			return true
-		}
+	if b.plan == nil {
+		return true
+	}
+	i := slices.IndexFunc(b.plan.Grants, func(g Grant) bool {
+		return !slices.Contains(g.Except, r.Class) && !slices.Contains(r.shut, g.Zone) &&
+			b.inZone[g.Zone]+r.load <= g.Load
+	})
+	if i >= 0 {
+		r.zone = b.plan.Grants[i].Zone
 	}
-	return b.plan == nil
+	return i >= 0
 }
 
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
@@ -674,11 +672,10 @@
 	c := r.class
 	b.refused = append(b.refused, r.Class)
 	if r.on == nil && r.may == nil || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
-		after := time.Duration(0) // by then there may be another plan; spread, so that returns are no wave
-		if b.plan != nil && b.set.Limits.RetryAdvice && r.attempts == 0 {
-			after = time.Duration((0.5 + b.rng.Float64()) * float64(b.comeAgain))
+		after := time.Duration(0)
+		if b.plan != nil && r.attempts == 0 { // by then it may be another plan; spread, against waves
+			after = time.Duration((0.5 + b.rng.Float64()) * float64(b.plan.ComeAgain))
 		}
-		after = min(after, b.set.Limits.MaxRetryAdvice)
 		b.out = append(b.out, Refuse{r.ID, after})
 	} else {
 		b.out = append(b.out, Fail{r.ID})
--- a/choice/evidence.go
+++ b/choice/evidence.go
@@ -14,7 +14,7 @@
 
 type zoneCount struct{ attempts, failed float64 }
 
-type classCount struct{ arrived, refused float64 }
+type classCount struct{ Arrived, Refused float64 }
 
 // ZoneNews is what a node knows of one zone.
 type ZoneNews struct {
@@ -23,12 +23,13 @@
 	Out      int       // of these, left out after failures
 	Warm     float64   // what the ready ones can do now, in whole hosts
 	Load     float64   // their predicted load, in whole hosts
-	Held     []float64 // this node's own part of it, by class
+	Cost     float64   // learned: hosts that a unit of told load takes
+	Held     []float64 // this node's own told load there, by class
 	Attempts float64   // since the last news, probes counted as attempts
 	Failed   float64   // of these: no connection, no answer in time, an error, a reset
 }
 
-// ClassNews is what clients asked of a node since the last news, in whole hosts of the mean cost.
+// ClassNews is what clients asked of a node since the last news, as told load.
 type ClassNews struct{ Arrived, Refused float64 }
 
 // News is what the module saw since it was last asked, and what stands.
@@ -62,8 +63,9 @@
 		z.Load += max(0, b.predict(s))
 	}
 	for name, z := range at {
+		z.Cost = b.zoneCost(name)
 		for c := range z.Held {
-			z.Held[c] = b.inZone[zoneClass{name, c}] * b.zoneCost(name)
+			z.Held[c] = b.inClass[zoneClass{name, c}]
 		}
 		n.Zones = append(n.Zones, *z)
 	}
@@ -73,11 +75,10 @@
 		}
 		return 1
 	})
-	mean := b.meanCost()
 	n.Classes = make([]ClassNews, len(b.set.Classes))
 	for c, k := range b.classNews {
 		if c < len(n.Classes) {
-			n.Classes[c] = ClassNews{k.arrived * mean, k.refused * mean}
+			n.Classes[c] = ClassNews(k)
 		}
 	}
 	b.classNews = b.classNews[:0]
@@ -99,12 +100,30 @@
 	return sum / n
 }
 
-// zoned keeps what the node has in a zone, by class.
+// zoned keeps what the node has in a zone, in all and by class.
 func (b *Balancer) zoned(r *request, load float64) {
 	key := zoneClass{r.on.Zone, r.Class}
-	if b.inZone[key] += load; b.inZone[key] < 1e-9 {
-		delete(b.inZone, key)
+	if b.inClass[key] += load; b.inClass[key] < 1e-9 {
+		delete(b.inClass, key)
 	}
+	if b.inZone[key.zone] += load; b.inZone[key.zone] < 1e-9 {
+		delete(b.inZone, key.zone)
+	}
+}
+
+// follow takes a plan in, in a form that the decisions can go by without a look at its bounds.
+func (b *Balancer) follow(p ZonePlan) {
+	b.plan = nil
+	if p.Grants != nil {
+		b.plan = &p
+		for p.Admit = slices.Clone(p.Admit); len(p.Admit) < len(b.set.Classes); {
+			p.Admit = append(p.Admit, 1)
+		}
+		if p.ComeAgain = min(p.ComeAgain, b.set.Limits.MaxRetryAdvice); !b.set.Limits.RetryAdvice {
+			p.ComeAgain = 0
+		}
+	}
+	b.price()
 }
 
 func (b *Balancer) countZone(zone string, failed bool) {
@@ -136,9 +155,9 @@
 
 func (b *Balancer) countArrival(q Request) {
 	if load := q.Load; load > 0 && finite(load) {
-		b.countClass(q.Class).arrived += load
+		b.countClass(q.Class).Arrived += load
 	} else {
-		b.countClass(q.Class).arrived += b.unit
+		b.countClass(q.Class).Arrived += b.unit
 	}
 }
 
@@ -166,7 +185,7 @@
 // countRefusals counts what the module gave up in this step.
 func (b *Balancer) countRefusals() {
 	for _, class := range b.refused {
-		b.countClass(class).refused += b.unit
+		b.countClass(class).Refused += b.unit
 	}
 	b.refused = b.refused[:0]
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -105,10 +105,10 @@
 	seen      []seenKey
 	seenAt    int
 	dropped   int
-	first     float64 // load of a mean connection before anything is learned
-	plan      []Grant // by class, nearest zone first; nil: there is none, and any zone will do
-	comeAgain time.Duration
-	inZone    map[zoneClass]float64 // own told load by zone and class
+	first     float64               // load of a mean connection before anything is learned
+	plan      *ZonePlan             // nil: there is none, and any zone will do
+	inZone    map[string]float64    // own told load by zone
+	inClass   map[zoneClass]float64 // the same by zone and class
 	zoneNews  map[string]*zoneCount
 	classNews []classCount
 	refused   []int // classes of the requests given up in this step
@@ -122,7 +122,7 @@
 	}
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
 		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{},
-		inZone: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
+		inZone: map[string]float64{}, inClass: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
 	b.asked, b.meanWorth = map[uint16]asked{}, s.Classes[0].Worth
 	b.adapt(s)
 	return b, nil
@@ -167,6 +167,9 @@
 	for len(b.held) < len(s.Tenants) {
 		b.held = append(b.held, 0)
 	}
+	for b.plan != nil && len(b.plan.Admit) < len(s.Classes) {
+		b.plan.Admit = append(b.plan.Admit, 1)
+	}
 	s.Nodes *= max(1, s.Parts) // the processes of a node share its part as nodes share the fleet
 	b.set = s
 }
@@ -340,6 +343,18 @@
 	return all
 }
 
+// ejected counts the servers that are out after failures, of those that are ready.
+func (b *Balancer) ejected() (bad, ready int) {
+	for _, s := range b.servers {
+		if s.State == Ready {
+			if ready++; b.now < s.badUntil {
+				bad++
+			}
+		}
+	}
+	return bad, ready
+}
+
 // Avoided counts the listed servers that get nothing new now: those that drain, and those out after failures.
 func (b *Balancer) Avoided(now time.Duration) int {
 	n := 0
--- a/choice/step.go
+++ b/choice/step.go
@@ -59,8 +59,7 @@
 				b.adapt(e.Settings)
 			}
 		case ZonePlan:
-			b.plan, b.comeAgain = e.Grants, e.ComeAgain
-			b.price()
+			b.follow(e)
 		case PeerMessage:
 			b.heard(e)
 		}
