--- a/internal/agree/voter.go
+++ b/internal/agree/voter.go
@@ -1,6 +1,7 @@
 package agree
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -67,6 +68,8 @@
 	ticks       int
 	out         []Message
 	decided     []Decided
+	asked       uint64 // calls of Confirm
+	confirmed   uint64
 	broken      error
 	quiet       silence
 }
@@ -396,6 +399,21 @@
 	return v.raft.BasicStatus().GetTerm()
 }
 
+// Confirm asks the other voters whether this one still leads. Confirmed tells, later, up to which call they said yes: it led when that
+// call was made.
+func (v *Voter) Confirm() (call uint64) {
+	if !v.Leads() {
+		return v.asked
+	}
+	defer v.guard()
+	v.asked++
+	v.raft.ReadIndex(binary.BigEndian.AppendUint64(nil, v.asked))
+	return v.asked
+}
+
+// Confirmed is the newest call of Confirm that was answered with yes.
+func (v *Voter) Confirmed() uint64 { return v.confirmed }
+
 // State is what this voter knows to be decided.
 func (v *Voter) State() State { return v.state }
 
@@ -471,6 +489,11 @@
 	if rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState) {
 		v.mem.SetHardState(rd.HardState)
 	}
+	for _, r := range rd.ReadStates {
+		if len(r.RequestCtx) == 8 {
+			v.confirmed = max(v.confirmed, binary.BigEndian.Uint64(r.RequestCtx))
+		}
+	}
 	v.mem.Append(rd.Entries)
 	for _, m := range rd.Messages {
 		b := must(proto.Marshal(m))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -372,6 +372,12 @@
 	return all
 }
 
+// Plan has the module go by a plan of zones from now on.
+func (c *Core) Plan(p choice.ZonePlan) { c.tell(p) }
+
+// News is what the module saw of zones since the last call.
+func (c *Core) News() choice.News { return c.balancer.News(c.clock(c.o.Clock.Now())) }
+
 // Heard takes a message of another node.
 func (c *Core) Heard(from int, message []byte) {
 	c.tell(choice.PeerMessage{From: from, Data: message})
--- /dev/null
+++ b/internal/failover/plan.go
@@ -0,0 +1,219 @@
+package failover
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/agree"
+)
+
+// Kinds of entries on the agreed log.
+const (
+	PlanKind   agree.Kind = 1
+	OrdersKind agree.Kind = 2
+)
+
+// State is what the plan takes a zone for.
+type State uint8
+
+const (
+	Well      State = iota
+	Lost            // its hosts fail: nothing new goes there but its own nodes' trials
+	Returning       // well again; its room grows step by step
+	Drained         // by an operator's order
+)
+
+func (s State) String() string {
+	return [...]string{"well", "lost", "returning", "drained"}[min(s, 3)]
+}
+
+// Plan says how much load of each zone's clients may stand in which zone.
+type Plan struct {
+	_       struct{} `cbor:",toarray"`
+	Zones   []Zone
+	Classes []string
+	Grants  []Grant
+	Stay    []bool  // by class: it doesn't leave its region
+	Admit   [][]int // by zone and class, in 255ths: what part of the arrivals is let in
+	Life    float32 // seconds that a grant into another zone holds without word of the one that leads
+	Lost    []int   // nodes out of the common view, by their numbers
+	Why     string
+}
+
+// Zone is a zone in a plan.
+type Zone struct {
+	_      struct{} `cbor:",toarray"`
+	Name   string
+	Region string
+	State  State
+	Nodes  int       // that share its grants
+	Listed int       // that it has
+	Room   float32   // told load that all grants together may put there
+	Want   []float32 // by class: what its clients ask for, reckoned
+	Open   float32   // the most that its nodes may still have there by older plans
+	Turns  int       // how often it was lost and came back of late
+}
+
+// Grant is the most that the nodes of one zone together may have in a zone.
+type Grant struct {
+	_        struct{} `cbor:",toarray"`
+	From, To int      // places in Zones
+	Load     float32
+}
+
+// Orders are what operators have asked for.
+type Orders struct {
+	_       struct{} `cbor:",toarray"`
+	Drained []string
+}
+
+// Encode is a plan's form on the log.
+func (p *Plan) Encode() []byte { return must(encoding.Marshal(p)) }
+
+// DecodePlan reads a plan and checks that its parts fit together.
+func DecodePlan(b []byte) (*Plan, error) {
+	p := &Plan{}
+	if err := decoding.Unmarshal(b, p); err != nil {
+		return nil, fmt.Errorf("plan: %w", err)
+	}
+	bad := len(p.Zones) > MostZones || len(p.Classes) > MostClasses || len(p.Stay) != len(p.Classes) || len(p.Admit) != len(p.Zones) ||
+		!(p.Life >= 0 && p.Life < 3600)
+	for i, z := range p.Zones {
+		bad = bad || len(z.Want) != len(p.Classes) || z.Nodes < 0 || z.Listed < z.Nodes || i < len(p.Admit) && len(p.Admit[i]) != len(p.Classes)
+	}
+	for _, g := range p.Grants {
+		bad = bad || g.From < 0 || g.From >= len(p.Zones) || g.To < 0 || g.To >= len(p.Zones) || !(g.Load >= 0) || math.IsInf(float64(g.Load), 0)
+	}
+	if bad {
+		return nil, fmt.Errorf("plan: its parts don't fit together")
+	}
+	return p, nil
+}
+
+// Encode is the orders' form on the log.
+func (o Orders) Encode() []byte { return must(encoding.Marshal(o)) }
+
+// DecodeOrders reads orders.
+func DecodeOrders(b []byte) (o Orders, err error) {
+	if err = decoding.Unmarshal(b, &o); err == nil && len(o.Drained) > MostZones {
+		err = fmt.Errorf("orders for %d zones: %d at most", len(o.Drained), MostZones)
+	}
+	return o, err
+}
+
+func (p *Plan) zone(name string) int {
+	return slices.IndexFunc(p.Zones, func(z Zone) bool { return z.Name == name })
+}
+
+func (p *Plan) grant(from, to int) float64 {
+	for _, g := range p.Grants {
+		if g.From == from && g.To == to {
+			return float64(g.Load)
+		}
+	}
+	return 0
+}
+
+// share is what one node of a zone may have in another zone, or its own. One that is out of the common view counts with all that are
+// listed: it may be there after all, and must find something to serve by.
+func (p *Plan) share(from, to int, lost bool) float64 {
+	z := p.Zones[from]
+	switch {
+	case !lost && z.Nodes > 0:
+		return p.grant(from, to) / float64(z.Nodes)
+	case from == to && z.Listed > 0:
+		return p.grant(from, to) / float64(z.Listed)
+	}
+	return 0
+}
+
+// Mode is how a node goes by a plan.
+type Mode uint8
+
+const (
+	// Alone is the state before any plan is known: the own zone, as the node itself sees it.
+	Alone Mode = iota
+	// Planned is a plan that is in force as far as this node can know.
+	Planned
+	// Ground is what is left of a plan when nothing is heard any more: the node's part of its own zone, which nobody else was promised.
+	Ground
+)
+
+func (m Mode) String() string { return [...]string{"alone", "planned", "ground"}[min(m, 2)] }
+
+// Use is what a node's module is told. classes are the node's own, by their index there; comeAgain is the advice for what is refused.
+func Use(m Mode, p *Plan, node int, zone string, classes []string, comeAgain time.Duration) choice.ZonePlan {
+	if m == Alone || p == nil || p.zone(zone) < 0 {
+		return choice.ZonePlan{Grants: []choice.Grant{{Zone: zone, Load: math.Inf(1)}}}
+	}
+	own := p.zone(zone)
+	lost := slices.Contains(p.Lost, node)
+	out := choice.ZonePlan{Grants: []choice.Grant{{Zone: zone, Load: p.share(own, own, lost)}}, ComeAgain: comeAgain}
+	if m == Ground {
+		return out
+	}
+	for _, to := range p.nearest(own) {
+		if s := p.share(own, to, lost); to != own && s > 0 {
+			g := choice.Grant{Zone: p.Zones[to].Name, Load: s}
+			for i, c := range classes {
+				if k := slices.Index(p.Classes, c); k >= 0 && p.Stay[k] && p.Zones[to].Region != p.Zones[own].Region {
+					g.Except = append(g.Except, i)
+				}
+			}
+			out.Grants = append(out.Grants, g)
+		}
+	}
+	for _, c := range classes {
+		admit := 1.0
+		if k := slices.Index(p.Classes, c); k >= 0 {
+			admit = float64(p.Admit[own][k]) / 255
+		}
+		out.Admit = append(out.Admit, admit)
+	}
+	return out
+}
+
+// nearest is the zones in the order of a zone's grants: itself, its region, then the rest, the larger grant first.
+func (p *Plan) nearest(own int) []int {
+	var all []int
+	for i := range p.Zones {
+		all = append(all, i)
+	}
+	rank := func(i int) int {
+		switch {
+		case i == own:
+			return 0
+		case p.Zones[i].Region == p.Zones[own].Region:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(all, func(a, b int) int {
+		if r := rank(a) - rank(b); r != 0 {
+			return r
+		}
+		switch x, y := p.grant(own, a), p.grant(own, b); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return all
+}
+
+// Stated is the room that a plan states for a zone: of a lost one, its own nodes' trials.
+func (p *Plan) Stated(zone string) float64 {
+	i := p.zone(zone)
+	if i < 0 {
+		return 0
+	}
+	if p.Zones[i].State == Lost {
+		return p.grant(i, i)
+	}
+	return float64(p.Zones[i].Room)
+}
--- /dev/null
+++ b/internal/failover/planner.go
@@ -0,0 +1,649 @@
+package failover
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"spurwinch/internal/membership"
+)
+
+// Class is what a plan knows of a class of requests.
+type Class struct {
+	Name  string
+	Worth float64
+	Stay  bool // it is kept in its region
+}
+
+// Rules are the operators' part of a plan.
+type Rules struct {
+	Limit   float64       // part of a host that is planned for
+	Life    time.Duration // of a grant into another zone, without word of the one that leads
+	Hold    time.Duration // a zone is well so long before it takes load again
+	Ramp    float64       // part of a returning zone's room that is given back each second
+	Classes []Class
+	// Far is the cost of the way between two regions, 1 within one.
+	Far func(a, b string) float64
+}
+
+const (
+	freshFor   = 3 * time.Second // evidence that is older says nothing of now
+	planEvery  = time.Second     // between two plans, and the first one's wait for evidence
+	calmEvery  = 5 * time.Second // the same, where nothing presses
+	decidedBy  = 3 * time.Second // a proposal that is not decided by then is made anew
+	turnHold   = 60 * time.Second
+	forgetLost = time.Minute // a node out of the view so long has no part kept for it but a lost one's
+	trial      = 0.05        // of a lost zone's room, for its own nodes: somebody must see when it is back
+	ownExtra   = 0.7         // of the room that nobody needs: the zone's own; the rest stands by for others
+	failing    = 0.5         // of the attempts, or of the hosts: from here on a zone, or a way, is bad
+	leastTries = 4           // attempts that say something of a way
+	wantMemory = time.Minute // what was asked for before a failure is still wanted
+	peakMemory = 2 * time.Minute
+)
+
+// Planner makes plans, at the one that leads. A new one begins with the newest plan, and waits Life before it grants what an older plan
+// that it doesn't know may have granted otherwise.
+type Planner struct {
+	list      *membership.List
+	rules     Rules
+	cut       *membership.Cut
+	zones     []string
+	state     map[string]*zoneState
+	ways      map[[2]string]*way
+	confirmed map[int]uint64
+	known     []known
+	began     time.Duration
+	proposed  time.Duration // the newest proposal's time; 0: none is out
+	lastPlan  time.Duration
+	orders    Orders
+}
+
+type known struct {
+	number uint64
+	plan   *Plan
+	from   time.Duration // when it became the newest here
+}
+
+type way struct {
+	tried, failed float64
+	at            time.Duration
+}
+
+type zoneState struct {
+	state    State
+	since    time.Duration
+	goodFrom time.Duration // while lost: well since then; 0: not well
+	turns    int
+	turned   time.Duration // when it last came back
+	ramp     float64       // room given back so far, while returning
+	room     float64       // smoothed, as told load
+	cost     float64
+	sum      Sum
+	at       time.Duration // of the sum
+	head     int           // who sent it
+	want     []float64     // by class of the rules
+	peak     []float64
+	lastWant time.Duration
+}
+
+// NewPlanner begins to lead.
+func NewPlanner(l *membership.List, r Rules, number uint64, newest *Plan, now time.Duration) *Planner {
+	p := &Planner{list: l, rules: r, zones: l.Zones(), state: map[string]*zoneState{}, ways: map[[2]string]*way{},
+		confirmed: map[int]uint64{}, began: now, lastPlan: now}
+	var lost []int
+	for _, z := range p.zones {
+		s := &zoneState{want: make([]float64, len(r.Classes)), peak: make([]float64, len(r.Classes)), since: now, lastWant: now}
+		if newest != nil {
+			if i := newest.zone(z); i >= 0 {
+				old := newest.Zones[i]
+				s.state, s.turns, s.room, s.turned = old.State, old.Turns, float64(old.Room), now
+				for c, k := range r.Classes {
+					if j := slices.Index(newest.Classes, k.Name); j >= 0 {
+						s.want[c] = float64(old.Want[j])
+						s.peak[c] = s.want[c]
+					}
+				}
+			}
+		}
+		p.state[z] = s
+	}
+	if newest != nil {
+		lost = newest.Lost
+		p.known = append(p.known, known{number, newest, now})
+	}
+	p.cut = membership.NewCut(l, lost, now)
+	return p
+}
+
+// Cut is the common view.
+func (p *Planner) Cut() *membership.Cut { return p.cut }
+
+// Hear takes the evidence of a zone's nodes. stale says that it was long on its way: it shows who is there, and nothing of how zones are.
+func (p *Planner) Hear(head int, s Sum, stale bool, now time.Duration) {
+	z := p.state[s.Zone]
+	if z == nil {
+		return
+	}
+	for _, w := range s.Words {
+		if w.Node < 0 || w.Node >= p.list.Len() || p.list.Node(w.Node).Zone != s.Zone {
+			continue
+		}
+		p.cut.Word(w.Node, w.Silent, now)
+		p.confirmed[w.Node] = max(p.confirmed[w.Node], w.Plan)
+	}
+	if stale || head != z.head && now-z.at < freshFor/2 && len(s.Words) <= len(z.sum.Words) {
+		return // the zone's other head has told the same, or more
+	}
+	z.head = head
+	for _, r := range s.Rows {
+		w := p.ways[[2]string{s.Zone, r.Zone}]
+		if w == nil {
+			w = &way{at: now}
+			p.ways[[2]string{s.Zone, r.Zone}] = w
+		}
+		keep := math.Exp(-(now - w.at).Seconds())
+		w.tried, w.failed, w.at = w.tried*keep+float64(r.Attempts), w.failed*keep+float64(r.Failed), now
+	}
+	p.ask(z, s, now)
+	z.sum, z.at = s, now
+}
+
+// ask reckons what a zone's clients want: what stands, what stood before a failure, and more where some are refused.
+func (p *Planner) ask(z *zoneState, s Sum, now time.Duration) {
+	dt := now - z.lastWant
+	z.lastWant = now
+	for c, k := range p.rules.Classes {
+		i := slices.Index(s.Classes, k.Name)
+		if i < 0 {
+			continue
+		}
+		held := 0.0
+		for _, r := range s.Rows {
+			held += float64(r.Held[i])
+		}
+		z.peak[c] = held + max(0, z.peak[c]-held)*math.Exp(-dt.Seconds()/peakMemory.Seconds())
+		w := held + max(0, z.want[c]-held)*math.Exp(-dt.Seconds()/wantMemory.Seconds())
+		// What is refused comes again and is counted again: it says that more is wanted, not how much.
+		w += float64(s.Refused[i]) / 2
+		z.want[c] = min(w, max(1.2*z.peak[c], 1.5*held+2))
+	}
+}
+
+// view is what is known of a zone's hosts: its own nodes' view while there is one, else the others'.
+func (p *Planner) view(zone string, now time.Duration) (v Row, own, ok bool) {
+	if z := p.state[zone]; now-z.at <= freshFor && z.at > 0 {
+		if r, there := z.sum.row(zone); there && r.Nodes > 0 {
+			return r, true, true
+		}
+	}
+	var all Sum
+	for _, o := range p.zones {
+		if s := p.state[o]; o != zone && s.at > 0 && now-s.at <= freshFor {
+			if r, there := s.sum.row(zone); there {
+				all.Add(Sum{Classes: s.sum.Classes, Arrived: make([]float32, len(s.sum.Classes)), Refused: make([]float32, len(s.sum.Classes)), Rows: []Row{r}})
+			}
+		}
+	}
+	if len(all.Rows) == 0 || all.Rows[0].Nodes == 0 {
+		return Row{}, false, false
+	}
+	return all.Rows[0], false, true
+}
+
+func (p *Planner) bad(w *way, now time.Duration) (bad, says bool) {
+	if w == nil || now-w.at > freshFor || w.tried < leastTries {
+		return false, false
+	}
+	return w.failed > failing*w.tried, true
+}
+
+// judge says whether a zone's hosts fail, as far as is known in common.
+func (p *Planner) judge(zone string, now time.Duration) (bad bool, why string) {
+	v, own, ok := p.view(zone, now)
+	if !ok {
+		return false, ""
+	}
+	if v.Ready == 0 {
+		return true, "no host is listed as serving"
+	}
+	out := float64(v.Out / v.Ready)
+	yes, no := 0, 0
+	for _, o := range p.zones {
+		if b, says := p.bad(p.ways[[2]string{o, zone}], now); says && o != zone {
+			if b {
+				yes++
+			} else {
+				no++
+			}
+		}
+	}
+	self, says := p.bad(p.ways[[2]string{zone, zone}], now)
+	switch {
+	case own && (out > failing || says && self && out > failing/2) && no <= yes:
+		return true, fmt.Sprintf("its own nodes leave out %.0f%% of its hosts; of other zones %d say the same and %d don't", 100*out, yes, no)
+	case !own && (yes > no || out > failing):
+		return true, fmt.Sprintf("nothing is heard of its nodes; others leave out %.0f%% of its hosts", 100*out)
+	case own && yes > no && yes >= 2 && out > failing/2:
+		return true, fmt.Sprintf("%d other zones can't reach its hosts", yes)
+	}
+	return false, ""
+}
+
+// turn moves a zone's state on.
+func (p *Planner) turn(zone string, now time.Duration) (why string) {
+	z := p.state[zone]
+	bad, cause := p.judge(zone, now)
+	drained := slices.Contains(p.orders.Drained, zone)
+	set := func(s State, text string) {
+		z.state, z.since, z.goodFrom = s, now, 0
+		why = fmt.Sprintf("%s %s: %s", zone, s, text)
+	}
+	switch {
+	case drained:
+		if z.state != Drained {
+			set(Drained, "an operator's order")
+		}
+	case z.state == Drained:
+		set(Returning, "the order to drain it was taken back")
+		z.ramp = 0
+	case bad && z.state != Lost:
+		if z.turned > 0 && now-z.turned < turnHold {
+			z.turns++
+		} else {
+			z.turns = 0
+		}
+		set(Lost, cause)
+	case z.state == Lost && bad:
+		z.goodFrom = 0
+	case z.state == Lost:
+		if _, _, heard := p.view(zone, now); !heard {
+			z.goodFrom = 0
+			break
+		}
+		if z.goodFrom == 0 {
+			z.goodFrom = now
+		}
+		hold := p.rules.Hold
+		if z.turned > 0 { // at most one reversal in that time, however often it comes and goes
+			hold = max(hold, turnHold-(now-z.turned))
+		}
+		if now-z.goodFrom >= hold {
+			set(Returning, fmt.Sprintf("its hosts answer for %v", (now-z.goodFrom).Round(time.Second)))
+			z.turned, z.ramp = now, 0
+		}
+	case z.state == Returning && z.ramp >= 1:
+		set(Well, "all of its room is given back")
+	}
+	return why
+}
+
+// measure reckons a zone's room, as told load.
+func (p *Planner) measure(zone string, now time.Duration) {
+	z := p.state[zone]
+	v, _, ok := p.view(zone, now)
+	if !ok || v.Ready == 0 {
+		if !ok && now-p.began > freshFor {
+			z.room *= 0.9 // nobody knows: what is not seen fades
+		}
+		return
+	}
+	n := float64(v.Nodes)
+	hosts := float64(v.Warm) / n * (1 - float64(v.Out/v.Ready)) * p.rules.Limit
+	cost := float64(v.Cost) / n
+	held := 0.0
+	for _, o := range p.zones {
+		if s := p.state[o]; s.at > 0 && now-s.at <= freshFor {
+			if r, there := s.sum.row(zone); there {
+				for _, h := range r.Held {
+					held += float64(h)
+				}
+			}
+		}
+	}
+	// Hosts that have become slow show more load than what stands there should make.
+	if load := float64(v.Load) / n; held*cost > 0.15*hosts && load > 1.2*held*cost {
+		cost = min(load/held, 10*cost)
+	}
+	if cost <= 0 {
+		return
+	}
+	if z.cost == 0 {
+		z.cost = cost
+	}
+	z.cost += (cost - z.cost) * 0.3
+	if room := hosts / z.cost; z.room == 0 || room < z.room {
+		z.room = room
+	} else {
+		z.room += (room - z.room) * 0.2
+	}
+}
+
+// usable is what of a zone's room a plan may give.
+func (z *zoneState) usable(r Rules) float64 {
+	switch z.state {
+	case Lost, Drained:
+		return 0
+	case Returning:
+		return z.room * z.ramp
+	}
+	return z.room
+}
+
+// Newest tells which plan the log has now.
+func (p *Planner) Newest(number uint64, plan *Plan, now time.Duration) {
+	if n := len(p.known); n > 0 && p.known[n-1].number >= number {
+		return
+	}
+	p.known = append(p.known, known{number, plan, now})
+	p.proposed = 0
+	least := number
+	for i := range p.list.Len() {
+		if c := p.confirmed[i]; p.cut.Live(i) {
+			least = min(least, c)
+		}
+	}
+	// A plan that all use no longer, and whose crossings are over, is of no more use here.
+	for len(p.known) > 1 && (p.known[1].number <= least || len(p.known) > 64) {
+		p.known = p.known[1:]
+	}
+}
+
+// Order tells what operators have ordered.
+func (p *Planner) Order(o Orders) { p.orders = o }
+
+// inUse is the most that a node may have from its zone in another by any plan that it may still go by; newest is not counted.
+func (p *Planner) inUse(node, from, to int, zones []string, now time.Duration) (most float64) {
+	for i, k := range p.known {
+		if k.number < p.confirmed[node] {
+			continue // it has said that it uses a newer one
+		}
+		over := time.Duration(math.MaxInt64)
+		if i+1 < len(p.known) {
+			over = p.known[i+1].from
+		}
+		if from != to && now > over && now-over > p.rules.Life+time.Second {
+			continue // crossings of that plan are over by their own clocks
+		}
+		a, b := k.plan.zone(zones[from]), k.plan.zone(zones[to])
+		if a < 0 || b < 0 {
+			continue
+		}
+		most = max(most, k.plan.share(a, b, slices.Contains(k.plan.Lost, node)))
+	}
+	if from == to && len(p.known) > 0 && p.confirmed[node] < p.known[0].number { // by a plan that this planner never knew
+		if at, lost := p.cut.LostSince(node); !lost || now-at < forgetLost {
+			k := p.known[0].plan
+			if a := k.zone(zones[from]); a >= 0 {
+				most = max(most, float64(k.Zones[a].Open)/float64(max(1, k.Zones[a].Listed)))
+			}
+		}
+	}
+	return most
+}
+
+// Step makes a plan where one is wanted; nil: the newest will do.
+func (p *Planner) Step(now time.Duration) *Plan {
+	viewChanged := p.cut.Step(now)
+	var whys []string
+	if viewChanged {
+		whys = append(whys, fmt.Sprintf("%d nodes are out of the view", len(p.cut.Lost())))
+	}
+	dt := time.Second / 4
+	for _, z := range p.zones {
+		p.measure(z, now)
+		if why := p.turn(z, now); why != "" {
+			whys = append(whys, why)
+		}
+		if s := p.state[z]; s.state == Returning {
+			s.ramp = min(1, s.ramp+p.rules.Ramp*dt.Seconds())
+		}
+	}
+	pressing := len(whys) > 0
+	if now-p.began < planEvery || p.proposed > 0 && now-p.proposed < decidedBy || now-p.lastPlan < planEvery && !pressing {
+		return nil
+	}
+	next := p.make(now)
+	if next == nil {
+		return nil
+	}
+	if n := len(p.known); n > 0 {
+		change := differs(p.known[n-1].plan, next)
+		if change == 0 || change == 1 && now-p.lastPlan < calmEvery {
+			return nil
+		}
+	}
+	next.Why = strings.Join(whys, "; ")
+	if next.Why == "" {
+		next.Why = "demand and room"
+	}
+	if len(next.Why) > 400 {
+		next.Why = next.Why[:400]
+	}
+	p.proposed, p.lastPlan = now, now
+	return next
+}
+
+// differs says how much: 0 not to speak of, 1 some, 2 so that it presses.
+func differs(a, b *Plan) int {
+	if len(a.Zones) != len(b.Zones) || !slices.Equal(a.Lost, b.Lost) || !slices.Equal(a.Classes, b.Classes) {
+		return 2
+	}
+	most := 0
+	for i, z := range b.Zones {
+		if a.Zones[i].State != z.State || a.Zones[i].Nodes != z.Nodes || a.Zones[i].Name != z.Name {
+			return 2
+		}
+		for c := range z.Want {
+			if d := a.Admit[i][c] - b.Admit[i][c]; d > 12 || d < -12 {
+				most = max(most, 1)
+			}
+		}
+		for j := range b.Zones {
+			x, y := a.grant(i, j), b.grant(i, j)
+			if d := math.Abs(x - y); d > 0.1*float64(z.Room)+0.5 && d > 0.15*max(x, y) {
+				most = max(most, 1)
+			}
+			if i != j && x < 0.5*y && y > 0.5 {
+				most = 2 // somebody has nowhere to go
+			}
+		}
+		if z.State == Returning && float64(a.Zones[i].Room) < 0.9*float64(z.Room) {
+			most = 2
+		}
+	}
+	return most
+}
+
+// make makes the plan for now.
+func (p *Planner) make(now time.Duration) *Plan {
+	n, classes := len(p.zones), len(p.rules.Classes)
+	plan := &Plan{Life: float32(p.rules.Life.Seconds()), Lost: p.cut.Lost()}
+	d := demand{room: make([]float64, n), region: make([]string, n)}
+	heard := 0
+	for _, k := range p.rules.Classes {
+		plan.Classes, plan.Stay = append(plan.Classes, k.Name), append(plan.Stay, k.Stay)
+		d.worth, d.stay = append(d.worth, k.Worth), append(d.stay, k.Stay)
+	}
+	for i, name := range p.zones {
+		z := p.state[name]
+		d.room[i], d.region[i] = z.usable(p.rules), p.list.Region(name)
+		d.want = append(d.want, z.want)
+		if z.at > 0 {
+			heard++
+		}
+		zone := Zone{Name: name, Region: d.region[i], State: z.state, Listed: len(p.list.InZone(name)), Turns: z.turns, Room: float32(d.room[i])}
+		for _, node := range p.list.InZone(name) {
+			if p.cut.Live(node) {
+				zone.Nodes++
+			}
+		}
+		for c := range classes {
+			zone.Want = append(zone.Want, float32(z.want[c]))
+		}
+		plan.Zones = append(plan.Zones, zone)
+	}
+	if heard == 0 {
+		return nil
+	}
+	for o := range n {
+		row := make([]float64, n)
+		for t := range n {
+			row[t] = p.distance(o, t, now)
+		}
+		d.far = append(d.far, row)
+	}
+	a := allot(d)
+	p.grants(plan, d, a, now)
+	for o := range n {
+		admit := make([]int, classes)
+		for c := range admit {
+			admit[c] = 255
+			if w, let := d.want[o][c], a.let(o, c); w > 0.5 && let < 0.98*w {
+				admit[c] = int(math.Ceil(255 * let / w))
+			}
+		}
+		plan.Admit = append(plan.Admit, admit)
+	}
+	return plan
+}
+
+// distance is the cost of a way; one that is seen to be bad is none.
+func (p *Planner) distance(o, t int, now time.Duration) float64 {
+	if o == t {
+		return 0
+	}
+	if bad, _ := p.bad(p.ways[[2]string{p.zones[o], p.zones[t]}], now); bad {
+		return math.Inf(1)
+	}
+	a, b := p.list.Region(p.zones[o]), p.list.Region(p.zones[t])
+	if a == b {
+		return 1
+	}
+	return 1 + p.rules.Far(a, b)
+}
+
+// grants turns what was allotted into grants. All plans that may still be in use count: what stays within a zone's room is the sum of the
+// most that any of them gives each node.
+func (p *Planner) grants(plan *Plan, d demand, a allotted, now time.Duration) {
+	n := len(p.zones)
+	wants := make([][]float64, n)
+	for o := range wants {
+		wants[o] = make([]float64, n)
+	}
+	for t := range n {
+		need := 0.0
+		for o := range n {
+			wants[o][t] = a.between(o, t)
+			need += wants[o][t]
+		}
+		z := p.state[p.zones[t]]
+		free := max(0, d.room[t]-need)
+		switch z.state {
+		case Lost:
+			wants[t][t] = max(trial*z.room, float64(plan.Zones[t].Nodes)) // one for each node, for its trials
+			continue
+		case Drained:
+			continue
+		}
+		wants[t][t] += ownExtra * free
+		// The rest stands by: whoever's own zone fails can go there at once, before any plan says so.
+		var near []int
+		for o := range n {
+			if o != t && plan.Zones[o].Nodes > 0 && !math.IsInf(d.far[o][t], 1) {
+				near = append(near, o)
+			}
+		}
+		for _, o := range near {
+			wants[o][t] += (1 - ownExtra) * free / float64(len(near))
+		}
+	}
+	restart := now-p.began <= p.rules.Life+time.Second && len(p.known) > 0 && p.known[0].from <= p.began
+	for t := range n {
+		used := make([]float64, n) // by giving zone: what older plans may have there
+		total := 0.0
+		for o := range n {
+			for _, node := range p.list.InZone(p.zones[o]) {
+				used[o] += p.inUse(node, o, t, p.zones, now)
+			}
+			total += used[o]
+		}
+		plan.Zones[t].Open = float32(used[t])
+		order := []int{t}
+		for o := range n {
+			if o != t {
+				order = append(order, o)
+			}
+		}
+		for _, o := range order {
+			room := max(0, d.room[t]-(total-used[o]))
+			if z := p.state[p.zones[t]]; o == t && z.state == Lost {
+				room = wants[t][t]
+			}
+			g := wants[o][t]
+			if most := p.fit(plan, o, t, room, now); g > most {
+				g = most
+			}
+			if restart && o != t { // an older plan, unknown here, may have given this room away
+				g = min(g, p.known[0].plan.oldGrant(p.zones[o], p.zones[t]))
+			}
+			if g > 1e-3 {
+				plan.Grants = append(plan.Grants, Grant{From: o, To: t, Load: float32(g)})
+			}
+			total += p.spent(plan, o, t, g, now) - used[o]
+		}
+	}
+}
+
+func (p *Plan) oldGrant(from, to string) float64 {
+	a, b := p.zone(from), p.zone(to)
+	if a < 0 || b < 0 {
+		return 0
+	}
+	return p.grant(a, b)
+}
+
+// spent is what all nodes of a zone may have in another, once a grant of g is added to the plans in use.
+func (p *Planner) spent(plan *Plan, o, t int, g float64, now time.Duration) (sum float64) {
+	z := plan.Zones[o]
+	for _, node := range p.list.InZone(z.Name) {
+		share := 0.0
+		switch live := p.cut.Live(node); {
+		case live && z.Nodes > 0:
+			share = g / float64(z.Nodes)
+		case o == t && z.Listed > 0:
+			share = g / float64(z.Listed)
+		}
+		sum += max(share, p.inUse(node, o, t, p.zones, now))
+	}
+	return sum
+}
+
+// fit is the largest grant with which a zone's nodes stay within a room; what they may have by older plans can't be taken back here.
+func (p *Planner) fit(plan *Plan, o, t int, room float64, now time.Duration) float64 {
+	lo, hi := 0.0, room*2+1
+	if p.spent(plan, o, t, 0, now) >= room {
+		// Older plans fill the room already: not more than any node may have now.
+		z := plan.Zones[o]
+		least := math.Inf(1)
+		for _, node := range p.list.InZone(z.Name) {
+			if p.cut.Live(node) {
+				least = min(least, p.inUse(node, o, t, p.zones, now))
+			}
+		}
+		if math.IsInf(least, 1) || o != t {
+			return 0
+		}
+		return min(least*float64(z.Nodes), room)
+	}
+	for range 40 {
+		mid := (lo + hi) / 2
+		if p.spent(plan, o, t, mid, now) <= room {
+			lo = mid
+		} else {
+			hi = mid
+		}
+	}
+	return lo
+}
