Node: a part in its fleet, off without [fleet]; voters go on as spurwinch-voter

The need: the agreed plan has to reach nodes on sockets, and the node has to stay lean. Cause of what raft costs: resident went from 11.6 to 14.8 MB. Text grew by 3.9 MB although raft and protobuf have 0.9 MB of symbols: protobuf finds methods by reflection, so the linker keeps all methods of all types; and here one touched byte of the file maps 1 to 2 MB of it (kernel 6.18, ext4), so resident is the file's size. Ruled out: raft 3.6.0 (more), madvise after the start (12.6 MB), -gcflags=-l (14.4 MB). Measured: resident at rest 11.44 to 11.56 MB over three starts (11.58 to 11.76 before), with followers, plans and membership linked. Tests: all packages green.

--- a/internal/agree/agree.go
+++ b/internal/agree/agree.go
@@ -8,9 +8,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
-	"maps"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -20,6 +21,10 @@
 type Kind uint8
 
 const (
+	// Tick is the time between two calls of Voter.Tick.
+	Tick = 50 * time.Millisecond
+	// MostVoters bounds the voters of a log.
+	MostVoters = 7
 	// MostData bounds an entry's data, in bytes.
 	MostData = 256 << 10
 	// MostKinds bounds how many kinds a log has.
@@ -92,10 +97,14 @@
 	return v
 }
 
-func encode(v any) []byte { return must(encoding.Marshal(v)) }
+// Encode and Unmarshal are the form in which voters keep and send things: the same bytes for the same value at all of them.
+func Encode(v any) []byte { return must(encoding.Marshal(v)) }
 
-// ended finds the end of a proposal.
-func (s *State) ended(id string) (Decided, bool) {
+// Unmarshal reads what Encode made.
+func Unmarshal(p []byte, v any) error { return decoding.Unmarshal(p, v) }
+
+// Ended finds the end of a proposal.
+func (s *State) Ended(id string) (Decided, bool) {
 	i := slices.IndexFunc(s.Done, func(d Decided) bool { return d.ID == id })
 	if i < 0 {
 		return Decided{}, false
@@ -103,13 +112,13 @@
 	return s.Done[i], true
 }
 
-// apply takes in what stands at a place of the log. All voters come to the same state.
-func (s *State) apply(number uint64, data []byte) (d Decided, news bool) {
+// Apply takes in what stands at a place of the log. All voters come to the same state.
+func (s *State) Apply(number uint64, data []byte) (d Decided, news bool) {
 	var p Proposal
-	if len(data) == 0 || decoding.Unmarshal(data, &p) != nil || p.check() != nil {
+	if len(data) == 0 || decoding.Unmarshal(data, &p) != nil || p.Check() != nil {
 		return d, false // an entry of Raft's own, or of a version that this one can't read
 	}
-	if _, done := s.ended(p.ID); done {
+	if _, done := s.Ended(p.ID); done {
 		return d, false
 	}
 	d = Decided{ID: p.ID, Kind: p.Kind, Number: number, Taken: s.Newest[p.Kind].Number == p.Replaces}
@@ -125,13 +134,15 @@
 	return d, true
 }
 
-func (s *State) retire(id uint64) {
+// Retire notes that a voter's disk is gone.
+func (s *State) Retire(id uint64) {
 	if s.Retired = append(s.Retired, id); len(s.Retired) > mostRetired {
 		s.Retired = slices.Clone(s.Retired[len(s.Retired)-mostRetired:])
 	}
 }
 
-func (p Proposal) check() error {
+// Check finds what no log takes.
+func (p Proposal) Check() error {
 	switch {
 	case p.ID == "" || len(p.ID) > mostID:
 		return fmt.Errorf("a proposal's id has 1 to %d bytes", mostID)
@@ -143,7 +154,27 @@
 	return nil
 }
 
-func (s State) clone() State {
-	s.Newest, s.Done = maps.Clone(s.Newest), slices.Clone(s.Done)
-	return s
+// Record is what must be on disk before anything that follows from it leaves the machine. Later records beat earlier ones.
+type Record struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation uint64   // drawn with the first record of a disk: a voter that lost its disk is another one
+	Log         uint64
+	Hard        []byte   // raftpb.HardState; none: as before
+	Entries     [][]byte // raftpb.Entry
+	Snapshot    []byte   // raftpb.Snapshot; nothing before it is needed any more
+	Newest      []Entry  // what a follower acts on; none: as before
+}
+
+// Message goes to another voter, by its place in the list of voters.
+type Message struct {
+	To   int
+	Data []byte
+}
+
+// ErrNotLeader says that another voter is to be asked, or that nobody leads now.
+var ErrNotLeader = errors.New("this voter does not lead")
+
+// Empty says that a record needs no disk.
+func (r Record) Empty() bool {
+	return r.Incarnation == 0 && len(r.Hard) == 0 && len(r.Entries) == 0 && len(r.Snapshot) == 0 && len(r.Newest) == 0
 }
--- a/internal/agree/store.go
+++ b/internal/agree/store.go
@@ -133,7 +133,7 @@
 }
 
 func frame(r Record) []byte {
-	body := encode(r)
+	body := Encode(r)
 	out := binary.BigEndian.AppendUint32(make([]byte, 0, len(body)+frameBytes), uint32(len(body)))
 	out = binary.BigEndian.AppendUint64(out, sum(out[:4], body))
 	return append(append(out, body...), endMark)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,6 +22,7 @@
 	Classes   []Class    `toml:"class"`
 	Clusters  []Cluster  `toml:"cluster"`
 	Capture   Capture    `toml:"capture,omitempty"`
+	Fleet     *Fleet     `toml:"fleet,omitempty"`
 
 	Peers             Peers           `toml:"peers,omitempty"`
 	Networks          *admit.Networks `toml:"-"` // as they were read with the file
@@ -200,9 +201,12 @@
 		if len(c.Key) < 16 {
 			f.Fault("capture.key", "a key of %d characters: 16 or more are wanted, so that nobody can guess who a client is", len(c.Key))
 		}
-		if len(o.Listeners)+len(o.Domains)+len(o.Clusters) == 0 {
-			return // a file beside the platform's front, for the capture only
-		}
+	}
+	if o.Fleet != nil {
+		o.readFleet(f)
+	}
+	if (f.Has("capture") || o.Fleet != nil) && len(o.Listeners)+len(o.Domains)+len(o.Clusters) == 0 {
+		return // a file beside the platform's front
 	}
 	if len(o.Listeners) == 0 {
 		f.Fault("", "no [[listener]]: one with addr and protocol is wanted")
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -372,6 +372,9 @@
 	return all
 }
 
+// Classes are the settings' classes, by index.
+func (c *Core) Classes() []choice.Class { return c.o.Settings.Classes }
+
 // Plan has the module go by a plan of zones from now on.
 func (c *Core) Plan(p choice.ZonePlan) { c.tell(p) }
 
--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -45,7 +45,29 @@
 	Kept      []agree.Record // what the disk has, oldest first
 	Seed      uint64
 	Log       func(event string, fields ...any) // names and values in turn
-}
+	Voter     NewVoter                          // nil: this program doesn't vote
+}
+
+// Voter is one of those who agree on the log: internal/agree/voter.
+type Voter interface {
+	Tick()
+	Receive(from int, data []byte) error
+	Ready() (rec agree.Record, whole, ok bool)
+	Kept() (out []agree.Message, decided []agree.Decided)
+	Fold() (rec agree.Record, ok bool)
+	Propose(p agree.Proposal) error
+	Confirm() (call uint64)
+	Confirmed() uint64
+	State() agree.State
+	Ended(id string) (agree.Decided, bool)
+	Leads() bool
+	Leader() int
+	Term() uint64
+	Broken() error
+}
+
+// NewVoter makes voter number self of n with what its disk kept.
+type NewVoter func(self, n int, kept []agree.Record, rng *rand.Rand) (Voter, error)
 
 // Message is for another node.
 type Message struct {
@@ -67,7 +89,7 @@
 	dirty   bool // entries that the disk doesn't have yet
 	watch   *membership.Watch
 
-	voter   *agree.Voter
+	voter   Voter
 	planner *failover.Planner
 	saving  *saving
 	acks    []due // sums that wait for a confirmation, oldest first
@@ -128,12 +150,7 @@
 		o.Log = func(string, ...any) {}
 	}
 	a := &Agent{o: o, zone: o.List.Node(o.Self).Zone, rng: rand.New(rand.NewPCG(o.Seed, 9)), peers: map[int]*peer{}, told: map[int]*told{}, last: now}
-	h := xxhash.New()
-	for i := range o.List.Len() {
-		n := o.List.Node(i)
-		fmt.Fprintf(h, "%q %q %q %v\n", n.Name, n.Zone, n.Region, n.Voter)
-	}
-	a.list, a.process = uint32(h.Sum64()), a.rng.Uint32()|1
+	a.list, a.process = digestOf(o.List), a.rng.Uint32()|1
 	var log uint64
 	var entries []agree.Entry
 	for _, r := range o.Kept {
@@ -147,7 +164,10 @@
 	a.follow = agree.Follow(log, entries)
 	a.watch = membership.NewWatch(o.List, o.Self, now)
 	if place := o.List.Voter(o.Self); place >= 0 {
-		v, err := agree.NewVoter(place, len(o.List.Voters()), o.Kept, a.rng)
+		if o.Voter == nil {
+			return nil, fmt.Errorf("%s is a voter, and this program does not vote", o.List.Node(o.Self).Name)
+		}
+		v, err := o.Voter(place, len(o.List.Voters()), o.Kept, a.rng)
 		if err != nil {
 			return nil, err
 		}
@@ -161,6 +181,16 @@
 	return a, nil
 }
 
+// digestOf tells lists of nodes apart.
+func digestOf(l *membership.List) uint32 {
+	h := xxhash.New()
+	for i := range l.Len() {
+		n := l.Node(i)
+		fmt.Fprintf(h, "%q %q %q %v\n", n.Name, n.Zone, n.Region, n.Voter)
+	}
+	return uint32(h.Sum64())
+}
+
 // Out takes the messages to send.
 func (a *Agent) Out() []Message { m := a.out; a.out = nil; return m }
 
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -15,6 +15,7 @@
 
 	"spurwinch/choice"
 	"spurwinch/internal/agree"
+	"spurwinch/internal/agree/voter"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/failover"
 	"spurwinch/internal/failover/agent"
@@ -79,6 +80,11 @@
 	return o
 }
 
+// NewVoter makes a voter.
+func NewVoter(self, n int, kept []agree.Record, rng *rand.Rand) (agent.Voter, error) {
+	return voter.New(self, n, kept, rng)
+}
+
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 type item struct {
@@ -348,7 +354,7 @@
 		return nil
 	}
 	n.agent, err = agent.New(agent.Options{List: w.list, Self: n.i, Key: []byte("a key of the laboratory"), Rules: rules(), Classes: w.classes,
-		ComeAgain: time.Second, Kept: n.disk, Seed: w.o.Seed*31 + uint64(n.i)*1009 + uint64(n.born), Log: n.log}, n.clock())
+		ComeAgain: time.Second, Kept: n.disk, Seed: w.o.Seed*31 + uint64(n.i)*1009 + uint64(n.born), Log: n.log, Voter: NewVoter}, n.clock())
 	if err != nil {
 		return err
 	}
--- a/internal/loop/datagram.go
+++ b/internal/loop/datagram.go
@@ -77,6 +77,13 @@
 	return d.l.poller.Delete(d.fd)
 }
 
+// Close ends it.
+func (d *Datagrams) Close() {
+	d.Hear(false)
+	delete(d.l.fds, d.fd)
+	unix.Close(d.fd)
+}
+
 // FD is the socket, for another process to hold as well.
 func (d *Datagrams) FD() int { return d.fd }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -295,3 +295,6 @@
 	slices.Sort(all)
 	return all
 }
+
+// Heard says when a node's word last came.
+func (c *Cut) Heard(i int) (time.Duration, bool) { w, ok := c.words[i]; return w.at, ok }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -10,8 +11,10 @@
 
 	"go.uber.org/zap"
 
+	"spurwinch/choice"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
+	"spurwinch/internal/failover/agent"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/operate/admin"
 	"spurwinch/internal/operate/handover"
@@ -39,9 +42,13 @@
 	xmpp     *xmpp.Front
 	platform *platform // nil: there is only an operator's file
 	beside   beside
+	fleet    *fleet // nil: the node is none of a fleet
 	door     netip.AddrPort
 }
 
+// ErrVoter says that the node is to vote in its fleet and this program can't.
+var ErrVoter = errors.New("this node is a voter of its fleet: spurwinch-voter is to be started in its place")
+
 // newProgram is a node without fronts.
 func newProgram(l *loop.Loop) *Program {
 	p := &Program{loop: l, exit: operatorExit, named: map[string]*edge.Core{}}
@@ -51,7 +58,9 @@
 
 // New puts a node together on a loop that is not running yet: the platform's front where GW_CONFIG is set or nothing else
 // is, and what the operator's file (if any) sets up beside it.
-func New(l *loop.Loop, getenv func(string) string, operator string) (*Program, error) {
+//
+// newVoter makes a voter of the fleet's log; where it is nil and the node is to vote, the error is ErrVoter.
+func New(l *loop.Loop, getenv func(string) string, operator string, newVoter agent.NewVoter) (*Program, error) {
 	p := newProgram(l)
 	mgmt := getenv("GW_MGMT")
 	seed := uint64(time.Now().UnixNano())
@@ -62,6 +71,9 @@
 			return nil, err
 		}
 	}
+	if o.Fleet != nil && newVoter == nil && o.Fleet.Votes() {
+		return nil, ErrVoter
+	}
 	var n config.Node
 	listen := ""
 	if len(o.Listeners) > 0 {
@@ -106,6 +118,20 @@
 		p.cores = append(p.cores, more...)
 		p.reloads = append(p.reloads, op.reread)
 	}
+	if o.Fleet != nil {
+		core := p.named[o.Fleet.Cluster]
+		if core == nil {
+			return nil, fmt.Errorf("%s: [fleet] cluster = %q: no cluster has this name", operator, o.Fleet.Cluster)
+		}
+		p.joinFleet(*o.Fleet, core, newVoter, func() ([]string, []choice.Class) {
+			classes := core.Classes()
+			var names []string
+			for _, c := range classes {
+				names = append(names, c.Name)
+			}
+			return names, classes
+		})
+	}
 	p.beside.open(place)
 	if p.platform == nil {
 		l.At(l.Now(), p.takes)
@@ -154,6 +180,9 @@
 		return func() {
 			front.reload(next)
 			p.beside.limits(next)
+			if p.fleet != nil {
+				p.fleet.adapt()
+			}
 		}, err
 	}
 }
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"regexp"
 	"sort"
 	"strconv"
 	"strings"
@@ -49,7 +48,14 @@
 	faults Faults
 }
 
-var typeError = regexp.MustCompile(`^toml: line (\d+) \(last key ("[^"]*")\): (.*)$`)
+// typeError takes apart what the decoder says of a value of a wrong type: toml: line N (last key "KEY"): WHAT.
+func typeError(text string) (line int, key, what string, ok bool) {
+	rest, ok := strings.CutPrefix(text, "toml: line ")
+	number, rest, ok2 := strings.Cut(rest, " (last key ")
+	key, what, ok3 := strings.Cut(rest, "): ")
+	line, err := strconv.Atoi(number)
+	return line, key, what, ok && ok2 && ok3 && err == nil
+}
 
 // Load reads a file's text.
 func Load(path string) ([]byte, error) {
@@ -77,9 +83,8 @@
 		f.faults = append(f.faults, Fault{path, line, "toml: " + what})
 	case err != nil: // a value of a wrong type: the line is in the text only
 		text, line := strings.ReplaceAll(err.Error(), "\n", " "), 0
-		if m := typeError.FindStringSubmatch(text); m != nil {
-			line, _ = strconv.Atoi(m[1])
-			text = "toml: key " + m[2] + ": " + m[3]
+		if at, key, what, ok := typeError(text); ok {
+			line, text = at, "toml: key "+key+": "+what
 		}
 		f.faults = append(f.faults, Fault{path, line, text})
 	default:
