Fault laboratory: processes behind a relay, a history and its checker, 17 scenarios

The need: how many copies behave together is shown by many processes with faults between them, and none of that could be played. Change: spurwinchctl lab faults SCENARIO starts the built program N times on loopback; each link, datagrams and streams, goes through a relay's own pair of sockets that drops, delays, reorders, repeats, throttles or cuts each direction; processes are killed, stopped, started again with files kept, lost, cut or spoilt. Everything goes into one history; the checker reads nothing else. spurwinchctl fleet status, plan, explain, drain, undrain; lab explore for simulated time.

--- /dev/null
+++ b/cmd/spurwinchctl/explore.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"spurwinch/internal/lab/explore"
+	"spurwinch/internal/lab/faults"
+)
+
+// explored is one schedule's end, as workers tell it.
+type explored struct {
+	Seed       uint64             `json:"seed"`
+	Scenario   string             `json:"scenario"`
+	Violations []faults.Violation `json:"violations"`
+	Figures    faults.Figures     `json:"figures"`
+	Bytes      float64            `json:"bytes_node_s"`
+}
+
+func exploreCommand() *cobra.Command {
+	var o explore.Options
+	var seeds, policy string
+	var worker, asJSON bool
+	c := &cobra.Command{Use: "explore failover", Short: "Play schedules of faults in simulated time and check each history",
+		Long: "Plays one schedule for each seed: the decision packages as they are in service, with network, clocks, disks and crashes by seed.\n" +
+			"Status 0: no rule broken; 1: one is, with its seed.",
+		Args: cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs), ValidArgs: []string{"failover"},
+		RunE: func(c *cobra.Command, args []string) error {
+			from, to, err := seedRange(seeds)
+			if err != nil {
+				return err
+			}
+			if _, err := explore.Find(o.Faults); err != nil {
+				return err
+			}
+			if o.Policy = explore.Policy(policy); policy != "common" && policy != "each" && policy != "static" {
+				return fmt.Errorf("--policy %q: common, each or static is wanted", policy)
+			}
+			if worker {
+				return exploreHere(c.OutOrStdout(), o, from, to)
+			}
+			return exploreAll(c, o, from, to, asJSON)
+		}}
+	c.Flags().StringVar(&seeds, "seeds", "1..20", "`A..B`, one schedule each")
+	c.Flags().IntVar(&o.Nodes, "nodes", 300, "nodes")
+	c.Flags().IntVar(&o.Zones, "zones", 9, "zones")
+	c.Flags().IntVar(&o.Regions, "regions", 3, "regions")
+	c.Flags().IntVar(&o.Hosts, "hosts", 4, "hosts in each zone")
+	c.Flags().IntVar(&o.Bears, "bears", 50, "connections that a host bears")
+	c.Flags().Float64Var(&o.Use, "use", 0.45, "part of what all hosts bear that clients ask for")
+	c.Flags().Float64Var(&o.Loss, "loss", 0.01, "part of the messages that are lost")
+	c.Flags().DurationVar(&o.Length, "length", 0, "of a schedule, simulated")
+	c.Flags().StringVar(&o.Faults, "faults", "drawn", "a scenario's name")
+	c.Flags().StringVar(&o.Mutation, "mutation", "", "break the program in this way")
+	c.Flags().StringVar(&policy, "policy", "common", "common, each or static")
+	c.Flags().BoolVar(&asJSON, "json", false, "the result as JSON")
+	c.Flags().BoolVar(&worker, "worker", false, "")
+	c.Flags().MarkHidden("worker")
+	return c
+}
+
+func seedRange(s string) (from, to uint64, err error) {
+	a, b, ok := strings.Cut(s, "..")
+	if from, err = strconv.ParseUint(a, 10, 64); err == nil && ok {
+		to, err = strconv.ParseUint(b, 10, 64)
+	}
+	if err != nil || !ok || to < from || to-from >= 1e6 {
+		return 0, 0, fmt.Errorf("--seeds %q: A..B is wanted, as in 1..2000", s)
+	}
+	return from, to, nil
+}
+
+// exploreHere plays schedules one after another, a line of JSON each: Raft draws from the process's one source of chance.
+func exploreHere(out io.Writer, o explore.Options, from, to uint64) error {
+	enc := json.NewEncoder(out)
+	for seed := from; seed <= to; seed++ {
+		o.Seed = seed
+		w, v, err := explore.Play(o)
+		if err != nil {
+			return err
+		}
+		if err := enc.Encode(explored{seed, o.Faults, v.Violations, v.Figures, w.Rate()}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exploreAll has a process for each core play its part of the seeds.
+func exploreAll(c *cobra.Command, o explore.Options, from, to uint64, asJSON bool) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var all []explored
+	var failed error
+	next := from
+	for range runtime.NumCPU() {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for {
+				mu.Lock()
+				a := next
+				b := min(to, a+4)
+				next = b + 1
+				stop := a > to || failed != nil
+				mu.Unlock()
+				if stop {
+					return
+				}
+				args := []string{"lab", "explore", "failover", "--worker", "--seeds", fmt.Sprintf("%d..%d", a, b), "--nodes", strconv.Itoa(o.Nodes),
+					"--zones", strconv.Itoa(o.Zones), "--regions", strconv.Itoa(o.Regions), "--hosts", strconv.Itoa(o.Hosts), "--bears", strconv.Itoa(o.Bears),
+					"--use", fmt.Sprint(o.Use), "--loss", fmt.Sprint(o.Loss), "--length", o.Length.String(), "--faults", o.Faults, "--policy", string(o.Policy),
+					"--mutation", o.Mutation}
+				cmd := exec.Command(self, args...)
+				cmd.Stderr = os.Stderr
+				cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+				out, err := cmd.Output()
+				mu.Lock()
+				if err != nil {
+					failed = fmt.Errorf("seeds %d..%d: %w", a, b, err)
+				}
+				for _, l := range strings.Split(strings.TrimSpace(string(out)), "\n") {
+					var e explored
+					if json.Unmarshal([]byte(l), &e) == nil && e.Seed > 0 {
+						all = append(all, e)
+					}
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	wait.Wait()
+	if failed != nil {
+		return failed
+	}
+	var sum struct {
+		Schedules  int        `json:"schedules"`
+		Violations int        `json:"violations"`
+		Served     float64    `json:"served"`
+		Crossed    float64    `json:"crossed"`
+		Regions    float64    `json:"regions"`
+		Worst      float64    `json:"worst"`
+		Peak       float64    `json:"peak"`
+		Reversals  int        `json:"reversals"`
+		Bytes      float64    `json:"bytes_node_s"`
+		Broken     []explored `json:"broken"`
+	}
+	sum.Worst = 1
+	for _, e := range all {
+		sum.Schedules++
+		sum.Violations += len(e.Violations)
+		sum.Served += e.Figures.Served / float64(len(all))
+		sum.Crossed += e.Figures.Crossed / float64(len(all))
+		sum.Regions += e.Figures.Regions / float64(len(all))
+		sum.Bytes += e.Bytes / float64(len(all))
+		sum.Worst, sum.Peak, sum.Reversals = min(sum.Worst, e.Figures.Worst), max(sum.Peak, e.Figures.PeakOfRoom), sum.Reversals+e.Figures.Reversals
+		if len(e.Violations) > 0 && len(sum.Broken) < 20 {
+			sum.Broken = append(sum.Broken, e)
+		}
+	}
+	out := c.OutOrStdout()
+	if asJSON {
+		raw, err := json.MarshalIndent(sum, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s\n", raw)
+	} else {
+		fmt.Fprintf(out, "%d schedules: %.2f%% served, %.2f%% crossed zones, %.2f%% regions; fullest zone %.0f%%, %d reversals, %.0f bytes a node and second\n", sum.Schedules,
+			100*sum.Served, 100*sum.Crossed, 100*sum.Regions, 100*sum.Peak, sum.Reversals, sum.Bytes)
+		for _, e := range sum.Broken {
+			for _, x := range e.Violations[:min(3, len(e.Violations))] {
+				fmt.Fprintf(out, "seed %d at %.2f s: %s: %s\n", e.Seed, x.At, x.Rule, x.What)
+			}
+		}
+		fmt.Fprintf(out, "violations: %d\n", sum.Violations)
+	}
+	if sum.Violations > 0 {
+		return statusError{1, fmt.Sprintf("%d rules broken", sum.Violations)}
+	}
+	return nil
+}
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -1,9 +1,14 @@
 // Package deploy holds the examples that programs need at hand.
 package deploy
 
-import _ "embed"
+import "embed"
 
 // FleetEvening is the fleet file of a harvest evening.
 //
 //go:embed fleet-evening.toml
 var FleetEvening []byte
+
+// Faults are the fault laboratory's scenarios.
+//
+//go:embed faults/*.toml
+var Faults embed.FS
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -761,3 +761,8 @@
 	}
 	return strings.TrimSpace(string(b))
 }
+
+// Rate is the bytes that nodes sent one another, a node and second.
+func (w *World) Rate() float64 {
+	return float64(w.bytes) / float64(len(w.nodes)) / w.o.Length.Seconds()
+}
--- /dev/null
+++ b/internal/lab/faults/standins.go
@@ -0,0 +1,203 @@
+package faults
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// host is a stand-in for a platform's host: it counts connections and bears so many. internal/standin's hosts work through
+// jobs on cores; what is asked here is only who stands where.
+type host struct {
+	id, zone string
+	bears    int
+	lab      *Lab
+	listen   *net.TCPListener
+	addr     string
+
+	mu    sync.Mutex
+	held  int
+	down  string // "", refuses, silent
+	slow  float64
+	state string
+	conns map[net.Conn]bool
+}
+
+func (lab *Lab) newHost(id, zone string, bears int) (*host, error) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	h := &host{id: id, zone: zone, bears: bears, lab: lab, listen: l, addr: l.Addr().String(), slow: 1, state: "SERVING", conns: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(c)
+		}
+	}()
+	return h, nil
+}
+
+func (h *host) serve(c net.Conn) {
+	h.mu.Lock()
+	if h.down == "refuses" {
+		h.mu.Unlock()
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+		return
+	}
+	h.conns[c] = true
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.conns, c)
+		h.mu.Unlock()
+		c.Close()
+	}()
+	r := bufio.NewReaderSize(c, 4096)
+	id := ""
+	defer func() {
+		if id != "" {
+			h.mu.Lock()
+			h.held--
+			h.mu.Unlock()
+		}
+	}()
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		line = strings.TrimRight(line, "\r\n")
+		h.mu.Lock()
+		down, load := h.down, float64(h.held)/float64(h.bears)*h.slow
+		h.mu.Unlock()
+		if down == "silent" {
+			continue
+		}
+		switch word, rest, _ := strings.Cut(line, " "); {
+		case word == "STATS":
+			fmt.Fprintf(c, "PONG latency_ms=1,util=%.3f,x0=%.3f\r\n", min(1, load), load)
+		case word == "PING":
+			fmt.Fprint(c, "PONG\r\n")
+		case word == "OPEN" && id == "":
+			name, _, _ := strings.Cut(rest, " ")
+			node := ""
+			h.lab.note(Event{Kind: KindTry, ID: name, To: h.id, Node: node})
+			h.mu.Lock()
+			full := h.held >= h.bears*6/5 || h.state != "SERVING"
+			if !full {
+				h.held++
+			}
+			h.mu.Unlock()
+			// What this one was, for the next host that hears of it, is over before the answer goes out: then two at once is the node's doing.
+			h.lab.note(Event{Kind: KindTried, ID: name, To: h.id})
+			if full {
+				fmt.Fprint(c, "BUSY\r\n")
+				return
+			}
+			id = name
+			fmt.Fprintf(c, "UP %s@%s\r\n", name, h.id)
+		case id != "":
+			if _, err := fmt.Fprintf(c, "%s\r\n", line); err != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (h *host) set(down string, slow float64) {
+	h.mu.Lock()
+	h.down, h.slow = down, slow
+	var all []net.Conn
+	if down == "refuses" {
+		for c := range h.conns {
+			all = append(all, c)
+		}
+	}
+	h.mu.Unlock()
+	for _, c := range all {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (h *host) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.held
+}
+
+// list is a stand-in for the list service; each node has a door of its own, since it is told other addresses.
+type list struct {
+	lab     *Lab
+	mu      sync.Mutex
+	version int64
+	news    chan struct{}
+	calls   int
+}
+
+type listEntry struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+func (l *list) entries(n *proc) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := []listEntry{}
+	for i, h := range l.lab.hosts {
+		h.mu.Lock()
+		all = append(all, listEntry{ID: h.id, Addr: n.hosts[i], Zone: h.zone, Kind: "k", State: h.state, Weight: 1})
+		h.mu.Unlock()
+	}
+	raw, err := json.Marshal(map[string]any{"version": l.version, "full": true, "servers": all})
+	if err != nil {
+		panic(err) // names and numbers only
+	}
+	return raw
+}
+
+// door answers a node's calls.
+func (l *list) door(n *proc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+		ms, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+		l.mu.Lock()
+		l.calls++
+		news := l.news
+		wait := r.URL.Query().Has("after") && after >= l.version
+		l.mu.Unlock()
+		if wait {
+			t := time.NewTimer(time.Duration(min(ms, 60000)) * time.Millisecond)
+			defer t.Stop()
+			select {
+			case <-news:
+			case <-t.C:
+			case <-l.lab.done:
+				return
+			case <-r.Context().Done():
+				return
+			}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(l.entries(n))
+	})
+}
