Planner: a zone is well again only when its hosts were tried and answered

Cause: nodes leave a host out for 2 to 16 s after a failure; when that time is over and nobody has tried again, the zone looked well. Change: the time before a lost zone takes load again begins with an answer of its hosts.

--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -231,6 +231,16 @@
 	return false, ""
 }
 
+// answers says whether a zone's hosts were tried of late and answered.
+func (p *Planner) answers(zone string, now time.Duration) bool {
+	for _, o := range p.zones {
+		if w := p.ways[[2]string{o, zone}]; w != nil && now-w.at <= freshFor && w.tried >= 1 && w.failed < failing*w.tried {
+			return true
+		}
+	}
+	return false
+}
+
 // turn moves a zone's state on.
 func (p *Planner) turn(zone string, now time.Duration) (why string) {
 	z := p.state[zone]
@@ -263,6 +273,10 @@
 			break
 		}
 		if z.goodFrom == 0 {
+			// Hosts that nobody has tried of late are not well: they were left out, and the time for that is over.
+			if !p.answers(zone, now) {
+				break
+			}
 			z.goodFrom = now
 		}
 		hold := p.rules.Hold
