Planner: room measured under plans, parts that fit chance, what stands by follows need

Change: room from measured load over what stands there, when all who may have a part are heard; grants are kept where they don't grow; a node may have 1.5 to 2.5 standard deviations over its part, which the hosts' reports bound; part of a tight region is kept for classes that stay; every voter keeps what it has seen of plans; what is to spare stands by for others by their need. Found by the checker: plans were forgotten while cut-off nodes used them.

--- a/choice/api.go
+++ b/choice/api.go
@@ -282,11 +282,11 @@
 func (ZonePlan) event()       {}
 func (PeerMessage) event()    {}
 
-// Grant lets this node's connections take so much told load in a zone.
+// Grant lets this node's connections of the classes that it is for have so much told load in a zone.
 type Grant struct {
 	Zone   string
 	Load   float64
-	Except []int // classes that may not go there
+	Except []int // classes that it is not for
 }
 
 // Outcome is how an attempt or a probe ended.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -393,7 +393,7 @@
 	}
 	i := slices.IndexFunc(b.plan.Grants, func(g Grant) bool {
 		return !slices.Contains(g.Except, r.Class) && !slices.Contains(r.shut, g.Zone) &&
-			b.inZone[g.Zone]+r.load <= g.Load
+			b.under(g)+r.load <= g.Load
 	})
 	if i >= 0 {
 		r.zone = b.plan.Grants[i].Zone
--- a/choice/evidence.go
+++ b/choice/evidence.go
@@ -100,15 +100,22 @@
 	return sum / n
 }
 
-// zoned keeps what the node has in a zone, in all and by class.
+// zoned keeps what the node has in a zone, by class.
 func (b *Balancer) zoned(r *request, load float64) {
 	key := zoneClass{r.on.Zone, r.Class}
 	if b.inClass[key] += load; b.inClass[key] < 1e-9 {
 		delete(b.inClass, key)
 	}
-	if b.inZone[key.zone] += load; b.inZone[key.zone] < 1e-9 {
-		delete(b.inZone, key.zone)
+}
+
+// under is what the node has under a grant.
+func (b *Balancer) under(g Grant) (sum float64) {
+	for c := range b.set.Classes {
+		if !slices.Contains(g.Except, c) {
+			sum += b.inClass[zoneClass{g.Zone, c}]
+		}
 	}
+	return sum
 }
 
 // follow takes a plan in, in a form that the decisions can go by without a look at its bounds.
--- a/choice/state.go
+++ b/choice/state.go
@@ -107,8 +107,7 @@
 	dropped   int
 	first     float64               // load of a mean connection before anything is learned
 	plan      *ZonePlan             // nil: there is none, and any zone will do
-	inZone    map[string]float64    // own told load by zone
-	inClass   map[zoneClass]float64 // the same by zone and class
+	inClass   map[zoneClass]float64 // own told load by zone and class
 	zoneNews  map[string]*zoneCount
 	classNews []classCount
 	refused   []int // classes of the requests given up in this step
@@ -122,7 +121,7 @@
 	}
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
 		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{},
-		inZone: map[string]float64{}, inClass: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
+		inClass: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
 	b.asked, b.meanWorth = map[uint16]asked{}, s.Classes[0].Worth
 	b.adapt(s)
 	return b, nil
--- a/cmd/spurwinchctl/explore.go
+++ b/cmd/spurwinchctl/explore.go
@@ -55,7 +55,7 @@
 	c.Flags().IntVar(&o.Zones, "zones", 9, "zones")
 	c.Flags().IntVar(&o.Regions, "regions", 3, "regions")
 	c.Flags().IntVar(&o.Hosts, "hosts", 4, "hosts in each zone")
-	c.Flags().IntVar(&o.Bears, "bears", 50, "connections that a host bears")
+	c.Flags().IntVar(&o.Bears, "bears", 0, "connections that a host bears; 0: by the number of nodes")
 	c.Flags().Float64Var(&o.Use, "use", 0.45, "part of what all hosts bear that clients ask for")
 	c.Flags().Float64Var(&o.Loss, "loss", 0.01, "part of the messages that are lost")
 	c.Flags().DurationVar(&o.Length, "length", 0, "of a schedule, simulated")
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -79,9 +79,9 @@
 
 func (l *FleetList) check(f *tomlfile.File) {
 	tomlfile.Fill(&l.Plan.Limit, 0.85)
-	tomlfile.Fill(&l.Plan.Life, Duration(10*time.Second))
-	tomlfile.Fill(&l.Plan.Hold, Duration(10*time.Second))
-	tomlfile.Fill(&l.Plan.Ramp, 0.1)
+	tomlfile.Fill(&l.Plan.Life, Duration(30*time.Second))
+	tomlfile.Fill(&l.Plan.Hold, Duration(4*time.Second))
+	tomlfile.Fill(&l.Plan.Ramp, 0.2)
 	if !(l.Plan.Limit > 0.1 && l.Plan.Limit <= 1) {
 		f.Fault("plan.limit", "limit = %v: a part over 0.1, up to 1, is wanted", l.Plan.Limit)
 	}
--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -106,6 +106,7 @@
 	plan    *failover.Plan
 	number  uint64
 	changed bool
+	knows   failover.Knows
 	Counts  Counts
 }
 
@@ -176,7 +177,7 @@
 	spread := func(every time.Duration) time.Duration { return now + time.Duration(a.rng.Int64N(int64(every))) }
 	a.next.tick, a.next.beat, a.next.evidence = now, spread(membership.BeatEvery), spread(evidenceEvery)
 	a.next.sum, a.next.plan, a.next.ack = spread(sumEvery), spread(planStep), now
-	a.changed = true
+	a.changed, a.knows.Since = true, now
 	a.goBy(now)
 	return a, nil
 }
@@ -304,6 +305,7 @@
 	if now-a.last > stoodStill { // this process was stopped, or its machine: what it knew to be so may not be so any more
 		a.o.Log("fleet_stood_still", "for", (now - a.last).Round(time.Millisecond).String())
 		a.planner, a.acks = nil, nil
+		a.knows.Since = now // plans may have come and gone
 	}
 	a.last = now
 	a.watch.Tick(now)
@@ -565,11 +567,7 @@
 	}
 	if a.planner == nil {
 		e := a.follow.Newest(failover.PlanKind)
-		plan, _ := failover.DecodePlan(e.Data)
-		if e.Number == 0 {
-			plan = nil
-		}
-		a.planner = failover.NewPlanner(a.o.List, a.o.Rules, e.Number, plan, now)
+		a.planner = failover.NewPlanner(a.o.List, a.o.Rules, a.knows, now)
 		if o, err := failover.DecodeOrders(a.follow.Newest(failover.OrdersKind).Data); err == nil {
 			a.planner.Order(o)
 		}
@@ -653,6 +651,7 @@
 			return
 		}
 		a.plan, a.number, a.changed = p, e.Number, true
+		a.knows.Add(e.Number, p, now)
 		a.o.Log("fleet_plan_taken", "number", e.Number, "digest", fmt.Sprintf("%016x", e.Digest()), "why", p.Why, "plan", e.Data)
 		if a.planner != nil {
 			a.planner.Newest(e.Number, p, now)
@@ -696,6 +695,7 @@
 		if e := a.follow.Newest(failover.PlanKind); e.Number > 0 {
 			if p, err := failover.DecodePlan(e.Data); err == nil {
 				a.plan, a.number, a.changed = p, e.Number, true
+				a.knows.Add(e.Number, p, now)
 			}
 		}
 	}
--- a/internal/failover/allot.go
+++ b/internal/failover/allot.go
@@ -96,25 +96,32 @@
 	return near
 }
 
-// place puts what is left of a class where there is room, nearest first for all zones alike; zones that want the same room share it
-// by what they have left.
-func (d demand) place(a allotted, room []float64, want [][]float64, c int) {
-	n := len(room)
-	left := make([]float64, n)
+// steps are the costs of ways, the least first.
+func (d demand) steps() (steps []float64) {
 	costs := map[float64]bool{}
-	for o := range left {
-		left[o] = max(0, want[o][c]-a.let(o, c))
-		for t := range room {
-			if f := d.far[o][t]; !math.IsInf(f, 1) && (!d.stay[c] || d.region[o] == d.region[t]) {
+	for o := range d.far {
+		for _, f := range d.far[o] {
+			if !math.IsInf(f, 1) {
 				costs[f] = true
 			}
 		}
 	}
-	var steps []float64
 	for f := range costs {
 		steps = append(steps, f)
 	}
 	slices.Sort(steps)
+	return steps
+}
+
+// place puts what is left of a class where there is room, nearest first for all zones alike; zones that want the same room share it
+// by what they have left.
+func (d demand) place(a allotted, room []float64, want [][]float64, c int) {
+	n := len(room)
+	left := make([]float64, n)
+	for o := range left {
+		left[o] = max(0, want[o][c]-a.let(o, c))
+	}
+	steps := d.steps()
 	for _, f := range steps {
 		for range 8 { // what one zone leaves of its part, others take
 			claims := make([][]float64, n)
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -62,6 +62,7 @@
 	_        struct{} `cbor:",toarray"`
 	From, To int      // places in Zones
 	Load     float32
+	Stay     float32 // of it, kept for classes that must stay in the region: others may go elsewhere
 }
 
 // Orders are what operators have asked for.
@@ -85,7 +86,7 @@
 		bad = bad || len(z.Want) != len(p.Classes) || z.Nodes < 0 || z.Listed < z.Nodes || i < len(p.Admit) && len(p.Admit[i]) != len(p.Classes)
 	}
 	for _, g := range p.Grants {
-		bad = bad || g.From < 0 || g.From >= len(p.Zones) || g.To < 0 || g.To >= len(p.Zones) || !(g.Load >= 0) || math.IsInf(float64(g.Load), 0)
+		bad = bad || g.From < 0 || g.From >= len(p.Zones) || g.To < 0 || g.To >= len(p.Zones) || !(g.Load >= 0) || math.IsInf(float64(g.Load), 0) || !(g.Stay >= 0 && g.Stay <= g.Load)
 	}
 	if bad {
 		return nil, fmt.Errorf("plan: its parts don't fit together")
@@ -117,6 +118,16 @@
 	return 0
 }
 
+// kept is the part of a grant that is kept for classes that must stay.
+func (p *Plan) kept(from, to int) float64 {
+	for _, g := range p.Grants {
+		if g.From == from && g.To == to && g.Load > 0 {
+			return float64(g.Stay / g.Load)
+		}
+	}
+	return 0
+}
+
 // share is what one node of a zone may have in another zone, or its own. One that is out of the common view counts with all that are
 // listed: it may be there after all, and must find something to serve by.
 func (p *Plan) share(from, to int, lost bool) float64 {
@@ -144,6 +155,22 @@
 
 func (m Mode) String() string { return [...]string{"alone", "planned", "ground"}[min(m, 2)] }
 
+// Part is what a node may have in each zone by a plan, as the sums of plans reckon with it.
+func Part(m Mode, p *Plan, node int, zone string) map[string]float64 {
+	out := map[string]float64{}
+	own := p.zone(zone)
+	if m == Alone || own < 0 {
+		return out
+	}
+	lost := slices.Contains(p.Lost, node)
+	for to := range p.Zones {
+		if s := p.share(own, to, lost); s > 0 && (to == own || m == Planned) {
+			out[p.Zones[to].Name] = s
+		}
+	}
+	return out
+}
+
 // Use is what a node's module is told. classes are the node's own, by their index there; comeAgain is the advice for what is refused.
 func Use(m Mode, p *Plan, node int, zone string, classes []string, comeAgain time.Duration) choice.ZonePlan {
 	if m == Alone || p == nil || p.zone(zone) < 0 {
@@ -151,19 +178,43 @@
 	}
 	own := p.zone(zone)
 	lost := slices.Contains(p.Lost, node)
-	out := choice.ZonePlan{Grants: []choice.Grant{{Zone: zone, Load: p.share(own, own, lost)}}, ComeAgain: comeAgain}
+	// Clients come to a zone's nodes by chance, and a node may have more than its even part: all nodes together have it only when more is
+	// wanted than was reckoned. Then the hosts' own reports, without which no module places anything, keep the last part of their room;
+	// a guest leaves more of that to the zone's own.
+	near := p.share(own, own, lost)
+	if p.Zones[own].State != Lost {
+		near += uneven * math.Sqrt(near+1)
+	}
+	out := choice.ZonePlan{ComeAgain: comeAgain}
 	if m == Ground {
+		out.Grants = []choice.Grant{{Zone: zone, Load: near}}
 		return out
 	}
+	var stay, move []int // the node's classes, by what they may do
+	for i, c := range classes {
+		if k := slices.Index(p.Classes, c); k >= 0 && p.Stay[k] {
+			stay = append(stay, i)
+		} else {
+			move = append(move, i)
+		}
+	}
 	for _, to := range p.nearest(own) {
-		if s := p.share(own, to, lost); to != own && s > 0 {
-			g := choice.Grant{Zone: p.Zones[to].Name, Load: s}
-			for i, c := range classes {
-				if k := slices.Index(p.Classes, c); k >= 0 && p.Stay[k] && p.Zones[to].Region != p.Zones[own].Region {
-					g.Except = append(g.Except, i)
-				}
-			}
-			out.Grants = append(out.Grants, g)
+		s := p.share(own, to, lost)
+		if to == own {
+			s = near
+		} else if s > 0 {
+			s += guestUneven * math.Sqrt(s)
+		}
+		switch {
+		case s <= 0 && to != own:
+		case p.Zones[to].Region != p.Zones[own].Region:
+			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s, Except: stay})
+		case p.kept(own, to) == 0:
+			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s})
+		default:
+			k := p.kept(own, to)
+			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s * (1 - k), Except: stay},
+				choice.Grant{Zone: p.Zones[to].Name, Load: s * k, Except: move})
 		}
 	}
 	for _, c := range classes {
@@ -206,14 +257,10 @@
 	return all
 }
 
-// Stated is the room that a plan states for a zone: of a lost one, its own nodes' trials.
+// Stated is the room that a plan states for a zone.
 func (p *Plan) Stated(zone string) float64 {
-	i := p.zone(zone)
-	if i < 0 {
-		return 0
+	if i := p.zone(zone); i >= 0 {
+		return float64(p.Zones[i].Room)
 	}
-	if p.Zones[i].State == Lost {
-		return p.grant(i, i)
-	}
-	return float64(p.Zones[i].Room)
+	return 0
 }
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -29,22 +29,24 @@
 }
 
 const (
-	freshFor   = 3 * time.Second // evidence that is older says nothing of now
-	planEvery  = time.Second     // between two plans, and the first one's wait for evidence
-	calmEvery  = 5 * time.Second // the same, where nothing presses
-	decidedBy  = 3 * time.Second // a proposal that is not decided by then is made anew
-	turnHold   = 60 * time.Second
-	forgetLost = time.Minute // a node out of the view so long has no part kept for it but a lost one's
-	trial      = 0.05        // of a lost zone's room, for its own nodes: somebody must see when it is back
-	ownExtra   = 0.7         // of the room that nobody needs: the zone's own; the rest stands by for others
-	failing    = 0.5         // of the attempts, or of the hosts: from here on a zone, or a way, is bad
-	leastTries = 4           // attempts that say something of a way
-	wantMemory = time.Minute // what was asked for before a failure is still wanted
-	peakMemory = 2 * time.Minute
+	freshFor    = 3 * time.Second // evidence that is older says nothing of now
+	planEvery   = time.Second     // between two plans, and the first one's wait for evidence
+	calmEvery   = 5 * time.Second // the same, where nothing presses
+	decidedBy   = 3 * time.Second // a proposal that is not decided by then is made anew
+	turnHold    = 60 * time.Second
+	forgetLost  = time.Minute // a node out of the view so long has no part kept for it but a lost one's
+	trial       = 0.05        // of a lost zone's room, for its own nodes: somebody must see when it is back
+	ownExtra    = 0.2         // of the room that nobody needs: the zone's own; the rest stands by for others
+	failing     = 0.5         // of the attempts, or of the hosts: from here on a zone, or a way, is bad
+	leastTries  = 4           // attempts that say something of a way
+	uneven      = 2.5         // standard deviations of a node's part that it gets on top, where there is room
+	guestUneven = 1.5         // the same of a guest
+	wantMemory  = time.Minute // what was asked for before a failure is still wanted
+	peakMemory  = 2 * time.Minute
 )
 
-// Planner makes plans, at the one that leads. A new one begins with the newest plan, and waits Life before it grants what an older plan
-// that it doesn't know may have granted otherwise.
+// Planner makes plans, at the one that leads. One whose node has not heard of plans for long waits Life before it grants what an older
+// plan that it doesn't know may have granted otherwise.
 type Planner struct {
 	list      *membership.List
 	rules     Rules
@@ -53,19 +55,40 @@
 	state     map[string]*zoneState
 	ways      map[[2]string]*way
 	confirmed map[int]uint64
-	known     []known
+	known     []Known
+	since     time.Duration // what came before isn\'t known
 	began     time.Duration
 	proposed  time.Duration // the newest proposal's time; 0: none is out
 	lastPlan  time.Duration
 	orders    Orders
 }
 
-type known struct {
-	number uint64
-	plan   *Plan
-	from   time.Duration // when it became the newest here
+// Known is a plan that may be in use, with the time when it became the newest here.
+type Known struct {
+	Number uint64
+	Plan   *Plan
+	From   time.Duration
 }
 
+// Knows is what a node has seen of plans: one that comes to lead must reckon with all that may be in use.
+type Knows struct {
+	Plans []Known       // oldest first
+	Since time.Duration // it has heard of every plan since then, or of none
+}
+
+// Add takes a plan in, and forgets those that were followed by another one so long ago that nobody crosses zones by them.
+func (k *Knows) Add(number uint64, p *Plan, now time.Duration) {
+	if n := len(k.Plans); n > 0 && k.Plans[n-1].Number >= number {
+		return
+	}
+	k.Plans = append(k.Plans, Known{number, p, now})
+	for len(k.Plans) > 1 && now-k.Plans[1].From > 2*forgetLost || len(k.Plans) > mostKnown {
+		k.Plans = k.Plans[1:]
+	}
+}
+
+const mostKnown = 128
+
 type way struct {
 	tried, failed float64
 	at            time.Duration
@@ -86,12 +109,17 @@
 	want     []float64     // by class of the rules
 	peak     []float64
 	lastWant time.Duration
+	refused  float64 // since the last plan
 }
 
 // NewPlanner begins to lead.
-func NewPlanner(l *membership.List, r Rules, number uint64, newest *Plan, now time.Duration) *Planner {
+func NewPlanner(l *membership.List, r Rules, k Knows, now time.Duration) *Planner {
+	var newest *Plan
+	if n := len(k.Plans); n > 0 {
+		newest = k.Plans[n-1].Plan
+	}
 	p := &Planner{list: l, rules: r, zones: l.Zones(), state: map[string]*zoneState{}, ways: map[[2]string]*way{},
-		confirmed: map[int]uint64{}, began: now, lastPlan: now}
+		confirmed: map[int]uint64{}, began: now, lastPlan: now, known: slices.Clone(k.Plans), since: k.Since}
 	var lost []int
 	for _, z := range p.zones {
 		s := &zoneState{want: make([]float64, len(r.Classes)), peak: make([]float64, len(r.Classes)), since: now, lastWant: now}
@@ -111,7 +139,6 @@
 	}
 	if newest != nil {
 		lost = newest.Lost
-		p.known = append(p.known, known{number, newest, now})
 	}
 	p.cut = membership.NewCut(l, lost, now)
 	return p
@@ -166,7 +193,7 @@
 		z.peak[c] = held + max(0, z.peak[c]-held)*math.Exp(-dt.Seconds()/peakMemory.Seconds())
 		w := held + max(0, z.want[c]-held)*math.Exp(-dt.Seconds()/wantMemory.Seconds())
 		// What is refused comes again and is counted again: it says that more is wanted, not how much.
-		w += float64(s.Refused[i]) / 2
+		w += float64(s.Refused[i])
 		z.want[c] = min(w, max(1.2*z.peak[c], 1.5*held+2))
 	}
 }
@@ -306,19 +333,29 @@
 	n := float64(v.Nodes)
 	hosts := float64(v.Warm) / n * (1 - float64(v.Out/v.Ready)) * p.rules.Limit
 	cost := float64(v.Cost) / n
-	held := 0.0
+	held, whole := 0.0, true
 	for _, o := range p.zones {
-		if s := p.state[o]; s.at > 0 && now-s.at <= freshFor {
-			if r, there := s.sum.row(zone); there {
-				for _, h := range r.Held {
-					held += float64(h)
-				}
+		s := p.state[o]
+		if s.at == 0 || now-s.at > freshFor {
+			whole = whole && o != zone && !p.mayCross(o, zone)
+			continue
+		}
+		if r, there := s.sum.row(zone); there {
+			for _, h := range r.Held {
+				held += float64(h)
 			}
 		}
 	}
-	// Hosts that have become slow show more load than what stands there should make.
-	if load := float64(v.Load) / n; held*cost > 0.15*hosts && load > 1.2*held*cost {
-		cost = min(load/held, 10*cost)
+	// What a unit of told load takes is measured where enough stands there and all who may have a part of it are heard: nodes learn it on
+	// the view that all of them use all hosts alike, which under a plan they don't. It shows slow hosts as well.
+	load := float64(v.Load) / n
+	switch {
+	case whole && load > 0.1*hosts && held > 0:
+		cost = load / held
+	case z.cost > 0:
+		cost = z.cost
+	case z.room > 0: // of the plan before
+		cost = hosts / z.room
 	}
 	if cost <= 0 {
 		return
@@ -327,13 +364,18 @@
 		z.cost = cost
 	}
 	z.cost += (cost - z.cost) * 0.3
-	if room := hosts / z.cost; z.room == 0 || room < z.room {
+	if room := hosts / z.cost; z.room == 0 || room < z.room || z.state == Returning { // which is given back step by step anyway
 		z.room = room
 	} else {
 		z.room += (room - z.room) * 0.2
 	}
 }
 
+// mayCross says whether a zone's nodes may have connections in another one, by any plan known here.
+func (p *Planner) mayCross(from, to string) bool {
+	return slices.ContainsFunc(p.known, func(k Known) bool { return k.Plan.oldGrant(from, to) > 0 })
+}
+
 // usable is what of a zone's room a plan may give.
 func (z *zoneState) usable(r Rules) float64 {
 	switch z.state {
@@ -347,19 +389,20 @@
 
 // Newest tells which plan the log has now.
 func (p *Planner) Newest(number uint64, plan *Plan, now time.Duration) {
-	if n := len(p.known); n > 0 && p.known[n-1].number >= number {
+	if n := len(p.known); n > 0 && p.known[n-1].Number >= number {
 		return
 	}
-	p.known = append(p.known, known{number, plan, now})
+	p.known = append(p.known, Known{number, plan, now})
 	p.proposed = 0
 	least := number
 	for i := range p.list.Len() {
-		if c := p.confirmed[i]; p.cut.Live(i) {
-			least = min(least, c)
+		if at, lost := p.cut.LostSince(i); !lost || now-at < forgetLost {
+			least = min(least, p.confirmed[i])
 		}
 	}
-	// A plan that all use no longer, and whose crossings are over, is of no more use here.
-	for len(p.known) > 1 && (p.known[1].number <= least || len(p.known) > 64) {
+	// A plan that nobody can use any longer is of no more use here: all have said that they use a newer one, and crossings of those that
+	// can't be heard are over.
+	for len(p.known) > 1 && (p.known[1].Number <= least && now-p.known[1].From > p.rules.Life+time.Second || len(p.known) > mostKnown) {
 		p.known = p.known[1:]
 	}
 }
@@ -370,25 +413,25 @@
 // inUse is the most that a node may have from its zone in another by any plan that it may still go by; newest is not counted.
 func (p *Planner) inUse(node, from, to int, zones []string, now time.Duration) (most float64) {
 	for i, k := range p.known {
-		if k.number < p.confirmed[node] {
+		if k.Number < p.confirmed[node] {
 			continue // it has said that it uses a newer one
 		}
 		over := time.Duration(math.MaxInt64)
 		if i+1 < len(p.known) {
-			over = p.known[i+1].from
+			over = p.known[i+1].From
 		}
 		if from != to && now > over && now-over > p.rules.Life+time.Second {
 			continue // crossings of that plan are over by their own clocks
 		}
-		a, b := k.plan.zone(zones[from]), k.plan.zone(zones[to])
+		a, b := k.Plan.zone(zones[from]), k.Plan.zone(zones[to])
 		if a < 0 || b < 0 {
 			continue
 		}
-		most = max(most, k.plan.share(a, b, slices.Contains(k.plan.Lost, node)))
+		most = max(most, k.Plan.share(a, b, slices.Contains(k.Plan.Lost, node)))
 	}
-	if from == to && len(p.known) > 0 && p.confirmed[node] < p.known[0].number { // by a plan that this planner never knew
+	if from == to && len(p.known) > 0 && p.confirmed[node] < p.known[0].Number { // by a plan that this planner never knew
 		if at, lost := p.cut.LostSince(node); !lost || now-at < forgetLost {
-			k := p.known[0].plan
+			k := p.known[0].Plan
 			if a := k.zone(zones[from]); a >= 0 {
 				most = max(most, float64(k.Zones[a].Open)/float64(max(1, k.Zones[a].Listed)))
 			}
@@ -414,6 +457,10 @@
 			s.ramp = min(1, s.ramp+p.rules.Ramp*dt.Seconds())
 		}
 	}
+	refused := 0.0
+	for _, z := range p.state {
+		refused += z.refused
+	}
 	pressing := len(whys) > 0
 	if now-p.began < planEvery || p.proposed > 0 && now-p.proposed < decidedBy || now-p.lastPlan < planEvery && !pressing {
 		return nil
@@ -423,8 +470,8 @@
 		return nil
 	}
 	if n := len(p.known); n > 0 {
-		change := differs(p.known[n-1].plan, next)
-		if change == 0 || change == 1 && now-p.lastPlan < calmEvery {
+		change := differs(p.known[n-1].Plan, next)
+		if change == 0 || change == 1 && now-p.lastPlan < calmEvery && refused < 1 {
 			return nil
 		}
 	}
@@ -436,6 +483,9 @@
 		next.Why = next.Why[:400]
 	}
 	p.proposed, p.lastPlan = now, now
+	for _, z := range p.state {
+		z.refused = 0
+	}
 	return next
 }
 
@@ -454,6 +504,16 @@
 				most = max(most, 1)
 			}
 		}
+		have, get, want := 0.0, 0.0, 0.0 // of the zone's clients, in all zones
+		for _, w := range z.Want {
+			want += float64(w)
+		}
+		for j := range b.Zones {
+			have, get = have+a.grant(i, j), get+b.grant(i, j)
+		}
+		if have < 1.3*want && get > have+0.03*want+0.5 {
+			most = max(most, 1)
+		}
 		for j := range b.Zones {
 			x, y := a.grant(i, j), b.grant(i, j)
 			if d := math.Abs(x - y); d > 0.1*float64(z.Room)+0.5 && d > 0.15*max(x, y) {
@@ -547,65 +607,156 @@
 		wants[o] = make([]float64, n)
 	}
 	for t := range n {
-		need := 0.0
 		for o := range n {
 			wants[o][t] = a.between(o, t)
-			need += wants[o][t]
 		}
-		z := p.state[p.zones[t]]
-		free := max(0, d.room[t]-need)
-		switch z.state {
-		case Lost:
-			wants[t][t] = max(trial*z.room, float64(plan.Zones[t].Nodes)) // one for each node, for its trials
+	}
+	// Clients come to a zone's nodes by chance, and more of them come than are reckoned: each zone should have some more than it needs,
+	// or its nodes turn away what others have room for.
+	short := make([]float64, n)
+	for o := range n {
+		want := 0.0
+		for _, v := range d.want[o] {
+			want += v
+		}
+		guests := max(0, want-wants[o][o]) // in their own zone nodes may each have more than their part
+		short[o] = 1.15*want + math.Sqrt(guests*float64(max(1, plan.Zones[o].Nodes)))
+		for t := range n {
+			short[o] -= wants[o][t]
+		}
+		if plan.Zones[o].Nodes == 0 {
+			short[o] = 0
+		}
+	}
+	// Near room first: own zone, then the region, then the rest.
+	free := make([]float64, n)
+	for t := range n {
+		free[t] = d.room[t]
+		for o := range n {
+			free[t] -= wants[o][t]
+		}
+		free[t] = max(0, free[t])
+	}
+	for _, step := range d.steps() {
+		asked := make([]float64, n)
+		give := make([][]float64, n)
+		for o := range n {
+			give[o] = make([]float64, n)
+			sum := 0.0
+			for t := range n {
+				if d.far[o][t] == step {
+					sum += free[t]
+				}
+			}
+			for t := range n {
+				if d.far[o][t] == step && sum > 1e-9 && short[o] > 0 {
+					give[o][t] = min(short[o], sum) * free[t] / sum
+					asked[t] += give[o][t]
+				}
+			}
+		}
+		for o := range n {
+			for t := range n {
+				if give[o][t] > 0 {
+					v := give[o][t] * min(1, free[t]/asked[t])
+					wants[o][t] += v
+					short[o] -= v
+				}
+			}
+		}
+		for t := range n {
+			free[t] = max(0, free[t]-asked[t])
+		}
+	}
+	for t := range n {
+		switch z := p.state[p.zones[t]]; z.state {
+		case Lost: // for its own nodes' trials, one for each
+			wants[t][t] = max(trial*z.room, float64(plan.Zones[t].Listed))
+			plan.Zones[t].Room = float32(wants[t][t])
 			continue
 		case Drained:
 			continue
 		}
-		wants[t][t] += ownExtra * free
-		// The rest stands by: whoever's own zone fails can go there at once, before any plan says so.
-		var near []int
+		wants[t][t] += ownExtra * free[t]
+		// The rest stands by: whoever's own zone fails can go there at once, before any plan says so, and also when there is nobody who
+		// could make one.
+		weight := make([]float64, n)
+		sum := 0.0
+		for o := range n {
+			if o == t || plan.Zones[o].Nodes == 0 || math.IsInf(d.far[o][t], 1) {
+				continue
+			}
+			weight[o] = 1
+			for _, v := range d.want[o] {
+				weight[o] += v
+			}
+			weight[o] /= max(1, d.far[o][t]*d.far[o][t])
+			sum += weight[o]
+		}
 		for o := range n {
-			if o != t && plan.Zones[o].Nodes > 0 && !math.IsInf(d.far[o][t], 1) {
-				near = append(near, o)
+			if weight[o] > 0 {
+				wants[o][t] += (1 - ownExtra) * free[t] * weight[o] / sum
 			}
 		}
-		for _, o := range near {
-			wants[o][t] += (1 - ownExtra) * free / float64(len(near))
+	}
+	tight := map[string]bool{}
+	wanted, room := map[string]float64{}, map[string]float64{}
+	for o := range n {
+		for _, v := range d.want[o] {
+			wanted[d.region[o]] += v
 		}
+		room[d.region[o]] += d.room[o]
+	}
+	for r := range wanted {
+		tight[r] = wanted[r] > 0.8*room[r]
 	}
-	restart := now-p.began <= p.rules.Life+time.Second && len(p.known) > 0 && p.known[0].from <= p.began
+	restart := now-p.since <= p.rules.Life+time.Second && len(p.known) > 0
 	for t := range n {
 		used := make([]float64, n) // by giving zone: what older plans may have there
 		total := 0.0
+		order := []int{t}
 		for o := range n {
 			for _, node := range p.list.InZone(p.zones[o]) {
 				used[o] += p.inUse(node, o, t, p.zones, now)
 			}
 			total += used[o]
-		}
-		plan.Zones[t].Open = float32(used[t])
-		order := []int{t}
-		for o := range n {
 			if o != t {
 				order = append(order, o)
 			}
 		}
-		for _, o := range order {
-			room := max(0, d.room[t]-(total-used[o]))
-			if z := p.state[p.zones[t]]; o == t && z.state == Lost {
-				room = wants[t][t]
-			}
-			g := wants[o][t]
-			if most := p.fit(plan, o, t, room, now); g > most {
-				g = most
-			}
-			if restart && o != t { // an older plan, unknown here, may have given this room away
-				g = min(g, p.known[0].plan.oldGrant(p.zones[o], p.zones[t]))
+		plan.Zones[t].Open = float32(used[t])
+		g := make([]float64, n)
+		// What clients need goes before what stands by for them; a zone's own clients go first.
+		sum := 0.0 // of the new grants
+		for pass, want := range []func(o int) float64{func(o int) float64 { return a.between(o, t) }, func(o int) float64 { return wants[o][t] }} {
+			for _, o := range order {
+				room := plan.Zones[t].Room
+				if p.state[p.zones[t]].state == Lost && o != t {
+					room = 0
+				}
+				v := min(want(o), p.fit(plan, o, t, max(0, float64(room)-(total-used[o])), now))
+				if pass > 0 { // to spare is only what the new grants together leave
+					v = min(v, float64(room)-(sum-g[o]))
+				}
+				if restart && o != t { // an older plan, unknown here, may have given this room away
+					v = min(v, p.known[0].Plan.oldGrant(p.zones[o], p.zones[t]))
+				}
+				v = max(g[o], v)
+				spent := p.spent(plan, o, t, v, now)
+				total, sum = total+spent-used[o], sum+v-g[o]
+				g[o], used[o] = v, spent
 			}
-			if g > 1e-3 {
-				plan.Grants = append(plan.Grants, Grant{From: o, To: t, Load: float32(g)})
+		}
+		for _, o := range order {
+			if g[o] > 1e-3 {
+				stay := 0.0
+				for c, k := range p.rules.Classes {
+					if k.Stay && tight[d.region[t]] { // else there is no need to keep others away
+						stay += a[o][t][c]
+					}
+				}
+				plan.Grants = append(plan.Grants, Grant{From: o, To: t, Load: float32(g[o]), Stay: float32(min(1.3*stay, g[o]))})
 			}
-			total += p.spent(plan, o, t, g, now) - used[o]
 		}
 	}
 }
@@ -637,19 +788,20 @@
 // fit is the largest grant with which a zone's nodes stay within a room; what they may have by older plans can't be taken back here.
 func (p *Planner) fit(plan *Plan, o, t int, room float64, now time.Duration) float64 {
 	lo, hi := 0.0, room*2+1
-	if p.spent(plan, o, t, 0, now) >= room {
-		// Older plans fill the room already: not more than any node may have now.
-		z := plan.Zones[o]
-		least := math.Inf(1)
-		for _, node := range p.list.InZone(z.Name) {
-			if p.cut.Live(node) {
-				least = min(least, p.inUse(node, o, t, p.zones, now))
-			}
-		}
-		if math.IsInf(least, 1) || o != t {
-			return 0
+	// What each node of the zone may have already, nobody else was promised: so much always fits.
+	z := plan.Zones[o]
+	least := math.Inf(1)
+	for _, node := range p.list.InZone(z.Name) {
+		if p.cut.Live(node) {
+			least = min(least, p.inUse(node, o, t, p.zones, now))
 		}
-		return min(least*float64(z.Nodes), room)
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	kept := least * float64(z.Nodes)
+	if p.spent(plan, o, t, kept, now) >= room {
+		return kept
 	}
 	for range 40 {
 		mid := (lo + hi) / 2
@@ -659,7 +811,7 @@
 			hi = mid
 		}
 	}
-	return lo
+	return max(lo, kept)
 }
 
 // Seen is what is known of a node.
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -63,7 +63,7 @@
 	fill(&o.Zones, 3)
 	fill(&o.Regions, min(3, o.Zones))
 	fill(&o.Hosts, 4)
-	fill(&o.Bears, 50)
+	fill(&o.Bears, max(50, 36*o.Nodes/o.Zones/o.Hosts)) // some 16 connections a node
 	fill(&o.Voters, 3)
 	if o.Use == 0 {
 		o.Use = 0.45
@@ -229,6 +229,10 @@
 	}
 	for _, z := range w.zones {
 		w.arrivals(z)
+		// Who would stand there already comes over the first seconds.
+		for range int(o.Use * float64(o.Hosts*o.Bears)) {
+			w.at(3*time.Second+time.Duration(w.rng.Float64()*float64(4*time.Second)), func() { w.newClient(z).come() })
+		}
 	}
 	w.every(500*time.Millisecond, w.sample)
 	return w, nil
@@ -240,7 +244,7 @@
 }
 
 func rules() failover.Rules {
-	r := failover.Rules{Limit: 0.85, Life: 10 * time.Second, Hold: 10 * time.Second, Ramp: 0.1, Far: func(a, b string) float64 { return 1 }}
+	r := failover.Rules{Limit: 0.85, Life: 30 * time.Second, Hold: 4 * time.Second, Ramp: 0.2, Far: func(a, b string) float64 { return 1 }}
 	for _, c := range faults.Classes {
 		r.Classes = append(r.Classes, failover.Class{Name: c.Name, Worth: c.Worth, Stay: c.Stay})
 	}
@@ -389,7 +393,13 @@
 				r = 1
 			}
 			if r == rank {
-				p.Grants = append(p.Grants, choice.Grant{Zone: z, Load: math.Inf(1)})
+				g := choice.Grant{Zone: z, Load: math.Inf(1)}
+				for c, k := range faults.Classes {
+					if k.Stay && r == 2 {
+						g.Except = append(g.Except, c)
+					}
+				}
+				p.Grants = append(p.Grants, g)
 			}
 		}
 	}
@@ -576,19 +586,24 @@
 func (w *World) arrivals(zone string) {
 	rate := w.o.Use * float64(w.o.Hosts*w.o.Bears) / w.o.Life.Seconds()
 	w.at(w.now+time.Duration(w.rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		life := time.Duration(w.rng.ExpFloat64() * float64(w.o.Life))
-		c := &client{w: w, zone: zone, until: w.now + min(life, 4*w.o.Life)}
-		x := w.rng.Float64()
-		for c.class = 0; c.class < len(faults.Classes)-1 && x > faults.Classes[c.class].Part; c.class++ {
-			x -= faults.Classes[c.class].Part
-		}
-		if w.now > 2*time.Second {
+		c := w.newClient(zone)
+		if w.now > 3*time.Second {
 			c.come()
 		}
 		w.arrivals(zone)
 	})
 }
 
+func (w *World) newClient(zone string) *client {
+	life := time.Duration(w.rng.ExpFloat64() * float64(w.o.Life))
+	c := &client{w: w, zone: zone, until: w.now + min(life, 4*w.o.Life)}
+	x := w.rng.Float64()
+	for c.class = 0; c.class < len(faults.Classes)-1 && x > faults.Classes[c.class].Part; c.class++ {
+		x -= faults.Classes[c.class].Part
+	}
+	return c
+}
+
 // come brings the client through the front: to a node of its zone that is up, else to any.
 func (c *client) come() {
 	w := c.w
@@ -607,17 +622,24 @@
 	if len(near) == 0 || w.now >= c.until {
 		return
 	}
-	c.node, c.on, c.over = near[w.rng.IntN(len(near))], nil, false
+	// Another one from here on: what a stopped node still has of the one before is that one's.
+	c = &client{w: w, zone: c.zone, class: c.class, until: c.until, tries: c.tries, node: near[w.rng.IntN(len(near))]}
 	w.ids++
 	c.id, c.came = fmt.Sprintf("q%d", w.ids), w.now
 	patience := w.settings.Classes[c.class].Deadline
 	n, id := c.node, c.id
 	n.on(w.now, func() {
+		if c.over {
+			return // it went before its line was read
+		}
 		c.r = n.core.Open(edge.Spec{ID: choice.RequestID(id), Class: c.class, Tenant: -1, Deadline: begin.Add(w.now + patience)}, c)
 	})
 	w.at(w.now+patience+100*time.Millisecond, func() {
-		if c.id == id && !c.over {
+		if !c.over {
 			c.answer("none", nil)
+			if c.r != nil {
+				n.on(w.now, c.r.Gone)
+			}
 			c.later(0)
 		}
 	})
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -75,6 +75,7 @@
 	out     map[string]string // request to the host that has it
 	drains  map[string]float64
 	turns   map[string][]turn
+	states  map[string]failover.State
 	windows map[int][2]int
 	sent    int
 	told    map[string]uint64 // proposal to number
@@ -95,7 +96,7 @@
 	c := &checker{limits: limits, zoneOf: map[string]string{}, region: map[string]string{}, bears: map[string]float64{}, digests: map[uint64]string{},
 		plans: map[uint64]*failover.Plan{}, newest: map[string]uint64{}, mode: map[string]string{}, using: map[string]uint64{}, ground: map[string]bool{},
 		live: map[string]bool{}, first: map[uint64]float64{}, answers: map[string]Event{}, tries: map[string]int{}, out: map[string]string{},
-		drains: map[string]float64{}, turns: map[string][]turn{}, windows: map[int][2]int{}, told: map[string]uint64{}, stopped: map[string]float64{},
+		drains: map[string]float64{}, turns: map[string][]turn{}, states: map[string]failover.State{}, windows: map[int][2]int{}, told: map[string]uint64{}, stopped: map[string]float64{},
 		part: map[string]part{}, granted: map[string]float64{}, inUse: map[uint64]int{}}
 	c.v.Violations, c.v.Judged, c.v.Seen = []Violation{}, true, map[string]int{}
 	events = slices.Clone(events)
@@ -229,6 +230,10 @@
 // turned notes zones that were lost or came back.
 func (c *checker) turned(at float64, p *failover.Plan) {
 	for _, z := range p.Zones {
+		if old, ok := c.states[z.Name]; !ok || old != z.State {
+			c.states[z.Name] = z.State
+			c.v.Seen["zone "+z.State.String()]++
+		}
 		all := c.turns[z.Name]
 		lost := z.State == failover.Lost
 		if len(all) == 0 && !lost || len(all) > 0 && all[len(all)-1].lost == lost {
@@ -239,7 +244,6 @@
 		}
 		all = append(all, turn{at, lost})
 		c.turns[z.Name] = all
-		c.v.Seen["zone "+z.State.String()]++
 		back := 0
 		for _, t := range all {
 			if !t.lost && at-t.at < c.limits.TurnTime {
@@ -272,9 +276,9 @@
 		if c.mode[node] == "ground" {
 			m = failover.Ground
 		}
-		for _, g := range failover.Use(m, p, i, c.zoneOf[node], nil, 0).Grants {
-			now.has[g.Zone] += g.Load
-			c.granted[g.Zone] += g.Load
+		now.has = failover.Part(m, p, i, c.zoneOf[node])
+		for z, v := range now.has {
+			c.granted[z] += v
 		}
 		now.plan = c.using[node]
 		c.inUse[now.plan]++
--- a/internal/lab/faults/clients.go
+++ b/internal/lab/faults/clients.go
@@ -15,6 +15,10 @@
 // arrivals brings the clients of a zone until the run is over.
 func (lab *Lab) arrivals(zone string, rng *rand.Rand) {
 	rate := lab.o.Use * float64(lab.o.Hosts*lab.o.Bears) / lab.o.Life.Seconds()
+	// Who would stand there already comes over the first seconds.
+	for range int(lab.o.Use * float64(lab.o.Hosts*lab.o.Bears)) {
+		lab.enter(zone, rng, time.Duration(rng.Float64()*float64(3*time.Second)))
+	}
 	next := time.Now()
 	for {
 		next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
@@ -23,25 +27,32 @@
 		case <-lab.done:
 			return
 		}
-		x, class := rng.Float64(), 0
-		for ; class < len(Classes)-1 && x > Classes[class].Part; class++ {
-			x -= Classes[class].Part
-		}
-		life := min(time.Duration(rng.ExpFloat64()*float64(lab.o.Life)), 4*lab.o.Life)
-		if lab.clients.Add(1) > mostClients {
-			lab.clients.Add(-1)
-			continue
-		}
-		c := &client{lab: lab, zone: zone, class: class, until: time.Now().Add(life), rng: rand.New(rand.NewPCG(rng.Uint64(), 1))}
-		lab.wait.Add(1)
-		go func() {
-			defer lab.wait.Done()
-			defer lab.clients.Add(-1)
-			c.live()
-		}()
+		lab.enter(zone, rng, 0)
 	}
 }
 
+// enter brings one client, after a while.
+func (lab *Lab) enter(zone string, rng *rand.Rand, after time.Duration) {
+	x, class := rng.Float64(), 0
+	for ; class < len(Classes)-1 && x > Classes[class].Part; class++ {
+		x -= Classes[class].Part
+	}
+	life := min(time.Duration(rng.ExpFloat64()*float64(lab.o.Life)), 4*lab.o.Life)
+	if lab.clients.Add(1) > mostClients {
+		lab.clients.Add(-1)
+		return
+	}
+	c := &client{lab: lab, zone: zone, class: class, until: time.Now().Add(after + life), rng: rand.New(rand.NewPCG(rng.Uint64(), 1))}
+	lab.wait.Add(1)
+	go func() {
+		defer lab.wait.Done()
+		defer lab.clients.Add(-1)
+		if after == 0 || c.sleep(after) {
+			c.live()
+		}
+	}()
+}
+
 type client struct {
 	lab   *Lab
 	zone  string
--- a/internal/lab/faults/lab.go
+++ b/internal/lab/faults/lab.go
@@ -153,6 +153,9 @@
 		return nil, fmt.Errorf("%d nodes: as many as voters and zones at least, %d at most", o.Nodes, MostNodes)
 	}
 	o.Hosts, o.Bears, o.Use, o.Life = s.Fleet.Hosts, s.Fleet.Bears, s.Fleet.Use, time.Duration(s.Fleet.Life)
+	if o.Bears == 0 { // some 16 connections a node
+		o.Bears = max(50, 36*o.Nodes/s.Fleet.Zones/o.Hosts)
+	}
 	lab := &Lab{o: o, s: s, begin: time.Now(), relay: NewRelay(o.Seed), byID: map[string]*host{}, region: map[string]string{}, done: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(o.Seed, 5)), key: []byte("a key of the laboratory, nobody's secret")}
 	lab.list = &list{lab: lab, version: 1, news: make(chan struct{})}
@@ -203,9 +206,9 @@
 		name := fmt.Sprintf("z%d", z)
 		lab.zones = append(lab.zones, name)
 		lab.region[name] = fmt.Sprintf("r%d", z*f.Regions/f.Zones)
-		lab.note(Event{Kind: KindZone, Zone: name, Detail: lab.region[name], Value: float64(f.Hosts * f.Bears)})
+		lab.note(Event{Kind: KindZone, Zone: name, Detail: lab.region[name], Value: float64(f.Hosts * lab.o.Bears)})
 		for range f.Hosts {
-			h, err := lab.newHost(fmt.Sprintf("h%03d", len(lab.hosts)), name, f.Bears)
+			h, err := lab.newHost(fmt.Sprintf("h%03d", len(lab.hosts)), name, lab.o.Bears)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/faults/scenario.go
+++ b/internal/lab/faults/scenario.go
@@ -34,7 +34,7 @@
 	Regions int      `toml:"regions,omitzero"`
 	Voters  int      `toml:"voters,omitzero"`
 	Hosts   int      `toml:"hosts,omitzero"` // in each zone
-	Bears   int      `toml:"bears,omitzero"` // connections, a host
+	Bears   int      `toml:"bears,omitzero"` // connections, a host; 0: by the number of nodes
 	Use     float64  `toml:"use,omitzero"`   // part of what all hosts bear that clients ask for
 	Life    Duration `toml:"life,omitzero"`  // of a connection, in the mean
 }
@@ -83,7 +83,6 @@
 	fill(&s.Fleet.Regions, 1)
 	fill(&s.Fleet.Voters, 3)
 	fill(&s.Fleet.Hosts, 4)
-	fill(&s.Fleet.Bears, 50)
 	tomlfile.Fill(&s.Fleet.Use, 0.45)
 	tomlfile.Fill(&s.Fleet.Life, Duration(12*time.Second))
 	if s.Name == "" || s.What == "" {
@@ -92,7 +91,7 @@
 	if l := time.Duration(s.Length.Length); l < time.Second || l > 10*time.Minute {
 		f.Fault("run.length", "[run] length: 1s to 10m are possible")
 	}
-	if s.Fleet.Nodes < 1 || s.Fleet.Zones < 1 || s.Fleet.Zones > 16 || s.Fleet.Regions < 1 || s.Fleet.Regions > s.Fleet.Zones || s.Fleet.Hosts < 1 || s.Fleet.Bears < 1 {
+	if s.Fleet.Nodes < 1 || s.Fleet.Zones < 1 || s.Fleet.Zones > 16 || s.Fleet.Regions < 1 || s.Fleet.Regions > s.Fleet.Zones || s.Fleet.Hosts < 1 || s.Fleet.Bears < 0 {
 		f.Fault("fleet", "[fleet]: 1 to 16 zones, as many regions at most, a host or more in each")
 	}
 	for i, x := range s.Steps {
