Checker: rules on views, needless crossings and a fleet without voters; mutations

The need: rules (6) to (8) were not held by anything, and a checker that finds nothing proves nothing. Change: the checker holds that nobody untouched is out of the view, that requests cross only with need, that placement goes on without voters; a list of mutations and a command that makes each in a copy of the source and wants its rule broken. Under a plan the module takes for the nodes that share its hosts those of its zone, and for cold budgets and shares all of the fleet; a zone that has no guests may fill its room.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -251,11 +251,11 @@
 	rules := b.set.Rules
 	// Connections a second that would fill it, this node's part: by the usual traffic, and by what fills it
 	// over its warm-up, as in a storm of retries the usual traffic says nothing of what a server can do.
-	fill := s.cost * b.unit * rules.WarmUp.Seconds() * float64(b.set.Nodes)
+	fill := s.cost * b.unit * rules.WarmUp.Seconds() * float64(b.all)
 	usual := b.recent / rateMemory.Seconds() * s.base / b.bases // of this node, at an even spread
 	able := coldSafety * min(usual/max(b.avg, 0.5), 1/fill)
 	if b.keeps { // its keeper spends the budget for all
-		able = coldKept * float64(b.set.Nodes) / fill
+		able = coldKept * float64(b.all) / fill
 	}
 	rate := rules.FallMultiple * warm * able
 	s.credit, s.creditAt = s.credit+rate*(b.now-s.creditAt).Seconds(), b.now
@@ -308,7 +308,7 @@
 		w *= b.unit / r.load
 	}
 	if t := r.Tenant; t >= 0 && t < len(b.held) && b.set.Tenants[t].Connections > 0 &&
-		float64(b.held[t]*b.set.Nodes) > b.set.Tenants[t].Connections {
+		float64(b.held[t]*b.all) > b.set.Tenants[t].Connections {
 		w *= max(b.set.OverQuotaWorth, 1e-3)
 	}
 	b.meanWorth += (w - b.meanWorth) / 50
--- a/choice/evidence.go
+++ b/choice/evidence.go
@@ -120,6 +120,8 @@
 
 // follow takes a plan in, in a form that the decisions can go by without a look at its bounds.
 func (b *Balancer) follow(p ZonePlan) {
+	told := b.set
+	told.Nodes = b.all / max(1, told.Parts)
 	b.plan = nil
 	if p.Grants != nil {
 		b.plan = &p
@@ -130,6 +132,7 @@
 			p.ComeAgain = 0
 		}
 	}
+	b.adapt(told)
 	b.price()
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -106,6 +106,7 @@
 	seenAt    int
 	dropped   int
 	first     float64               // load of a mean connection before anything is learned
+	all       int                   // nodes that share the fleet; settings have those that share the hosts of a plan\'s zone
 	plan      *ZonePlan             // nil: there is none, and any zone will do
 	inClass   map[zoneClass]float64 // own told load by zone and class
 	zoneNews  map[string]*zoneCount
@@ -169,6 +170,10 @@
 	for b.plan != nil && len(b.plan.Admit) < len(s.Classes) {
 		b.plan.Admit = append(b.plan.Admit, 1)
 	}
+	b.all = s.Nodes * max(1, s.Parts)
+	if b.plan != nil && b.plan.Nodes > 0 {
+		s.Nodes = b.plan.Nodes
+	}
 	s.Nodes *= max(1, s.Parts) // the processes of a node share its part as nodes share the fleet
 	b.set = s
 }
--- a/cmd/spurwinchctl/lab.go
+++ b/cmd/spurwinchctl/lab.go
@@ -15,11 +15,12 @@
 
 	"spurwinch/deploy"
 	"spurwinch/internal/lab/faults"
+	"spurwinch/internal/lab/mutations"
 )
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Many processes of the program, and the faults between them"}
-	c.AddCommand(faultsCommand(), exploreCommand())
+	c.AddCommand(faultsCommand(), exploreCommand(), mutationsCommand())
 	return c
 }
 
@@ -163,3 +164,38 @@
 	}
 	return nil
 }
+
+func mutationsCommand() *cobra.Command {
+	var source string
+	var seeds int
+	c := &cobra.Command{Use: "mutations", Short: "Break the program in known ways, one for each rule, and see that the laboratory finds it",
+		Long: "Makes each listed mutation in a copy of the source, builds it and plays schedules in simulated time. Needs the Go tool chain.\n" +
+			"Status 0: each broke its rule; 1: one did not.",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, args []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			missed := 0
+			err := mutations.Play(ctx, source, seeds, func(r mutations.Result) {
+				word := "caught"
+				if !r.Caught {
+					word = "MISSED"
+					missed++
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s (%s)", word, r.What, r.Rule)
+				if r.Err != nil {
+					fmt.Fprintf(c.OutOrStdout(), ": %v", r.Err)
+				} else if !r.Caught {
+					fmt.Fprintf(c.OutOrStdout(), ": broken were %v", r.Rules)
+				}
+				fmt.Fprintln(c.OutOrStdout())
+			})
+			if err == nil && missed > 0 {
+				return statusError{1, fmt.Sprintf("%d mutations were missed", missed)}
+			}
+			return err
+		}}
+	c.Flags().StringVar(&source, "source", ".", "the repository's `DIR`")
+	c.Flags().IntVar(&seeds, "seeds", 6, "schedules of each")
+	return c
+}
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -54,6 +54,7 @@
 	Room   float32   // told load that all grants together may put there
 	Want   []float32 // by class: what its clients ask for, reckoned
 	Open   float32   // the most that its nodes may still have there by older plans
+	Guests float32   // what clients of other zones need there now
 	Turns  int       // how often it was lost and came back of late
 }
 
@@ -184,8 +185,14 @@
 	near := p.share(own, own, lost)
 	if p.Zones[own].State != Lost {
 		near += uneven * math.Sqrt(near+1)
+		if z := p.Zones[own]; z.Guests == 0 && z.Nodes > 0 { // nobody else needs its room now: it may grow without a plan
+			near = max(near, float64(z.Room)/float64(z.Nodes))
+		}
+	}
+	out := choice.ZonePlan{ComeAgain: comeAgain, Nodes: p.Zones[own].Nodes}
+	if lost || out.Nodes == 0 {
+		out.Nodes = p.Zones[own].Listed
 	}
-	out := choice.ZonePlan{ComeAgain: comeAgain}
 	if m == Ground {
 		out.Grants = []choice.Grant{{Zone: zone, Load: near}}
 		return out
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -725,6 +725,11 @@
 			}
 		}
 		plan.Zones[t].Open = float32(used[t])
+		for o := range n {
+			if o != t {
+				plan.Zones[t].Guests += float32(a.between(o, t))
+			}
+		}
 		g := make([]float64, n)
 		// What clients need goes before what stands by for them; a zone's own clients go first.
 		sum := 0.0 // of the new grants
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -19,9 +19,12 @@
 
 const sec = time.Second
 
-func (w *World) fault(at time.Duration, what string, fn func()) {
+func (w *World) fault(at time.Duration, what string, fn func()) { w.faultOf(at, what, "", "", fn) }
+
+// faultOf puts a fault that touches one node, or one zone, and nobody else.
+func (w *World) faultOf(at time.Duration, what, node, zone string, fn func()) {
 	w.at(at, func() {
-		w.note(faults.Event{Kind: faults.KindFault, Detail: what})
+		w.note(faults.Event{Kind: faults.KindFault, Detail: what, Node: node, Zone: zone})
 		fn()
 	})
 }
@@ -102,8 +105,8 @@
 	}, map[string]int{"zone lost": 1}, nil},
 	{"bad-link", "one node hears nobody and reaches no host", func(w *World) {
 		n := w.nodes[len(w.nodes)-1]
-		w.fault(10*sec, "bad link", func() { n.deaf, n.badLine = true, true })
-		w.fault(25*sec, "link well", func() { n.deaf, n.badLine = false, false })
+		w.faultOf(10*sec, "bad line", n.name, "", func() { n.deaf, n.badLine = true, true })
+		w.faultOf(25*sec, "line well", n.name, "", func() { n.deaf, n.badLine = false, false })
 	}, map[string]int{"plans": 1}, nil},
 	{"leader-stopped", "the one that leads is stopped for 5 s while a zone is lost", func(w *World) {
 		w.fault(12*sec, "leader stopped", func() {
@@ -223,13 +226,13 @@
 			w.fault(at, "split", func() { w.split(z, y, w.rng.IntN(2) == 0, true) })
 			w.fault(at+long, "healed", func() { w.split(z, y, true, false) })
 		case 4:
-			w.fault(at, "stall", func() { n.still = w.now + long })
+			w.faultOf(at, "stall", n.name, "", func() { n.still = w.now + long })
 		case 5:
-			w.fault(at, "voter stalled", func() { v.still = w.now + long })
+			w.faultOf(at, "voter stalled", v.name, "", func() { v.still = w.now + long })
 		case 6:
-			w.fault(at, "killed", func() { w.restart(n, "kept", long) })
+			w.faultOf(at, "killed", n.name, "", func() { w.restart(n, "kept", long) })
 		case 7:
-			w.fault(at, "voter killed", func() { w.restart(v, "kept", long) })
+			w.faultOf(at, "voter killed", v.name, "", func() { w.restart(v, "kept", long) })
 		case 8:
 			w.fault(at, "files lost", func() {
 				if !n.isVoter() { // of a voter only while all others are well: rule (3) is for a majority that keeps its disks
@@ -243,8 +246,8 @@
 			w.fault(at, "late and twice", func() { w.late, w.repeat = time.Duration(w.rng.IntN(5000))*time.Millisecond, 0.4 })
 			w.fault(at+long, "in time again", func() { w.late, w.repeat = 0, 0 })
 		case 11:
-			w.fault(at, "bad link", func() { n.deaf, n.badLine = true, w.rng.IntN(2) == 0 })
-			w.fault(at+long, "link well", func() { n.deaf, n.badLine = false, false })
+			w.faultOf(at, "bad line", n.name, "", func() { n.deaf, n.badLine = true, w.rng.IntN(2) == 0 })
+			w.faultOf(at+long, "line well", n.name, "", func() { n.deaf, n.badLine = false, false })
 		}
 	}
 	if w.rng.IntN(4) == 0 {
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strings"
 
 	"spurwinch/internal/failover"
 	"spurwinch/internal/membership"
@@ -84,6 +85,12 @@
 	part    map[string]part // what each node may have now
 	granted map[string]float64
 	inUse   map[uint64]int
+
+	hurt      []Event            // faults so far
+	held      map[string]float64 // by zone
+	wellSince map[string]float64
+	calm      [2]int // crossed, of all, where there was no need
+	alone     [2]int // served, of all, with no voter left
 }
 
 type turn struct {
@@ -97,7 +104,8 @@
 		plans: map[uint64]*failover.Plan{}, newest: map[string]uint64{}, mode: map[string]string{}, using: map[string]uint64{}, ground: map[string]bool{},
 		live: map[string]bool{}, first: map[uint64]float64{}, answers: map[string]Event{}, tries: map[string]int{}, out: map[string]string{},
 		drains: map[string]float64{}, turns: map[string][]turn{}, states: map[string]failover.State{}, windows: map[int][2]int{}, told: map[string]uint64{}, stopped: map[string]float64{},
-		part: map[string]part{}, granted: map[string]float64{}, inUse: map[uint64]int{}}
+		part: map[string]part{}, granted: map[string]float64{}, inUse: map[uint64]int{},
+		held: map[string]float64{}, wellSince: map[string]float64{}}
 	c.v.Violations, c.v.Judged, c.v.Seen = []Violation{}, true, map[string]int{}
 	events = slices.Clone(events)
 	sort.SliceStable(events, func(i, j int) bool { return events[i].At < events[j].At })
@@ -137,6 +145,7 @@
 	switch e.Kind {
 	case KindFault:
 		c.v.Seen["fault "+e.Detail]++
+		c.hurt = append(c.hurt, e)
 	case KindCount:
 		c.v.Seen[e.Detail] += int(e.Value)
 	case KindLate:
@@ -196,7 +205,9 @@
 		if e.Result != "none" && e.Took > c.limits.Patience+c.limits.Slack {
 			c.broken("placement: in time", e.At, "request %s was answered after %.2f s", e.ID, e.Took)
 		}
+		c.quiet(e)
 	case KindHeld:
+		c.held[e.Zone] = e.Value
 		if b := c.bears[e.Zone]; b > 0 {
 			c.v.Figures.PeakOfRoom = max(c.v.Figures.PeakOfRoom, e.Value/b)
 		}
@@ -220,6 +231,7 @@
 		if p, err := failover.DecodePlan(e.Plan); err == nil {
 			c.plans[e.Number] = p
 			c.turned(e.At, p)
+			c.viewed(e.At, p)
 		} else {
 			c.broken("agreed log", e.At, "plan %d can't be read: %v", e.Number, err)
 		}
@@ -232,6 +244,10 @@
 	for _, z := range p.Zones {
 		if old, ok := c.states[z.Name]; !ok || old != z.State {
 			c.states[z.Name] = z.State
+			delete(c.wellSince, z.Name)
+			if z.State == failover.Well {
+				c.wellSince[z.Name] = at
+			}
 			c.v.Seen["zone "+z.State.String()]++
 		}
 		all := c.turns[z.Name]
@@ -302,7 +318,75 @@
 	has  map[string]float64
 }
 
+// viewed holds that nobody is out of the common view whom no fault has touched: a single node, or a minority, changes no plan.
+func (c *checker) viewed(at float64, p *failover.Plan) {
+	for _, i := range p.Lost {
+		if i < 0 || i >= c.list.Len() {
+			continue
+		}
+		n := c.list.Node(i)
+		touched := !c.live[n.Name]
+		for _, f := range c.hurt {
+			// A fault that names nobody may touch anybody.
+			touched = touched || f.Node == n.Name || f.Zone == n.Zone || f.Node == "" && f.Zone == ""
+		}
+		if at, ok := c.stopped[n.Name]; ok && at > 0 {
+			touched = true
+		}
+		if !touched {
+			c.broken("plans (6)", at, "%s is out of the view, and nothing happened to it", n.Name)
+		}
+	}
+}
+
+// quiet counts what crossed zones although its own zone was well, for long, and had room.
+func (c *checker) quiet(e Event) {
+	if e.Result == "" || e.Result == "none" || e.Result == "node gone" {
+		return
+	}
+	if c.voters() == 0 && !c.zoneHurt() {
+		c.alone[1]++
+		if e.Result == "up" {
+			c.alone[0]++
+		}
+	}
+	since, well := c.wellSince[e.Zone]
+	if !well || e.At-since < 10 || c.held[e.Zone] > 0.6*c.bears[e.Zone] || e.Result != "up" || c.zoneHurt() {
+		return
+	}
+	c.calm[1]++
+	if e.To != e.Zone && e.To != "" {
+		c.calm[0]++
+	}
+}
+
+func (c *checker) zoneHurt() bool {
+	for _, f := range c.hurt {
+		if strings.Contains(f.Detail, "zone") || strings.Contains(f.Detail, "region") || strings.Contains(f.Detail, "link") || strings.Contains(f.Detail, "cut") {
+			return true
+		}
+	}
+	return false
+}
+
+// voters counts those that run.
+func (c *checker) voters() (n int) {
+	for _, i := range c.list.Voters() {
+		if c.live[c.list.Node(i).Name] {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *checker) end(events []Event) {
+	if c.calm[1] >= 100 && float64(c.calm[0]) > c.limits.Crossing*float64(c.calm[1])+3 {
+		c.broken("plans (7)", 0, "%d of %d requests crossed zones although their own was well and had room", c.calm[0], c.calm[1])
+	}
+	if c.alone[1] >= 50 && float64(c.alone[0]) < 0.9*float64(c.alone[1]) {
+		c.broken("plans (8)", 0, "with no voter left %d of %d requests were served, although every zone was well", c.alone[0], c.alone[1])
+	}
+
 	f := &c.v.Figures
 	var up, crossed, far int
 	windows := map[int][2]int{}
