Planner: a log known from its first plan needs no wait; part for nodes out of the view

Change: the first plan says so; Nodes in a plan is the live nodes of the fleet; the part of nodes out of the view counts in the room.

--- a/choice/api.go
+++ b/choice/api.go
@@ -257,7 +257,7 @@
 		Grants    []Grant       // nearest zone first
 		Admit     []float64     // part of each class's requests that is let in; classes beyond are let in whole
 		ComeAgain time.Duration // advice for what is refused, spread by half
-		Nodes     int           // that share the hosts of this node's zone; 0: as the settings say
+		Nodes     int           // of the fleet that are there; 0: as the settings say
 	}
 	// PeerMessage is a message of another node, by its number. What can't be read, is late or repeats is dropped.
 	PeerMessage struct {
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -41,6 +41,7 @@
 	Life    float32 // seconds that a grant into another zone holds without word of the one that leads
 	Lost    []int   // nodes out of the common view, by their numbers
 	Why     string
+	First   bool // no plan was before it
 }
 
 // Zone is a zone in a plan.
@@ -189,9 +190,9 @@
 			near = max(near, float64(z.Room)/float64(z.Nodes))
 		}
 	}
-	out := choice.ZonePlan{ComeAgain: comeAgain, Nodes: p.Zones[own].Nodes}
-	if lost || out.Nodes == 0 {
-		out.Nodes = p.Zones[own].Listed
+	out := choice.ZonePlan{ComeAgain: comeAgain}
+	for _, z := range p.Zones {
+		out.Nodes += z.Nodes
 	}
 	if m == Ground {
 		out.Grants = []choice.Grant{{Zone: zone, Load: near}}
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -36,7 +36,7 @@
 	turnHold    = 60 * time.Second
 	forgetLost  = time.Minute // a node out of the view so long has no part kept for it but a lost one's
 	trial       = 0.05        // of a lost zone's room, for its own nodes: somebody must see when it is back
-	ownExtra    = 0.2         // of the room that nobody needs: the zone's own; the rest stands by for others
+	ownExtra    = 0.1         // of the room that nobody needs: the zone's own; the rest stands by for others
 	failing     = 0.5         // of the attempts, or of the hosts: from here on a zone, or a way, is bad
 	leastTries  = 4           // attempts that say something of a way
 	uneven      = 2.5         // standard deviations of a node's part that it gets on top, where there is room
@@ -81,6 +81,9 @@
 	if n := len(k.Plans); n > 0 && k.Plans[n-1].Number >= number {
 		return
 	}
+	if p.First { // there is none that isn't known
+		k.Since = now - time.Hour
+	}
 	k.Plans = append(k.Plans, Known{number, p, now})
 	for len(k.Plans) > 1 && now-k.Plans[1].From > 2*forgetLost || len(k.Plans) > mostKnown {
 		k.Plans = k.Plans[1:]
@@ -392,6 +395,9 @@
 	if n := len(p.known); n > 0 && p.known[n-1].Number >= number {
 		return
 	}
+	if plan.First {
+		p.since = now - time.Hour
+	}
 	p.known = append(p.known, Known{number, plan, now})
 	p.proposed = 0
 	least := number
@@ -475,6 +481,7 @@
 			return nil
 		}
 	}
+	next.First = len(p.known) == 0
 	next.Why = strings.Join(whys, "; ")
 	if next.Why == "" {
 		next.Why = "demand and room"
@@ -739,6 +746,9 @@
 				if p.state[p.zones[t]].state == Lost && o != t {
 					room = 0
 				}
+				if z := plan.Zones[t]; o == t && z.Listed > z.Nodes { // those out of the view may be there, with a part of their own
+					room /= 1 + float32(z.Listed-z.Nodes)/float32(z.Listed)
+				}
 				v := min(want(o), p.fit(plan, o, t, max(0, float64(room)-(total-used[o])), now))
 				if pass > 0 { // to spare is only what the new grants together leave
 					v = min(v, float64(room)-(sum-g[o]))
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -112,8 +112,8 @@
 		w.fault(12*sec, "leader stopped", func() {
 			n := w.leader()
 			n.still = w.now + 5*sec
-			w.lose("z1", "refuses")
 		})
+		w.fault(12*sec, "zone lost", func() { w.lose("z1", "refuses") })
 	}, map[string]int{"leads": 2, "zone lost": 1}, nil},
 	{"voters-killed", "two of three voters are killed, then a zone is lost", func(w *World) {
 		w.fault(12*sec, "voters killed", func() {
@@ -183,8 +183,8 @@
 			n := w.leader()
 			n.diskBad = true
 			w.at(w.now+8*sec, func() { n.diskBad = false })
-			w.lose("z1", "refuses")
 		})
+		w.fault(12*sec, "zone lost", func() { w.lose("z1", "refuses") })
 	}, map[string]int{"leads": 1, "zone lost": 1}, nil},
 	{"drawn", "faults drawn by seed, up to eight of all kinds", (*World).draw, map[string]int{"fault": 2}, nil},
 }
