--- a/cmd/spurwinchctl/explore.go
+++ b/cmd/spurwinchctl/explore.go
@@ -113,7 +113,7 @@
 			for {
 				mu.Lock()
 				a := next
-				b := min(to, a+4)
+				b := min(to, a+min(4, (to-from)/uint64(4*runtime.NumCPU())))
 				next = b + 1
 				stop := a > to || failed != nil
 				mu.Unlock()
--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -195,11 +195,13 @@
 // Out takes the messages to send.
 func (a *Agent) Out() []Message { m := a.out; a.out = nil; return m }
 
-// Use is what the module is to go by, and whether that has changed since the last call.
+// Use is what the module is to go by, where that has changed since the last call.
 func (a *Agent) Use() (choice.ZonePlan, bool) {
-	changed := a.changed
+	if !a.changed {
+		return choice.ZonePlan{}, false
+	}
 	a.changed = false
-	return failover.Use(a.mode, a.plan, a.o.Self, a.zone, a.o.Classes, a.o.ComeAgain), changed
+	return failover.Use(a.mode, a.plan, a.o.Self, a.zone, a.o.Classes, a.o.ComeAgain), true
 }
 
 // Adapt takes in the module's classes after a change of settings.
--- /dev/null
+++ b/internal/failover/failover_test.go
@@ -0,0 +1,240 @@
+package failover
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"spurwinch/choice"
+	"spurwinch/internal/membership"
+)
+
+// TestAllot holds for drawn demands: nothing is placed that nobody wants or no room takes, classes that stay do, what is worth more is not
+// turned away where what is worth less is let in beside it, and no more leaves its zone than must.
+func TestAllot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "zones")
+		d := demand{worth: []float64{3, 1, 1.5}, stay: []bool{false, false, rapid.Bool().Draw(t, "stay")}}
+		for o := range n {
+			d.room = append(d.room, rapid.Float64Range(0, 100).Draw(t, "room"))
+			d.region = append(d.region, fmt.Sprint(o/2))
+			var want []float64
+			for range 3 {
+				want = append(want, rapid.Float64Range(0, 40).Draw(t, "want"))
+			}
+			d.want = append(d.want, want)
+		}
+		for o := range n {
+			var far []float64
+			for p := range n {
+				switch {
+				case o == p:
+					far = append(far, 0)
+				case d.region[o] == d.region[p]:
+					far = append(far, 1)
+				default:
+					far = append(far, 2)
+				}
+			}
+			d.far = append(d.far, far)
+		}
+		a := allot(d)
+		wanted, room, crossed, least := 0.0, 0.0, 0.0, 0.0
+		for o := range n {
+			in, own := 0.0, 0.0
+			for p := range n {
+				in += a.between(p, o)
+				if p != o {
+					crossed += a.between(o, p)
+				}
+				if d.stay[2] && d.region[o] != d.region[p] && a[o][p][2] > 1e-6 {
+					t.Fatalf("a class that stays went from %d to %d", o, p)
+				}
+			}
+			if in > d.room[o]+1e-6 {
+				t.Fatalf("zone %d has room for %v and gets %v", o, d.room[o], in)
+			}
+			for c, w := range d.want[o] {
+				if let := a.let(o, c); let > w+1e-6 || let < 0 {
+					t.Fatalf("zone %d wants %v of class %d and gets %v", o, w, c, let)
+				}
+				own += w
+			}
+			wanted, room, least = wanted+own, room+d.room[o], least+max(0, own-d.room[o])
+		}
+		placed := 0.0
+		for o := range n {
+			for c := range 3 {
+				placed += a.let(o, c)
+			}
+		}
+		if !d.stay[2] {
+			if math.Abs(placed-min(wanted, room)) > 1e-3*(1+wanted) {
+				t.Fatalf("%v placed, wanted are %v and room is %v", placed, wanted, room)
+			}
+			if wanted <= room && crossed > least+1e-3*(1+wanted) {
+				t.Fatalf("%v crossed, %v must", crossed, least)
+			}
+			if low, high := 0.0, 0.0; true {
+				for o := range n {
+					low, high = low+a.let(o, 1), high+d.want[o][0]-a.let(o, 0)
+				}
+				if high > 1e-3*(1+wanted) && low > 1e-3*(1+wanted) {
+					t.Fatalf("%v of what is worth most is turned away, %v of what is worth least is let in", high, low)
+				}
+			}
+		}
+	})
+}
+
+// TestMixesStayInRoom plays plans one after another under drawn demands, rooms and confirmations: whatever plan each node goes by, of those
+// that it may still have, the parts of all stay within the largest room that any of these plans states.
+func TestMixesStayInRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones, nodes := rapid.IntRange(2, 4).Draw(t, "zones"), rapid.IntRange(4, 12).Draw(t, "nodes")
+		var all []membership.Node
+		for i := range nodes {
+			all = append(all, membership.Node{Name: fmt.Sprintf("n%02d", i), Zone: fmt.Sprintf("z%d", i%zones), Region: "r", Voter: i < 3})
+		}
+		l, err := membership.NewList(all)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rules := Rules{Limit: 0.85, Life: 10 * time.Second, Hold: 4 * time.Second, Ramp: 0.2, Far: func(a, b string) float64 { return 1 },
+			Classes: []Class{{"c", 1, false}}}
+		now := time.Minute
+		p := NewPlanner(l, rules, Knows{Since: -time.Hour}, now)
+		using := make([]int, nodes) // places in plans
+		var plans []*Plan
+		var from []time.Duration
+		load := make([]float64, zones)
+		for i := range load {
+			load[i] = rapid.Float64Range(1, 60).Draw(t, "load")
+		}
+		for step := range 80 {
+			now += 250 * time.Millisecond
+			if rapid.IntRange(0, 9).Draw(t, "change") == 0 {
+				load[rapid.IntRange(0, zones-1).Draw(t, "zone")] = rapid.Float64Range(0, 90).Draw(t, "load")
+			}
+			out := rapid.SampledFrom([]int{-1, -1, -1, 0, 1}).Draw(t, "lost zone")
+			if step%2 == 0 {
+				for z := range zones {
+					s := Sum{Zone: fmt.Sprintf("z%d", z), Classes: []string{"c"}, Arrived: []float32{1}, Refused: []float32{0}}
+					for x := range zones {
+						r := Row{Zone: fmt.Sprintf("z%d", x), Nodes: 1, Ready: 4, Warm: 4, Load: float32(load[x] / 25), Cost: 0.04, Held: []float32{0}, Attempts: 5}
+						if x == z {
+							r.Held[0] = float32(load[x])
+						}
+						if x == out && step > 20 {
+							r.Out, r.Failed = 4, 5
+						}
+						s.Rows = append(s.Rows, r)
+					}
+					for _, i := range l.InZone(s.Zone) {
+						if len(plans) > 0 && rapid.IntRange(0, 3).Draw(t, "deaf") > 0 {
+							using[i] = len(plans) - 1
+							s.Words = append(s.Words, Word{Node: i, Plan: uint64(using[i] + 1)})
+						} else if len(plans) == 0 {
+							s.Words = append(s.Words, Word{Node: i})
+						}
+					}
+					p.Hear(0, s, false, now)
+				}
+			}
+			next := p.Step(now)
+			if next == nil {
+				continue
+			}
+			next, err := DecodePlan(next.Encode())
+			if err != nil {
+				t.Fatal(err)
+			}
+			plans, from = append(plans, next), append(from, now)
+			p.Newest(uint64(len(plans)), next, now)
+			// Each node goes by the worst plan for the zone that it may still have.
+			for z := range zones {
+				name, sum, room := fmt.Sprintf("z%d", z), 0.0, 0.0
+				for i := range nodes {
+					most := 0.0
+					for k := using[i]; k < len(plans); k++ {
+						m := Planned
+						if k+1 < len(plans) && now-from[k+1] > rules.Life {
+							m = Ground
+						}
+						if v := Part(m, plans[k], i, l.Node(i).Zone)[name]; v > most {
+							most = v
+						}
+						room = max(room, plans[k].Stated(name))
+					}
+					sum += most
+				}
+				if sum > room*1.001+0.01 {
+					t.Fatalf("step %d, plan %d: all may have %.3f in %s, the largest room of plans in use is %.3f", step, len(plans), sum, name, room)
+				}
+			}
+		}
+		if len(plans) == 0 {
+			t.Fatal("no plan was made")
+		}
+	})
+}
+
+// TestUse holds what a node's module is told, as cases.
+func TestUse(t *testing.T) {
+	p := &Plan{Zones: []Zone{{Name: "a", Region: "r", Nodes: 2, Listed: 3, Room: 40, Guests: 1, Want: []float32{0, 0}}, {Name: "b", Region: "r", Nodes: 2, Listed: 2, Want: []float32{0, 0}},
+		{Name: "c", Region: "s", Nodes: 1, Listed: 1, Want: []float32{0, 0}}}, Classes: []string{"x", "stays"}, Stay: []bool{false, true}, Lost: []int{2},
+		Admit: [][]int{{255, 51}, {255, 255}, {255, 255}}, Grants: []Grant{{From: 0, To: 0, Load: 30}, {From: 0, To: 1, Load: 8, Stay: 4}, {From: 0, To: 2, Load: 18}}, Life: 10}
+	if _, err := DecodePlan(p.Encode()); err != nil {
+		t.Fatal(err)
+	}
+	zones := func(z choice.ZonePlan) (s string) {
+		for _, g := range z.Grants {
+			s += fmt.Sprintf("%s%v ", g.Zone, g.Except)
+		}
+		return s
+	}
+	for _, c := range []struct {
+		name string
+		m    Mode
+		node int
+		want string
+	}{
+		{"alone: its own zone", Alone, 0, "a[] "},
+		{"planned: near first, and what must stay has its part", Planned, 0, "a[] b[1] b[0] c[1] "},
+		{"ground: its own zone", Ground, 0, "a[] "},
+		{"out of the view: its own zone", Planned, 2, "a[] "},
+	} {
+		got := Use(c.m, p, c.node, "a", []string{"x", "stays"}, time.Second)
+		if zones(got) != c.want {
+			t.Errorf("%s: %s, wanted %s", c.name, zones(got), c.want)
+		}
+		if c.m == Planned && (got.Admit[1] != 0.2 || got.ComeAgain != time.Second) {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+	if a, b := Part(Planned, p, 0, "a")["a"], Part(Planned, p, 2, "a")["a"]; a != 15 || b != 10 {
+		t.Errorf("parts %v and, out of the view, %v", a, b)
+	}
+}
+
+// FuzzDecode holds that no bytes from a peer break the node, and that what is read can be used.
+func FuzzDecode(f *testing.F) {
+	f.Add((&Plan{Zones: []Zone{{Name: "a"}}, Admit: [][]int{{}}}).Encode())
+	f.Add(Sum{Zone: "a", Classes: []string{"c"}, Arrived: []float32{1}, Refused: []float32{1}}.Encode())
+	f.Add([]byte{0x9f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if p, err := DecodePlan(b); err == nil {
+			for _, m := range []Mode{Alone, Planned, Ground} {
+				Use(m, p, 0, "a", []string{"c"}, time.Second)
+			}
+			p.Stated("a")
+		}
+		if s, err := DecodeSum(b); err == nil {
+			s.Add(s)
+		}
+		DecodeOrders(b)
+	})
+}
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -416,34 +416,73 @@
 // Order tells what operators have ordered.
 func (p *Planner) Order(o Orders) { p.orders = o }
 
-// inUse is the most that a node may have from its zone in another by any plan that it may still go by; newest is not counted.
-func (p *Planner) inUse(node, from, to int, zones []string, now time.Duration) (most float64) {
+// inUse is the most that each node may have from its zone in each zone, by its place, by any plan that it may still go by.
+func (p *Planner) inUse(now time.Duration) [][]float64 {
+	n := len(p.zones)
+	place := map[string]int{}
+	for i, z := range p.zones {
+		place[z] = i
+	}
+	out := make([][]float64, p.list.Len())
+	for i := range out {
+		out[i] = make([]float64, n)
+	}
 	for i, k := range p.known {
-		if k.Number < p.confirmed[node] {
-			continue // it has said that it uses a newer one
-		}
 		over := time.Duration(math.MaxInt64)
 		if i+1 < len(p.known) {
 			over = p.known[i+1].From
 		}
-		if from != to && now > over && now-over > p.rules.Life+time.Second {
-			continue // crossings of that plan are over by their own clocks
+		// Crossings of a plan end by each node's own clock some time after a newer one has come.
+		crossed := now > over && now-over > p.rules.Life+time.Second
+		at := make([]int, len(k.Plan.Zones)) // its zones' places here
+		for z := range at {
+			at[z] = -1
+			if here, ok := place[k.Plan.Zones[z].Name]; ok {
+				at[z] = here
+			}
 		}
-		a, b := k.Plan.zone(zones[from]), k.Plan.zone(zones[to])
-		if a < 0 || b < 0 {
-			continue
+		lost := map[int]bool{}
+		for _, node := range k.Plan.Lost {
+			lost[node] = true
 		}
-		most = max(most, k.Plan.share(a, b, slices.Contains(k.Plan.Lost, node)))
+		for _, g := range k.Plan.Grants {
+			z := k.Plan.Zones[g.From]
+			if at[g.From] < 0 || at[g.To] < 0 || g.From != g.To && crossed {
+				continue
+			}
+			for _, node := range p.list.InZone(z.Name) {
+				if k.Number < p.confirmed[node] {
+					continue // it has said that it uses a newer one
+				}
+				share := 0.0
+				switch {
+				case !lost[node] && z.Nodes > 0:
+					share = float64(g.Load) / float64(z.Nodes)
+				case g.From == g.To && z.Listed > 0:
+					share = float64(g.Load) / float64(z.Listed)
+				}
+				out[node][at[g.To]] = max(out[node][at[g.To]], share)
+			}
+		}
+	}
+	if len(p.known) == 0 {
+		return out
 	}
-	if from == to && len(p.known) > 0 && p.confirmed[node] < p.known[0].Number { // by a plan that this planner never knew
-		if at, lost := p.cut.LostSince(node); !lost || now-at < forgetLost {
-			k := p.known[0].Plan
-			if a := k.zone(zones[from]); a >= 0 {
-				most = max(most, float64(k.Zones[a].Open)/float64(max(1, k.Zones[a].Listed)))
+	for i, name := range p.zones { // and by plans that this planner never knew
+		for _, node := range p.list.InZone(name) {
+			if p.confirmed[node] >= p.known[0].Number {
+				continue
+			}
+			if at, gone := p.cut.LostSince(node); gone && now-at >= forgetLost {
+				continue
+			}
+			if a := p.known[0].Plan.zone(name); a >= 0 {
+				z := p.known[0].Plan.Zones[a]
+				out[node][i] = max(out[node][i], float64(z.Open)/float64(max(1, z.Listed)))
 			}
 		}
 	}
-	return most
+	return out
 }
 
 // Step makes a plan where one is wanted; nil: the newest will do.
@@ -717,6 +756,7 @@
 	for r := range wanted {
 		tight[r] = wanted[r] > 0.8*room[r]
 	}
+	using := p.inUse(now)
 	restart := now-p.since <= p.rules.Life+time.Second && len(p.known) > 0
 	for t := range n {
 		used := make([]float64, n) // by giving zone: what older plans may have there
@@ -724,7 +764,7 @@
 		order := []int{t}
 		for o := range n {
 			for _, node := range p.list.InZone(p.zones[o]) {
-				used[o] += p.inUse(node, o, t, p.zones, now)
+				used[o] += using[node][t]
 			}
 			total += used[o]
 			if o != t {
@@ -749,7 +789,7 @@
 				if z := plan.Zones[t]; o == t && z.Listed > z.Nodes { // those out of the view may be there, with a part of their own
 					room /= 1 + float32(z.Listed-z.Nodes)/float32(z.Listed)
 				}
-				v := min(want(o), p.fit(plan, o, t, max(0, float64(room)-(total-used[o])), now))
+				v := min(want(o), p.fit(plan, using, o, t, max(0, float64(room)-(total-used[o]))))
 				if pass > 0 { // to spare is only what the new grants together leave
 					v = min(v, float64(room)-(sum-g[o]))
 				}
@@ -757,7 +797,7 @@
 					v = min(v, p.known[0].Plan.oldGrant(p.zones[o], p.zones[t]))
 				}
 				v = max(g[o], v)
-				spent := p.spent(plan, o, t, v, now)
+				spent := p.spent(plan, using, o, t, v)
 				total, sum = total+spent-used[o], sum+v-g[o]
 				g[o], used[o] = v, spent
 			}
@@ -785,7 +825,7 @@
 }
 
 // spent is what all nodes of a zone may have in another, once a grant of g is added to the plans in use.
-func (p *Planner) spent(plan *Plan, o, t int, g float64, now time.Duration) (sum float64) {
+func (p *Planner) spent(plan *Plan, using [][]float64, o, t int, g float64) (sum float64) {
 	z := plan.Zones[o]
 	for _, node := range p.list.InZone(z.Name) {
 		share := 0.0
@@ -795,32 +835,32 @@
 		case o == t && z.Listed > 0:
 			share = g / float64(z.Listed)
 		}
-		sum += max(share, p.inUse(node, o, t, p.zones, now))
+		sum += max(share, using[node][t])
 	}
 	return sum
 }
 
 // fit is the largest grant with which a zone's nodes stay within a room; what they may have by older plans can't be taken back here.
-func (p *Planner) fit(plan *Plan, o, t int, room float64, now time.Duration) float64 {
+func (p *Planner) fit(plan *Plan, using [][]float64, o, t int, room float64) float64 {
 	lo, hi := 0.0, room*2+1
 	// What each node of the zone may have already, nobody else was promised: so much always fits.
 	z := plan.Zones[o]
 	least := math.Inf(1)
 	for _, node := range p.list.InZone(z.Name) {
 		if p.cut.Live(node) {
-			least = min(least, p.inUse(node, o, t, p.zones, now))
+			least = min(least, using[node][t])
 		}
 	}
 	if math.IsInf(least, 1) {
 		return 0
 	}
 	kept := least * float64(z.Nodes)
-	if p.spent(plan, o, t, kept, now) >= room {
+	if p.spent(plan, using, o, t, kept) >= room {
 		return kept
 	}
 	for range 40 {
 		mid := (lo + hi) / 2
-		if p.spent(plan, o, t, mid, now) <= room {
+		if p.spent(plan, using, o, t, mid) <= room {
 			lo = mid
 		} else {
 			hi = mid
