--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -503,8 +503,8 @@
 		}
 	}
 	refused := 0.0
-	for _, z := range p.state {
-		refused += z.refused
+	for _, z := range p.zones {
+		refused += p.state[z].refused
 	}
 	pressing := len(whys) > 0
 	if now-p.began < planEvery || p.proposed > 0 && now-p.proposed < decidedBy || now-p.lastPlan < planEvery && !pressing {
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -186,6 +186,39 @@
 		})
 		w.fault(12*sec, "zone lost", func() { w.lose("z1", "refuses") })
 	}, map[string]int{"leads": 1, "zone lost": 1}, nil},
+	{"long-split", "a zone's nodes are cut off from all others for longer than crossings last", func(w *World) {
+		w.fault(12*sec, "split", func() {
+			for _, z := range w.zones {
+				if z != "z1" {
+					w.split("z1", z, true, true)
+				}
+			}
+		})
+		w.fault(16*sec, "zone lost", func() { w.lose("z0", "refuses") })
+		w.fault(62*sec, "healed", func() { clear(w.cut) })
+	}, map[string]int{"plans": 2}, func(o *Options) { o.Length = max(o.Length, 75*sec) }},
+	{"hears-nobody", "one node hears nobody, and is heard: it calls everybody dead", func(w *World) {
+		n := w.nodes[len(w.nodes)-1]
+		w.faultOf(8*sec, "hears nobody", n.name, "", func() { n.hard = true })
+	}, map[string]int{"plans": 1}, nil},
+	{"slow-flap", "a zone goes for 6 s every 20 s", func(w *World) {
+		for t := 10 * sec; t < w.o.Length; t += 20 * sec {
+			w.fault(t, "zone lost", func() { w.lose("z1", "refuses") })
+			w.fault(t+6*sec, "zone back", func() { w.back("z1") })
+		}
+	}, map[string]int{"zone lost": 1, "zone returning": 1}, func(o *Options) { o.Length = max(o.Length, 90*sec) }},
+	{"half-dead", "a zone's hosts answer probes, and what they are sent fails or gets no answer", func(w *World) {
+		w.fault(12*sec, "zone half dead", func() {
+			i := 0
+			w.inZone("z1", func(h *host) {
+				if i++; i%2 == 0 {
+					h.down = "mute"
+				} else {
+					h.down = "fails"
+				}
+			})
+		})
+	}, map[string]int{"plans": 1}, nil},
 	{"drawn", "faults drawn by seed, up to eight of all kinds", (*World).draw, map[string]int{"fault": 2}, nil},
 }
 
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -362,8 +362,10 @@
 
 func (c *checker) zoneHurt() bool {
 	for _, f := range c.hurt {
-		if strings.Contains(f.Detail, "zone") || strings.Contains(f.Detail, "region") || strings.Contains(f.Detail, "link") || strings.Contains(f.Detail, "cut") {
-			return true
+		for _, word := range []string{"zone", "region", "lin", "cut", "split", "hears", "lose"} { // of links, and of lines to hosts
+			if strings.Contains(f.Detail, word) {
+				return true
+			}
 		}
 	}
 	return false
