--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -178,6 +178,12 @@
 	a.next.tick, a.next.beat, a.next.evidence = now, spread(membership.BeatEvery), spread(evidenceEvery)
 	a.next.sum, a.next.plan, a.next.ack = spread(sumEvery), spread(planStep), now
 	a.changed, a.knows.Since = true, now
+	if e := a.follow.Newest(failover.PlanKind); e.Number > 0 { // as the disk has it
+		if p, err := failover.DecodePlan(e.Data); err == nil {
+			a.plan, a.number = p, e.Number
+			a.knows.Add(e.Number, p, now)
+		}
+	}
 	a.goBy(now)
 	return a, nil
 }
@@ -652,9 +658,7 @@
 			a.o.Log("fleet_plan_unreadable", "number", e.Number, "error", err.Error())
 			return
 		}
-		a.plan, a.number, a.changed = p, e.Number, true
 		a.knows.Add(e.Number, p, now)
-		a.o.Log("fleet_plan_taken", "number", e.Number, "digest", fmt.Sprintf("%016x", e.Digest()), "why", p.Why, "plan", e.Data)
 		if a.planner != nil {
 			a.planner.Newest(e.Number, p, now)
 		}
@@ -673,6 +677,22 @@
 	a.goBy(now)
 }
 
+// adopt has the node go by a plan that its disk has: after a crash it must not go by an older one than it told others of.
+func (a *Agent) adopt(kept []agree.Entry, now time.Duration) {
+	for _, e := range kept {
+		if e.Kind != failover.PlanKind || e.Number <= a.number {
+			continue
+		}
+		p, err := failover.DecodePlan(e.Data)
+		if err != nil {
+			continue // told when it came
+		}
+		a.plan, a.number, a.changed = p, e.Number, true
+		a.o.Log("fleet_plan_taken", "number", e.Number, "digest", fmt.Sprintf("%016x", e.Digest()), "why", p.Why, "plan", e.Data)
+	}
+	a.goBy(now)
+}
+
 // below are the nodes that wait for this one's word: those that send it evidence, and for the one that leads the heads as well.
 func (a *Agent) below(now time.Duration) (all []int) {
 	for i, t := range a.told {
@@ -693,14 +713,6 @@
 
 // goBy settles which mode this node is in.
 func (a *Agent) goBy(now time.Duration) {
-	if a.plan == nil {
-		if e := a.follow.Newest(failover.PlanKind); e.Number > 0 {
-			if p, err := failover.DecodePlan(e.Data); err == nil {
-				a.plan, a.number, a.changed = p, e.Number, true
-				a.knows.Add(e.Number, p, now)
-			}
-		}
-	}
 	m := failover.Alone
 	switch {
 	case a.plan != nil && now < a.lease:
@@ -762,6 +774,7 @@
 func (a *Agent) Kept(now time.Duration) {
 	if s := a.saving; s != nil {
 		a.saving = nil
+		a.adopt(s.rec.Newest, now)
 		if s.ofVoter && a.voter != nil {
 			a.kept(now)
 		}
--- a/internal/failover/agent/agent_test.go
+++ b/internal/failover/agent/agent_test.go
@@ -57,6 +57,11 @@
 	a := alone(t)
 	p := &failover.Plan{Zones: []failover.Zone{{Name: "z", Nodes: 2, Listed: 2, Room: 5, Want: []float32{}}}, Admit: [][]int{{}}, Life: 10}
 	a.take(7, agree.Entry{Number: 3, Kind: failover.PlanKind, Data: p.Encode()}, 1, time.Second)
+	if _, n := a.Mode(); n != 0 {
+		t.Errorf("goes by plan %d before its disk has it", n)
+	}
+	a.work(time.Second)
+	a.Kept(time.Second)
 	mode := func(now time.Duration) failover.Mode {
 		a.goBy(now)
 		m, _ := a.Mode()
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -219,6 +219,25 @@
 			})
 		})
 	}, map[string]int{"plans": 1}, nil},
+	{"slow-disks", "disks take a second, and nodes are killed while records are on their way", func(w *World) {
+		w.fault(8*sec, "disks slow", func() {
+			for _, n := range w.nodes {
+				if !n.isVoter() {
+					n.diskSlow = sec
+				}
+			}
+		})
+		w.fault(12*sec, "zone lost", func() { w.lose("z1", "refuses") })
+		for i := range 12 {
+			w.fault(12*sec+time.Duration(i)*700*time.Millisecond, "killed", func() {
+				for j, n := range w.nodes {
+					if !n.isVoter() && j%12 == i {
+						w.restart(n, "kept", sec/2)
+					}
+				}
+			})
+		}
+	}, map[string]int{"crash": 4, "plans": 2}, nil},
 	{"drawn", "faults drawn by seed, up to eight of all kinds", (*World).draw, map[string]int{"fault": 2}, nil},
 }
 
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -152,23 +152,24 @@
 }
 
 type node struct {
-	w       *World
-	i       int
-	name    string
-	zone    string
-	core    *edge.Core
-	agent   *agent.Agent
-	disk    []agree.Record
-	born    int // processes so far
-	up      bool
-	still   time.Duration // stopped until then
-	deaf    bool          // its link is bad: nothing comes or goes to other nodes
-	hard    bool          // it hears nobody, and is heard
-	badLine bool          // its lines to hosts fail
-	diskBad bool
-	busy    bool // a record is on its way to the disk
-	list    []edge.UpstreamHost
-	order   []int // of zones, for the static policy
+	w        *World
+	i        int
+	name     string
+	zone     string
+	core     *edge.Core
+	agent    *agent.Agent
+	disk     []agree.Record
+	born     int // processes so far
+	up       bool
+	still    time.Duration // stopped until then
+	deaf     bool          // its link is bad: nothing comes or goes to other nodes
+	hard     bool          // it hears nobody, and is heard
+	badLine  bool          // its lines to hosts fail
+	diskBad  bool
+	diskSlow time.Duration
+	busy     bool // a record is on its way to the disk
+	list     []edge.UpstreamHost
+	order    []int // of zones, for the static policy
 }
 
 type drawn struct{ *rand.Rand }
@@ -436,7 +437,7 @@
 	n.w.saves++
 	born := n.born
 	n.busy = true
-	n.w.at(n.w.now+time.Duration(1+n.w.rng.IntN(8))*time.Millisecond, func() {
+	n.w.at(n.w.now+n.diskSlow+time.Duration(1+n.w.rng.IntN(8))*time.Millisecond, func() {
 		if n.born != born || !n.up {
 			return
 		}
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -172,6 +172,9 @@
 		c.plan(e)
 	case KindMode:
 		c.mode[e.Node] = e.Mode
+		if e.Number < c.newest[e.Node] {
+			c.broken("agreed log (2)", e.At, "%s goes by %d and had %d before", e.Node, e.Number, c.newest[e.Node])
+		}
 		c.room(e.Node, e.At)
 	case KindLeads:
 	case KindDecided:
