Lab: faults name the nodes that they touch; check knows lists of nodes and scenarios

Cause: with processes the rule on the common view blamed the fleet for nodes that a fault had touched, since the history named them by what they are (leader, last) and not by name. spurwinchctl check took an operator's file with [fleet] for a planner's fleet file.

--- a/cmd/spurwinchctl/check.go
+++ b/cmd/spurwinchctl/check.go
@@ -11,12 +11,13 @@
 
 	"spurwinch/internal/config"
 	"spurwinch/internal/fleet"
+	lab "spurwinch/internal/lab/faults"
 	"spurwinch/internal/operate/capture"
 	"spurwinch/internal/tomlfile"
 )
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE...", Short: "Check operator's files, fleet files and captures",
+	return &cobra.Command{Use: "check FILE...", Short: "Check operator's files, lists of nodes, fleet files, scenarios and captures",
 		Long: "Tells each fault as FILE:LINE: what is wrong, and what would be right; in a capture FILE: byte N: what.\nWhat a file is, is seen from what it holds.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -43,6 +44,12 @@
 // fleetTables are tables that only a fleet file has.
 var fleetTables = regexp.MustCompile(`(?m)^\s*\[\[?\s*(kind|servers|centre|edition|fleet|store|clients|node)\b`)
 
+var (
+	faultTables  = regexp.MustCompile(`(?m)^\s*\[\[\s*(fault|want)\s*\]\]`)                 // only a scenario of the laboratory has
+	operatorKeys = regexp.MustCompile(`(?m)^\s*(key_file\s*=|\[\[\s*(listener|cluster)\b)`) // only an operator's file
+	nodeAddr     = regexp.MustCompile(`(?m)^\s*\[\[\s*node\s*\]\][^[]*^\s*addr\s*=`)        // only a list of nodes: planners' fleets have no addresses
+)
+
 func check(path string) (kind string, faults []string, err error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -58,7 +65,13 @@
 			faults = append(faults, err.Error())
 		}
 		return "capture", faults, nil
-	case fleetTables.Match(raw):
+	case faultTables.Match(raw):
+		kind = "fault scenario"
+		_, err = lab.ReadScenario(path, raw)
+	case !operatorKeys.Match(raw) && nodeAddr.Match(raw):
+		kind = "list of a fleet's nodes"
+		_, err = config.ReadFleetList(path)
+	case !operatorKeys.Match(raw) && fleetTables.Match(raw):
 		kind = "fleet file"
 		_, err = fleet.Read(path)
 	default:
--- a/cmd/spurwinchctl/explore.go
+++ b/cmd/spurwinchctl/explore.go
@@ -155,6 +155,8 @@
 		Worst      float64    `json:"worst"`
 		Peak       float64    `json:"peak"`
 		Reversals  int        `json:"reversals"`
+		SpreadHalf float64    `json:"spread_p50_s"` // from the first node that takes a plan to the others, in the mean
+		Spread     float64    `json:"spread_p99_s"`
 		Bytes      float64    `json:"bytes_node_s"`
 		Broken     []explored `json:"broken"`
 	}
@@ -166,6 +168,8 @@
 		sum.Crossed += e.Figures.Crossed / float64(len(all))
 		sum.Regions += e.Figures.Regions / float64(len(all))
 		sum.Bytes += e.Bytes / float64(len(all))
+		sum.SpreadHalf += e.Figures.SpreadHalf / float64(len(all))
+		sum.Spread += e.Figures.Spread / float64(len(all))
 		sum.Worst, sum.Peak, sum.Reversals = min(sum.Worst, e.Figures.Worst), max(sum.Peak, e.Figures.PeakOfRoom), sum.Reversals+e.Figures.Reversals
 		if len(e.Violations) > 0 && len(sum.Broken) < 20 {
 			sum.Broken = append(sum.Broken, e)
@@ -179,8 +183,9 @@
 		}
 		fmt.Fprintf(out, "%s\n", raw)
 	} else {
-		fmt.Fprintf(out, "%d schedules: %.2f%% served, %.2f%% crossed zones, %.2f%% regions; fullest zone %.0f%%, %d reversals, %.0f bytes a node and second\n", sum.Schedules,
-			100*sum.Served, 100*sum.Crossed, 100*sum.Regions, 100*sum.Peak, sum.Reversals, sum.Bytes)
+		fmt.Fprintf(out, "%d schedules: %.2f%% served, %.2f%% crossed zones, %.2f%% regions; fullest zone %.0f%%, %d reversals\n", sum.Schedules,
+			100*sum.Served, 100*sum.Crossed, 100*sum.Regions, 100*sum.Peak, sum.Reversals)
+		fmt.Fprintf(out, "a plan reaches the others %.3f s (p50), %.3f s (p99) after the first; %.0f bytes a node and second\n", sum.SpreadHalf, sum.Spread, sum.Bytes)
 		for _, e := range sum.Broken {
 			for _, x := range e.Violations[:min(3, len(e.Violations))] {
 				fmt.Fprintf(out, "seed %d at %.2f s: %s: %s\n", e.Seed, x.At, x.Rule, x.What)
--- a/internal/lab/faults/lab.go
+++ b/internal/lab/faults/lab.go
@@ -715,6 +715,7 @@
 // do puts one fault.
 func (lab *Lab) do(x Step, add func(time.Duration, func() error), now time.Duration) error {
 	what := x.Do
+	var touched []string // nodes that this fault touches, and no others; none: anybody
 	later := func(fn func() error) {
 		if x.For > 0 {
 			add(now+time.Duration(x.For), fn)
@@ -748,6 +749,7 @@
 			return err
 		}
 		for _, n := range all {
+			touched = append(touched, n.name)
 			n.kill()
 			later(func() error {
 				n.mu.Lock()
@@ -784,6 +786,7 @@
 			if !n.signal(syscall.SIGSTOP) {
 				continue
 			}
+			touched = append(touched, n.name)
 			n.mu.Lock()
 			n.still = true
 			n.mu.Unlock()
@@ -801,6 +804,7 @@
 			if err != nil {
 				return err
 			}
+			touched = append(touched, all[0].name)
 			if x.From == "node" {
 				x.From = all[0].name
 			}
@@ -832,7 +836,12 @@
 		}
 	}
 	raw, _ := json.Marshal(x)
-	lab.note(Event{Kind: KindFault, Detail: what, Zone: x.Zone, Node: x.Node, Digest: string(raw)})
+	if len(touched) == 0 {
+		touched = []string{""}
+	}
+	for _, name := range touched {
+		lab.note(Event{Kind: KindFault, Detail: what, Zone: x.Zone, Node: name, Digest: string(raw)})
+	}
 	return nil
 }
 
