--- a/cmd/spurwinchctl/fleet.go
+++ b/cmd/spurwinchctl/fleet.go
@@ -126,6 +126,8 @@
 				return r, nil
 			}
 			continue
+		case r.Bad:
+			return r, statusError{2, r.Error}
 		case r.Error != "":
 			return r, statusError{1, r.Error}
 		}
@@ -209,7 +211,11 @@
 			}
 		}
 		for _, to := range slices.Sorted(maps.Keys(z.Grants)) {
-			grants = append(grants, fmt.Sprintf("%s %.1f", to, z.Grants[to]))
+			if to == z.Name && z.Guests == 0 && z.State == "well" {
+				grants = append(grants, fmt.Sprintf("%s all %.1f", to, z.Room)) // nobody else needs it
+			} else {
+				grants = append(grants, fmt.Sprintf("%s %.1f", to, z.Grants[to]))
+			}
 		}
 		fmt.Fprintf(t, "%s\t%s\t%.1f\t%s\t%s\t%s\n", z.Name, z.State, z.Room, strings.Join(wants, ", "), strings.Join(grants, ", "), or(strings.Join(admit, ", "), "all"))
 	}
--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -31,7 +31,7 @@
 	heardFor      = 2500 * time.Millisecond
 	processGone   = 2 * time.Second // a node's process that is not heard so long may have been followed by another
 	stoodStill    = time.Second
-	mostOut       = 8192 // messages that wait to be sent; what comes on top is lost, as on the way
+	mostOut       = 4096 // messages that wait to be sent, which the node does after each callback; what comes on top is lost, as on the way
 )
 
 // Options are what an agent stands on.
--- a/internal/failover/agent/ask.go
+++ b/internal/failover/agent/ask.go
@@ -25,6 +25,7 @@
 // Reply is the node's answer.
 type Reply struct {
 	Error   string      `json:"error,omitempty"`
+	Bad     bool        `json:"bad,omitempty"`   // the call itself is wrong: no node will answer it otherwise
 	Retry   bool        `json:"retry,omitempty"` // the same call may do later, or at the one that leads
 	Leader  string      `json:"leader,omitempty"`
 	Node    string      `json:"node"`
@@ -61,6 +62,7 @@
 	Nodes  int                `json:"nodes"`
 	Listed int                `json:"listed"`
 	Room   float64            `json:"room"`
+	Guests float64            `json:"guests"` // what clients of other zones need there now
 	Want   map[string]float64 `json:"want"`
 	Grants map[string]float64 `json:"grants"`
 	Admit  map[string]float64 `json:"admit"`
@@ -139,14 +141,14 @@
 			break
 		}
 		if !slices.Contains(a.o.List.Zones(), c.Arg) {
-			r.Error = fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.o.List.Zones())
+			r.Bad, r.Error = true, fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.o.List.Zones())
 			break
 		}
 		r.Explain = a.planner.Explain(c.Arg, now)
 	case "drain", "undrain":
 		switch {
 		case !slices.Contains(a.o.List.Zones(), c.Arg):
-			r.Error = fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.o.List.Zones())
+			r.Bad, r.Error = true, fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.o.List.Zones())
 		case !a.Leads():
 			r.Error, r.Retry = "this node does not lead", true
 		default:
@@ -186,7 +188,7 @@
 		}
 	}
 	for i, z := range p.Zones {
-		out := ZoneReply{Name: z.Name, Region: z.Region, State: z.State.String(), Nodes: z.Nodes, Listed: z.Listed, Room: float64(z.Room),
+		out := ZoneReply{Name: z.Name, Region: z.Region, State: z.State.String(), Nodes: z.Nodes, Listed: z.Listed, Room: float64(z.Room), Guests: float64(z.Guests),
 			Want: map[string]float64{}, Grants: map[string]float64{}, Admit: map[string]float64{}}
 		for c, name := range p.Classes {
 			out.Want[name], out.Admit[name] = float64(z.Want[c]), float64(p.Admit[i][c])/255
--- a/internal/lab/faults/standins.go
+++ b/internal/lab/faults/standins.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
-	"time"
+
+	"spurwinch/internal/standin"
 )
 
 // host is a stand-in for a platform's host: it counts connections and bears so many. internal/standin's hosts work through
@@ -178,24 +178,12 @@
 // door answers a node's calls.
 func (l *list) door(n *proc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-		ms, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 		l.mu.Lock()
 		l.calls++
-		news := l.news
-		wait := r.URL.Query().Has("after") && after >= l.version
+		news, version := l.news, l.version
 		l.mu.Unlock()
-		if wait {
-			t := time.NewTimer(time.Duration(min(ms, 60000)) * time.Millisecond)
-			defer t.Stop()
-			select {
-			case <-news:
-			case <-t.C:
-			case <-l.lab.done:
-				return
-			case <-r.Context().Done():
-				return
-			}
+		if !standin.Watch(r, version, news, l.lab.done) {
+			return
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.Write(l.entries(n))
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -20,11 +20,13 @@
 )
 
 const (
-	fleetTry     = 250 * time.Millisecond // between two goes at the address and the files, while another process has them
-	streamTime   = 5 * time.Second        // for one message by a stream
-	mostStreams  = 64                     // each way at once
-	diskTry      = time.Second            // between two goes at a record that the disk didn't take
-	lateNews     = time.Second            // a step of this process that came so late is told
+	fleetTry   = 250 * time.Millisecond // between two goes at the address and the files, while another process has them
+	streamTime = 5 * time.Second        // for one message by a stream
+	// mostStreams bounds streams each way at once: with a whole message in each, 4 MB of a node that has 32. What finds no place comes
+	// again with the next word.
+	mostStreams  = 8
+	diskTry      = time.Second // between two goes at a record that the disk didn't take
+	lateNews     = time.Second // a step of this process that came so late is told
 	frameBytes   = 4
 	streamsQueue = 16
 )
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -141,28 +141,36 @@
 	return raw
 }
 
-// list answers GET /v1/servers, at once or, as a watch, when there is news.
-func (f *Fleet) list(w http.ResponseWriter, r *http.Request, centre int) {
+// Watch waits, as a call to the list asks it to, for something newer than the version that it names; ok is false where nobody is to be
+// answered any more.
+func Watch(r *http.Request, version int64, news, stop <-chan struct{}) (ok bool) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	ms, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	if !r.URL.Query().Has("after") || after < version {
+		return true
+	}
+	t := time.NewTimer(time.Duration(min(ms, 60000)) * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-news:
+	case <-t.C:
+	case <-stop:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+	return true
+}
+
+// list answers GET /v1/servers, at once or, as a watch, when there is news.
+func (f *Fleet) list(w http.ResponseWriter, r *http.Request, centre int) {
 	f.mu.Lock()
-	news := f.news
-	wait := r.URL.Query().Has("after") && after >= f.version
+	news, version := f.news, f.version
 	f.mu.Unlock()
-	if wait {
-		t := time.NewTimer(time.Duration(min(ms, 60000)) * time.Millisecond)
-		defer t.Stop()
-		select {
-		case <-news:
-		case <-t.C:
-		case <-f.stop:
-			return
-		case <-r.Context().Done():
-			return
-		}
+	if Watch(r, version, news, f.stop) {
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(f.Entries(centre))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Write(f.Entries(centre))
 }
 
 // Close ends all stand-ins.
