Failover: a zone's free room is lent by one of its nodes, without a voter in the way

Cause: what stands by is dealt out before anybody needs it, so that a zone which fails finds 0.36 of a room where 0.40 of each of three stands free; near room went to classes that could have gone far; a new leader that knew only the newest plan granted nothing new for a plan's life. Seen in histories by second and class, ruled out one after another: refused are first gold and plain, then only local.

--- a/cmd/spurwinchctl/fleet.go
+++ b/cmd/spurwinchctl/fleet.go
@@ -201,7 +201,7 @@
 func showPlan(w io.Writer, r agent.Reply) {
 	fmt.Fprintf(w, "plan %d, at %s by %s, for %.1f s more without word\n", r.Plan, r.Node, r.Mode, r.Lease)
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "zone\tstate\troom\twants\tmay have\tlet in")
+	fmt.Fprintln(t, "zone\tstate\troom\twants\tmay have\tlends\tlet in")
 	for _, z := range r.Zones {
 		var wants, grants, admit []string
 		for _, c := range slices.Sorted(maps.Keys(z.Want)) {
@@ -217,7 +217,13 @@
 				grants = append(grants, fmt.Sprintf("%s %.1f", to, z.Grants[to]))
 			}
 		}
-		fmt.Fprintf(t, "%s\t%s\t%.1f\t%s\t%s\t%s\n", z.Name, z.State, z.Room, strings.Join(wants, ", "), strings.Join(grants, ", "), or(strings.Join(admit, ", "), "all"))
+		fmt.Fprintf(t, "%s\t%s\t%.1f\t%s\t%s\t%.1f by %s\t%s\n", z.Name, z.State, z.Room, strings.Join(wants, ", "), strings.Join(grants, ", "), z.Lends, or(z.Lender, "nobody"), or(strings.Join(admit, ", "), "all"))
 	}
 	t.Flush()
+	for _, z := range slices.Sorted(maps.Keys(r.Loans)) {
+		fmt.Fprintf(w, "%s has been lent %.1f in %s\n", r.Node, r.Loans[z], z)
+	}
+	if r.Lent > 0 {
+		fmt.Fprintf(w, "%s has lent %.1f\n", r.Node, r.Lent)
+	}
 }
--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -20,6 +20,7 @@
 )
 
 const (
+	lookEvery     = 100 * time.Millisecond // at what the module sees: what is refused now can be lent room for now
 	evidenceEvery = 500 * time.Millisecond
 	sumEvery      = 500 * time.Millisecond
 	planStep      = 250 * time.Millisecond
@@ -94,7 +95,8 @@
 	saving  *saving
 	acks    []due // sums that wait for a confirmation, oldest first
 	last    time.Duration
-	next    struct{ tick, beat, evidence, sum, plan, ack time.Duration }
+	next    struct{ tick, beat, look, evidence, sum, plan, ack time.Duration }
+	seen    choice.News // since the last evidence
 
 	told    map[int]*told // evidence of this zone's nodes, as a head
 	lead    time.Duration // when the one that leads was surely there, by this node's clock
@@ -102,6 +104,12 @@
 	ackPlan uint64        // its newest plan then
 	lease   time.Duration // crossings are allowed until then
 
+	lender *failover.Lender
+	loans  map[string]*loaned // by zone
+	had    map[string]float64 // told load that stood here of late, at most, by class
+	stay   float64            // told load of classes that must stay in the region, and have no place in the own zone
+	saw    time.Duration      // when the module last told what it saw
+
 	mode    failover.Mode
 	plan    *failover.Plan
 	number  uint64
@@ -150,7 +158,8 @@
 	if o.Log == nil {
 		o.Log = func(string, ...any) {}
 	}
-	a := &Agent{o: o, zone: o.List.Node(o.Self).Zone, rng: rand.New(rand.NewPCG(o.Seed, 9)), peers: map[int]*peer{}, told: map[int]*told{}, last: now}
+	a := &Agent{o: o, zone: o.List.Node(o.Self).Zone, rng: rand.New(rand.NewPCG(o.Seed, 9)), peers: map[int]*peer{}, told: map[int]*told{}, last: now,
+		lender: failover.NewLender(now), loans: map[string]*loaned{}, had: map[string]float64{}, saw: now}
 	a.list, a.process = digestOf(o.List), a.rng.Uint32()|1
 	var log uint64
 	var entries []agree.Entry
@@ -175,9 +184,9 @@
 		a.voter = v
 	}
 	spread := func(every time.Duration) time.Duration { return now + time.Duration(a.rng.Int64N(int64(every))) }
-	a.next.tick, a.next.beat, a.next.evidence = now, spread(membership.BeatEvery), spread(evidenceEvery)
+	a.next.tick, a.next.beat, a.next.look, a.next.evidence = now, spread(membership.BeatEvery), spread(lookEvery), spread(evidenceEvery)
 	a.next.sum, a.next.plan, a.next.ack = spread(sumEvery), spread(planStep), now
-	a.changed, a.knows.Since = true, now
+	a.changed = true
 	if e := a.follow.Newest(failover.PlanKind); e.Number > 0 { // as the disk has it
 		if p, err := failover.DecodePlan(e.Data); err == nil {
 			a.plan, a.number = p, e.Number
@@ -207,7 +216,7 @@
 		return choice.ZonePlan{}, false
 	}
 	a.changed = false
-	return failover.Use(a.mode, a.plan, a.o.Self, a.zone, a.o.Classes, a.o.ComeAgain), true
+	return failover.Use(a.mode, a.plan, a.o.Self, a.zone, a.o.Classes, a.o.ComeAgain, failover.Borrowed{Loans: a.lent(), Stay: a.stay}), true
 }
 
 // Adapt takes in the module's classes after a change of settings.
@@ -259,7 +268,7 @@
 	}
 	o.at, o.clock = now, max(o.clock, h.clock)
 	switch h.kind {
-	case beat, evidence, sum, news: // only the newest counts, once
+	case beat, evidence, sum, news, borrow: // only the newest counts, once
 		if h.clock <= o.newest[h.kind] {
 			a.Counts.Late++
 			return
@@ -296,6 +305,10 @@
 		if decoding.Unmarshal(body, &g) == nil {
 			a.take(g.Log, g.Entry, h.from, now)
 		}
+	case borrow:
+		a.hearBorrow(h, body, now)
+	case loan:
+		a.hearLoan(h, body, now)
 	case raftWord:
 		if a.voter != nil {
 			if from := a.o.List.Voter(h.from); from >= 0 {
@@ -313,7 +326,6 @@
 	if now-a.last > stoodStill { // this process was stopped, or its machine: what it knew to be so may not be so any more
 		a.o.Log("fleet_stood_still", "for", (now - a.last).Round(time.Millisecond).String())
 		a.planner, a.acks = nil, nil
-		a.knows.Since = now // plans may have come and gone
 	}
 	a.last = now
 	a.watch.Tick(now)
@@ -334,6 +346,7 @@
 		a.sendSum(now)
 	}
 	a.leadOn(now)
+	a.loansEnd(now)
 	a.goBy(now)
 	a.work(now)
 }
@@ -346,12 +359,23 @@
 	return true
 }
 
-// Wants says that it is time for evidence: Tell is to be called.
-func (a *Agent) Wants(now time.Duration) bool { return now >= a.next.evidence }
+// Wants says that it is time for what the module saw: Tell is to be called.
+func (a *Agent) Wants(now time.Duration) bool { return now >= a.next.look }
 
-// Tell takes what the module saw.
+// Tell takes what the module saw since the last call.
 func (a *Agent) Tell(n choice.News, now time.Duration) {
-	a.due(&a.next.evidence, evidenceEvery, now)
+	a.due(&a.next.look, lookEvery, now)
+	a.seen = failover.Since(a.seen, n)
+	if a.due(&a.next.evidence, evidenceEvery, now) {
+		a.tell(a.seen, now)
+		a.seen = choice.News{}
+	}
+	a.borrow(n, now)
+	a.work(now)
+}
+
+// tell sends evidence to the heads of this zone.
+func (a *Agent) tell(n choice.News, now time.Duration) {
 	s := failover.Tell(a.zone, a.o.Classes, n, failover.Word{Node: a.o.Self, Plan: a.number, Silent: a.watch.Silent(now)})
 	body := s.Encode()
 	chosen := a.heads(now)
@@ -372,7 +396,6 @@
 		}
 		p.asked[at] = now
 	}
-	a.work(now)
 }
 
 // heads are the nodes of this zone that sum its evidence now, as this node sees it: the first ones in an order that is the same for all,
--- a/internal/failover/agent/ask.go
+++ b/internal/failover/agent/ask.go
@@ -24,27 +24,29 @@
 
 // Reply is the node's answer.
 type Reply struct {
-	Error   string      `json:"error,omitempty"`
-	Bad     bool        `json:"bad,omitempty"`   // the call itself is wrong: no node will answer it otherwise
-	Retry   bool        `json:"retry,omitempty"` // the same call may do later, or at the one that leads
-	Leader  string      `json:"leader,omitempty"`
-	Node    string      `json:"node"`
-	Zone    string      `json:"zone"`
-	Mode    string      `json:"mode"`
-	Plan    uint64      `json:"plan"`
-	Lease   float64     `json:"lease_s"` // crossings are allowed for so long, without further word
-	Log     string      `json:"log"`
-	Term    uint64      `json:"term,omitempty"` // of a voter
-	Leads   bool        `json:"leads"`
-	Voter   bool        `json:"voter"`
-	Counts  Counts      `json:"messages"`
-	Zones   []ZoneReply `json:"zones,omitempty"`
-	Why     string      `json:"why,omitempty"`
-	Lost    []string    `json:"lost,omitempty"`
-	Drained []string    `json:"drained,omitempty"`
-	Nodes   []NodeReply `json:"nodes,omitempty"` // of the one that leads
-	Explain []string    `json:"explain,omitempty"`
-	Ended   *Ended      `json:"ended,omitempty"`
+	Error   string             `json:"error,omitempty"`
+	Bad     bool               `json:"bad,omitempty"`   // the call itself is wrong: no node will answer it otherwise
+	Retry   bool               `json:"retry,omitempty"` // the same call may do later, or at the one that leads
+	Leader  string             `json:"leader,omitempty"`
+	Node    string             `json:"node"`
+	Zone    string             `json:"zone"`
+	Mode    string             `json:"mode"`
+	Plan    uint64             `json:"plan"`
+	Lease   float64            `json:"lease_s"` // crossings are allowed for so long, without further word
+	Log     string             `json:"log"`
+	Term    uint64             `json:"term,omitempty"` // of a voter
+	Leads   bool               `json:"leads"`
+	Voter   bool               `json:"voter"`
+	Counts  Counts             `json:"messages"`
+	Zones   []ZoneReply        `json:"zones,omitempty"`
+	Why     string             `json:"why,omitempty"`
+	Lost    []string           `json:"lost,omitempty"`
+	Loans   map[string]float64 `json:"loans,omitempty"` // what this node has been lent, by zone
+	Lent    float64            `json:"lent"`            // what it has lent itself
+	Drained []string           `json:"drained,omitempty"`
+	Nodes   []NodeReply        `json:"nodes,omitempty"` // of the one that leads
+	Explain []string           `json:"explain,omitempty"`
+	Ended   *Ended             `json:"ended,omitempty"`
 }
 
 // Ended is how a proposal ended.
@@ -63,6 +65,8 @@
 	Listed int                `json:"listed"`
 	Room   float64            `json:"room"`
 	Guests float64            `json:"guests"` // what clients of other zones need there now
+	Lender string             `json:"lender,omitempty"`
+	Lends  float64            `json:"lends"` // what the lender may lend of the room
 	Want   map[string]float64 `json:"want"`
 	Grants map[string]float64 `json:"grants"`
 	Admit  map[string]float64 `json:"admit"`
@@ -122,6 +126,7 @@
 			r.Leader = a.o.List.Node(a.o.List.Voters()[l]).Name
 		}
 	}
+	r.Loans, r.Lent = a.lent(), a.lender.Lent(now)
 	orders, _ := failover.DecodeOrders(a.follow.Newest(failover.OrdersKind).Data)
 	r.Drained = orders.Drained
 	switch c.Verb {
@@ -190,6 +195,9 @@
 	for i, z := range p.Zones {
 		out := ZoneReply{Name: z.Name, Region: z.Region, State: z.State.String(), Nodes: z.Nodes, Listed: z.Listed, Room: float64(z.Room), Guests: float64(z.Guests),
 			Want: map[string]float64{}, Grants: map[string]float64{}, Admit: map[string]float64{}}
+		if z.Lender >= 0 && z.Lender < a.o.List.Len() {
+			out.Lender, out.Lends = a.o.List.Node(z.Lender).Name, float64(z.Reserve)
+		}
 		for c, name := range p.Classes {
 			out.Want[name], out.Admit[name] = float64(z.Want[c]), float64(p.Admit[i][c])/255
 		}
--- a/internal/failover/agent/wire.go
+++ b/internal/failover/agent/wire.go
@@ -48,6 +48,8 @@
 	raftWord                 // of voters among themselves
 	ask                      // an operator's call
 	answer
+	borrow // to a zone's lender
+	loan   // of a lender
 )
 
 type header struct {
@@ -72,6 +74,17 @@
 	Digest agree.Digest
 }
 
+type borrowBody struct {
+	_    struct{} `cbor:",toarray"`
+	Load float64
+}
+
+type loanBody struct {
+	_      struct{} `cbor:",toarray"`
+	Answer uint64   // clock of the ask
+	Load   float64
+}
+
 type giveBody struct {
 	_     struct{} `cbor:",toarray"`
 	Log   uint64
--- a/internal/failover/evidence.go
+++ b/internal/failover/evidence.go
@@ -81,6 +81,24 @@
 	return s
 }
 
+// Since adds what was counted before to what a module saw last; what stands is as it was seen last.
+func Since(before, n choice.News) choice.News {
+	out := choice.News{Zones: slices.Clone(n.Zones), Classes: slices.Clone(n.Classes)}
+	for i, c := range before.Classes[:min(len(before.Classes), len(out.Classes))] {
+		out.Classes[i].Arrived += c.Arrived
+		out.Classes[i].Refused += c.Refused
+	}
+	for i := range out.Zones {
+		for _, z := range before.Zones {
+			if z.Zone == out.Zones[i].Zone {
+				out.Zones[i].Attempts += z.Attempts
+				out.Zones[i].Failed += z.Failed
+			}
+		}
+	}
+	return out
+}
+
 // Check finds what no node would tell: others reckon with it.
 func (s *Sum) Check() error {
 	sane := func(v ...float32) bool {
--- /dev/null
+++ b/internal/failover/loan.go
@@ -0,0 +1,244 @@
+package failover
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"spurwinch/choice"
+)
+
+const (
+	// LoanFor is how long a loan lasts: at the borrower from when it asked, at the lender from when it heard.
+	LoanFor = 2 * time.Second
+	// settles is how long after a lender's last word a loan of its may still be in use.
+	settles  = LoanFor + 500*time.Millisecond
+	nearly   = 0.75 // of what a node may have: from here on it borrows ahead
+	leastAsk = 0.5  // told load under which nothing is asked for
+	badZone  = 0.5  // of a zone's hosts left out: from here on nothing is borrowed there
+)
+
+// Lender lends one zone's reserve. What it has lent counts until the borrower's time is surely over, also when a newer plan leaves
+// less to lend.
+type Lender struct {
+	out  map[int][]lent
+	from time.Duration // what a process before this one has lent is over by then
+}
+
+type lent struct {
+	load  float64
+	until time.Duration
+}
+
+// NewLender begins to lend, where an earlier process of this node may have lent.
+func NewLender(now time.Duration) *Lender {
+	return &Lender{out: map[int][]lent{}, from: now + settles}
+}
+
+// Lend gives a node up to what it asks for. One that asks for less than it has goes by less already.
+func (l *Lender) Lend(node int, asks, reserve float64, now time.Duration) float64 {
+	if now < l.from || !(asks >= 0) || !(reserve >= 0) {
+		return 0
+	}
+	for n, all := range l.out {
+		if l.out[n] = slices.DeleteFunc(all, func(x lent) bool { return x.until <= now }); len(l.out[n]) == 0 {
+			delete(l.out, n)
+		}
+	}
+	others := 0.0
+	for _, n := range slices.Sorted(maps.Keys(l.out)) { // sums of floats are alike in one order only
+		if n != node {
+			others += most(l.out[n])
+		}
+	}
+	mine := l.out[node]
+	for i := range mine {
+		mine[i].load = min(mine[i].load, asks)
+	}
+	free := max(0, reserve-others)
+	give := min(asks, free)
+	if give > 0 {
+		l.out[node] = append(slices.DeleteFunc(mine, func(x lent) bool { return x.load <= give }), lent{give, now + settles})
+	}
+	return give
+}
+
+func most(all []lent) (sum float64) {
+	for _, x := range all {
+		sum = max(sum, x.load)
+	}
+	return sum
+}
+
+// Lent is all that is out.
+func (l *Lender) Lent(now time.Duration) (sum float64) {
+	for _, n := range slices.Sorted(maps.Keys(l.out)) {
+		sum += most(slices.DeleteFunc(slices.Clone(l.out[n]), func(x lent) bool { return x.until <= now }))
+	}
+	return sum
+}
+
+// Asks is what a node of a zone wants to borrow, by zone, after what its module saw in a time of dt. had is the most that stood at the node of
+// late, got what it has been lent, and full the zones whose lenders gave less than was asked.
+func Asks(m Mode, p *Plan, node int, zone string, n choice.News, dt time.Duration, had float64, got map[string]float64, full map[string]bool) map[string]float64 {
+	out := map[string]float64{}
+	own := -1
+	if p != nil {
+		own = p.zone(zone)
+	}
+	if own < 0 || m == Alone || dt <= 0 {
+		return out
+	}
+	held, arrived, refused := 0.0, 0.0, 0.0
+	bad := map[string]bool{}
+	for _, z := range n.Zones {
+		bad[z.Zone] = Fails(z)
+		for _, v := range z.Held {
+			held += v
+		}
+	}
+	for _, c := range n.Classes {
+		arrived, refused = arrived+c.Arrived, refused+c.Refused
+	}
+	// What it may have without loans, in zones whose hosts answer.
+	may := 0.0
+	for _, g := range Use(m, p, node, zone, p.Classes, 0, Borrowed{}).Grants {
+		if !bad[g.Zone] {
+			may += g.Load
+		}
+	}
+	soon := 0.0
+	if refused > 0 || held > nearly*may { // what comes within a second, and some for chance: what is asked for at need comes too late for it
+		soon = min(arrived/dt.Seconds(), had/2) + math.Sqrt(held)
+	}
+	if refused > 0 && bad[zone] { // its own zone failed: those who stood there come back at once
+		soon = max(soon, had-held)
+	}
+	want := held + soon - may
+	if math.IsNaN(want) || want < leastAsk {
+		return out
+	}
+	for _, rank := range p.ranks(own) {
+		sum := 0.0
+		for _, t := range rank {
+			if z := p.Zones[t]; z.Lender >= 0 && z.Reserve > 0 && !bad[z.Name] {
+				sum += float64(z.Reserve)
+			}
+		}
+		left := want
+		for _, t := range rank {
+			z := p.Zones[t]
+			if z.Lender < 0 || z.Reserve <= 0 || bad[z.Name] {
+				continue
+			}
+			ask := want * float64(z.Reserve) / sum
+			out[z.Name] = ask
+			if full[z.Name] {
+				left -= min(ask, got[z.Name])
+			} else {
+				left -= ask
+			}
+		}
+		if want = left; want < leastAsk {
+			break
+		}
+	}
+	return out
+}
+
+// Fails says that a node finds half of a zone's hosts out of use, or none.
+func Fails(z choice.ZoneNews) bool { return float64(z.Out) >= badZone*float64(z.Ready) }
+
+// ranks is the zones by nearness to one: itself, its region, the rest.
+func (p *Plan) ranks(own int) (out [3][]int) {
+	for i, z := range p.Zones {
+		switch {
+		case i == own:
+			out[0] = append(out[0], i)
+		case z.Region == p.Zones[own].Region:
+			out[1] = append(out[1], i)
+		default:
+			out[2] = append(out[2], i)
+		}
+	}
+	return out
+}
+
+// lender is who lends a zone's reserve: the same as before while it is there.
+func (p *Planner) lender(zone string) int {
+	live := slices.DeleteFunc(slices.Clone(p.list.InZone(zone)), func(n int) bool { return !p.cut.Live(n) })
+	if len(live) == 0 {
+		return -1
+	}
+	if n := len(p.known); n > 0 {
+		if old := p.known[n-1].Plan; old.zone(zone) >= 0 {
+			if l := old.Zones[old.zone(zone)].Lender; slices.Contains(live, l) {
+				return l
+			}
+		}
+	}
+	return slices.MinFunc(live, func(a, b int) int {
+		if p.list.Key(a, a) < p.list.Key(b, b) {
+			return -1
+		}
+		return 1
+	})
+}
+
+// lending is the most that each lender may have lent of a zone's room by plans that may still be in use, and all of it.
+func (p *Planner) lending(zone string, now time.Duration) (out map[int]float64, all float64) {
+	out = map[int]float64{}
+	over := func(lender int, newer uint64) bool { // it has lent by a newer plan for longer than a loan lasts
+		from := p.newerThan(lender, newer-1)
+		return from > 0 && now-from > settles
+	}
+	for i, k := range p.known {
+		for _, l := range k.Plan.Lends { // by plans before this one, where they aren't known
+			if !p.follows(i) && k.Plan.Zones[l.Zone].Name == zone && !over(l.Lender, k.Number) && now-k.From <= p.rules.Life+time.Second+settles {
+				out[l.Lender] = max(out[l.Lender], float64(l.Load))
+			}
+		}
+		at := k.Plan.zone(zone)
+		if at < 0 || k.Plan.Zones[at].Lender < 0 || k.Plan.Zones[at].Reserve <= 0 || over(k.Plan.Zones[at].Lender, k.Number+1) ||
+			i+1 < len(p.known) && now-p.known[i+1].From > p.rules.Life+time.Second+settles {
+			continue
+		}
+		lender := k.Plan.Zones[at].Lender
+		out[lender] = max(out[lender], float64(k.Plan.Zones[at].Reserve))
+	}
+	for _, n := range slices.Sorted(maps.Keys(out)) {
+		all += out[n]
+	}
+	return out, all
+}
+
+// said is when a node was first heard to go by a plan.
+type said struct {
+	plan uint64
+	at   time.Duration
+}
+
+// confirm takes a node's word of the plan that it goes by.
+func (p *Planner) confirm(node int, plan uint64, now time.Duration) {
+	if plan <= p.confirmed[node] {
+		return
+	}
+	p.confirmed[node] = plan
+	if p.newer[node] = append(p.newer[node], said{plan, now}); len(p.newer[node]) > 64 {
+		p.newer[node] = p.newer[node][1:] // what is forgotten counts from a later word: longer than needed
+	}
+}
+
+// newerThan is when a node was first heard to go by a plan newer than that one; 0: not heard.
+func (p *Planner) newerThan(node int, plan uint64) time.Duration {
+	if node >= len(p.newer) {
+		return 0
+	}
+	for _, s := range p.newer[node] {
+		if s.plan > plan {
+			return s.at
+		}
+	}
+	return 0
+}
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -41,7 +41,11 @@
 	Life    float32 // seconds that a grant into another zone holds without word of the one that leads
 	Lost    []int   // nodes out of the common view, by their numbers
 	Why     string
-	First   bool // no plan was before it
+	// What plans before this one had left in use when it was made: the most that a node of a zone may still have in a zone, by
+	// places in Zones, and what lenders may still have lent. One that comes to lead reckons with it, though it never knew them.
+	Before [][]float32
+	Lends  []Lend
+	Prev   uint64 // the plan before this one; 0: there was none
 }
 
 // Zone is a zone in a plan.
@@ -54,9 +58,11 @@
 	Listed int       // that it has
 	Room   float32   // told load that all grants together may put there
 	Want   []float32 // by class: what its clients ask for, reckoned
-	Open   float32   // the most that its nodes may still have there by older plans
 	Guests float32   // what clients of other zones need there now
 	Turns  int       // how often it was lost and came back of late
+
+	Lender  int     // the node that lends the reserve; -1: nobody
+	Reserve float32 // told load that the lender lends to nodes of any zone
 }
 
 // Grant is the most that the nodes of one zone together may have in a zone.
@@ -67,6 +73,14 @@
 	Stay     float32 // of it, kept for classes that must stay in the region: others may go elsewhere
 }
 
+// Lend is what a lender may still have lent of a zone's room.
+type Lend struct {
+	_      struct{} `cbor:",toarray"`
+	Zone   int      // its place in Zones
+	Lender int
+	Load   float32
+}
+
 // Orders are what operators have asked for.
 type Orders struct {
 	_       struct{} `cbor:",toarray"`
@@ -85,11 +99,19 @@
 	bad := len(p.Zones) > MostZones || len(p.Classes) > MostClasses || len(p.Stay) != len(p.Classes) || len(p.Admit) != len(p.Zones) ||
 		!(p.Life >= 0 && p.Life < 3600)
 	for i, z := range p.Zones {
-		bad = bad || len(z.Want) != len(p.Classes) || z.Nodes < 0 || z.Listed < z.Nodes || i < len(p.Admit) && len(p.Admit[i]) != len(p.Classes)
+		bad = bad || !(z.Reserve >= 0) || math.IsInf(float64(z.Reserve), 0) || z.Lender < -1 || len(z.Want) != len(p.Classes) || z.Nodes < 0 || z.Listed < z.Nodes || i < len(p.Admit) && len(p.Admit[i]) != len(p.Classes)
 	}
 	for _, g := range p.Grants {
 		bad = bad || g.From < 0 || g.From >= len(p.Zones) || g.To < 0 || g.To >= len(p.Zones) || !(g.Load >= 0) || math.IsInf(float64(g.Load), 0) || !(g.Stay >= 0 && g.Stay <= g.Load)
 	}
+	sane := func(v float32) bool { return v >= 0 && !math.IsInf(float64(v), 0) }
+	bad = bad || len(p.Before) != 0 && len(p.Before) != len(p.Zones) || len(p.Lends) > 4*MostZones
+	for _, row := range p.Before {
+		bad = bad || len(row) != len(p.Zones) || slices.ContainsFunc(row, func(v float32) bool { return !sane(v) })
+	}
+	for _, l := range p.Lends {
+		bad = bad || l.Zone < 0 || l.Zone >= len(p.Zones) || l.Lender < 0 || !sane(l.Load)
+	}
 	if bad {
 		return nil, fmt.Errorf("plan: its parts don't fit together")
 	}
@@ -173,8 +195,15 @@
 	return out
 }
 
-// Use is what a node's module is told. classes are the node's own, by their index there; comeAgain is the advice for what is refused.
-func Use(m Mode, p *Plan, node int, zone string, classes []string, comeAgain time.Duration) choice.ZonePlan {
+// Borrowed is what a node has been lent, and what it keeps of its part in its region.
+type Borrowed struct {
+	Loans map[string]float64 // by zone
+	Stay  float64            // told load of classes that must not go further, which find no place in the own zone
+}
+
+// Use is what a node's module is told. classes are the node's own, by their index there; comeAgain is the advice for what is refused;
+// b is what it has been lent, and keeps for those who can't go far.
+func Use(m Mode, p *Plan, node int, zone string, classes []string, comeAgain time.Duration, b Borrowed) choice.ZonePlan {
 	if m == Alone || p == nil || p.zone(zone) < 0 {
 		return choice.ZonePlan{Grants: []choice.Grant{{Zone: zone, Load: math.Inf(1)}}}
 	}
@@ -190,13 +219,13 @@
 			near = max(near, float64(z.Room)/float64(z.Nodes))
 		}
 	}
+	near += b.Loans[zone]
 	out := choice.ZonePlan{ComeAgain: comeAgain}
 	for _, z := range p.Zones {
 		out.Nodes += z.Nodes
 	}
-	if m == Ground {
+	if m == Ground { // with what is still lent to it: a loan has its own end
 		out.Grants = []choice.Grant{{Zone: zone, Load: near}}
-		return out
 	}
 	var stay, move []int // the node's classes, by what they may do
 	for i, c := range classes {
@@ -206,26 +235,41 @@
 			move = append(move, i)
 		}
 	}
-	for _, to := range p.nearest(own) {
+	may := func(to int) float64 {
 		s := p.share(own, to, lost)
-		if to == own {
-			s = near
-		} else if s > 0 {
-			s += guestUneven * math.Sqrt(s)
+		switch {
+		case to == own:
+			return near
+		case m == Ground:
+			return b.Loans[p.Zones[to].Name]
+		}
+		return s + guestUneven*math.Sqrt(s) + b.Loans[p.Zones[to].Name]
+	}
+	region := 0.0 // what there is in the region for those who can't go further
+	for to, z := range p.Zones {
+		if to != own && z.Region == p.Zones[own].Region {
+			region += may(to)
 		}
+	}
+	for _, to := range p.nearest(own) {
+		s := may(to)
 		switch {
+		case m == Ground && to == own:
 		case s <= 0 && to != own:
 		case p.Zones[to].Region != p.Zones[own].Region:
 			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s, Except: stay})
-		case p.kept(own, to) == 0:
+		case p.kept(own, to) == 0 && b.Stay == 0 || to == own:
 			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s})
 		default:
-			k := p.kept(own, to)
+			k := max(p.kept(own, to), min(1, b.Stay/region))
 			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s * (1 - k), Except: stay},
 				choice.Grant{Zone: p.Zones[to].Name, Load: s * k, Except: move})
 		}
 	}
 	for _, c := range classes {
+		if m == Ground {
+			break // what is let in is as much as the plan has room for, and this is less
+		}
 		admit := 1.0
 		if k := slices.Index(p.Classes, c); k >= 0 {
 			admit = float64(p.Admit[own][k]) / 255
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -36,7 +37,9 @@
 	turnHold    = 60 * time.Second
 	forgetLost  = time.Minute // a node out of the view so long has no part kept for it but a lost one's
 	trial       = 0.05        // of a lost zone's room, for its own nodes: somebody must see when it is back
-	ownExtra    = 0.1         // of the room that nobody needs: the zone's own; the rest stands by for others
+	ownExtra    = 0.1         // of the room that nobody needs: the zone's own
+	standBy     = 0.85        // of the rest, that stands by for other zones; what is left is lent
+	lentOn      = 0.8         // of what guests need and have no grant for yet, that is lent on
 	failing     = 0.5         // of the attempts, or of the hosts: from here on a zone, or a way, is bad
 	leastTries  = 4           // attempts that say something of a way
 	uneven      = 2.5         // standard deviations of a node's part that it gets on top, where there is room
@@ -45,8 +48,7 @@
 	peakMemory  = 2 * time.Minute
 )
 
-// Planner makes plans, at the one that leads. One whose node has not heard of plans for long waits Life before it grants what an older
-// plan that it doesn't know may have granted otherwise.
+// Planner makes plans, at the one that leads. What plans that it never knew may have granted, the next plan that it knows tells.
 type Planner struct {
 	list      *membership.List
 	rules     Rules
@@ -55,12 +57,13 @@
 	state     map[string]*zoneState
 	ways      map[[2]string]*way
 	confirmed map[int]uint64
+	newer     [][]said // by node: when it went over to which plans
 	known     []Known
-	since     time.Duration // what came before isn\'t known
 	began     time.Duration
 	proposed  time.Duration // the newest proposal's time; 0: none is out
 	lastPlan  time.Duration
 	orders    Orders
+	short     bool // the newest plan gives less than it should, because of older ones in use
 }
 
 // Known is a plan that may be in use, with the time when it became the newest here.
@@ -72,8 +75,7 @@
 
 // Knows is what a node has seen of plans: one that comes to lead must reckon with all that may be in use.
 type Knows struct {
-	Plans []Known       // oldest first
-	Since time.Duration // it has heard of every plan since then, or of none
+	Plans []Known // oldest first
 }
 
 // Add takes a plan in, and forgets those that were followed by another one so long ago that nobody crosses zones by them.
@@ -81,9 +83,6 @@
 	if n := len(k.Plans); n > 0 && k.Plans[n-1].Number >= number {
 		return
 	}
-	if p.First { // there is none that isn't known
-		k.Since = now - time.Hour
-	}
 	k.Plans = append(k.Plans, Known{number, p, now})
 	for len(k.Plans) > 1 && now-k.Plans[1].From > 2*forgetLost || len(k.Plans) > mostKnown {
 		k.Plans = k.Plans[1:]
@@ -122,7 +121,7 @@
 		newest = k.Plans[n-1].Plan
 	}
 	p := &Planner{list: l, rules: r, zones: l.Zones(), state: map[string]*zoneState{}, ways: map[[2]string]*way{},
-		confirmed: map[int]uint64{}, began: now, lastPlan: now, known: slices.Clone(k.Plans), since: k.Since}
+		confirmed: map[int]uint64{}, newer: make([][]said, l.Len()), began: now, lastPlan: now, known: slices.Clone(k.Plans)}
 	var lost []int
 	for _, z := range p.zones {
 		s := &zoneState{want: make([]float64, len(r.Classes)), peak: make([]float64, len(r.Classes)), since: now, lastWant: now}
@@ -161,7 +160,7 @@
 			continue
 		}
 		p.cut.Word(w.Node, w.Silent, now)
-		p.confirmed[w.Node] = max(p.confirmed[w.Node], w.Plan)
+		p.confirm(w.Node, w.Plan, now)
 	}
 	if stale || head != z.head && now-z.at < freshFor/2 && len(s.Words) <= len(z.sum.Words) {
 		return // the zone's other head has told the same, or more
@@ -329,7 +328,12 @@
 	v, _, ok := p.view(zone, now)
 	if !ok || v.Ready == 0 {
 		if !ok && now-p.began > freshFor {
-			z.room *= 0.9 // nobody knows: what is not seen fades
+			// Nobody knows: what is not seen fades, but for what its own clients need there.
+			own := 0.0
+			for _, w := range z.want {
+				own += w
+			}
+			z.room = max(0.9*z.room, min(z.room, own))
 		}
 		return
 	}
@@ -347,6 +351,14 @@
 			for _, h := range r.Held {
 				held += float64(h)
 			}
+			live := 0
+			for _, node := range p.list.InZone(o) {
+				if p.cut.Live(node) {
+					live++
+				}
+			}
+			// What some of a zone's nodes hold, against all that the hosts bear, would show hosts that are much too dear.
+			whole = whole && float64(r.Nodes) > 0.9*float64(live)
 		}
 	}
 	// What a unit of told load takes is measured where enough stands there and all who may have a part of it are heard: nodes learn it on
@@ -395,9 +407,6 @@
 	if n := len(p.known); n > 0 && p.known[n-1].Number >= number {
 		return
 	}
-	if plan.First {
-		p.since = now - time.Hour
-	}
 	p.known = append(p.known, Known{number, plan, now})
 	p.proposed = 0
 	least := number
@@ -408,7 +417,7 @@
 	}
 	// A plan that nobody can use any longer is of no more use here: all have said that they use a newer one, and crossings of those that
 	// can't be heard are over.
-	for len(p.known) > 1 && (p.known[1].Number <= least && now-p.known[1].From > p.rules.Life+time.Second || len(p.known) > mostKnown) {
+	for len(p.known) > 1 && (p.known[1].Number <= least && now-p.known[1].From > p.rules.Life+time.Second+settles || len(p.known) > mostKnown) {
 		p.known = p.known[1:]
 	}
 }
@@ -465,26 +474,37 @@
 			}
 		}
 	}
-	if len(p.known) == 0 {
-		return out
-	}
-	for i, name := range p.zones { // and by plans that this planner never knew
-		for _, node := range p.list.InZone(name) {
-			if p.confirmed[node] >= p.known[0].Number {
-				continue
-			}
-			if at, gone := p.cut.LostSince(node); gone && now-at >= forgetLost {
-				continue
-			}
-			if a := p.known[0].Plan.zone(name); a >= 0 {
-				z := p.known[0].Plan.Zones[a]
-				out[node][i] = max(out[node][i], float64(z.Open)/float64(max(1, z.Listed)))
+	// And by plans that this planner never knew: each plan tells what those before it had left in use.
+	for i, k := range p.known {
+		if p.follows(i) {
+			continue
+		}
+		crossed := now-k.From > p.rules.Life+time.Second
+		for from, z := range k.Plan.Zones[:min(len(k.Plan.Before), len(k.Plan.Zones))] {
+			for _, node := range p.list.InZone(z.Name) {
+				if p.confirmed[node] >= k.Number {
+					continue
+				}
+				gone, forgotten := p.cut.LostSince(node)
+				forgotten = forgotten && now-gone >= forgetLost
+				for to, share := range k.Plan.Before[from] {
+					here, ok := place[k.Plan.Zones[to].Name]
+					if !ok || from != to && crossed || from == to && forgotten {
+						continue
+					}
+					out[node][here] = max(out[node][here], float64(share))
+				}
 			}
 		}
 	}
 	return out
 }
 
+// follows says that the plan before a known one is known too.
+func (p *Planner) follows(i int) bool {
+	return i > 0 && p.known[i].Plan.Prev == p.known[i-1].Number
+}
+
 // Step makes a plan where one is wanted; nil: the newest will do.
 func (p *Planner) Step(now time.Duration) *Plan {
 	viewChanged := p.cut.Step(now)
@@ -516,11 +536,13 @@
 	}
 	if n := len(p.known); n > 0 {
 		change := differs(p.known[n-1].Plan, next)
-		if change == 0 || change == 1 && now-p.lastPlan < calmEvery && refused < 1 {
+		if change == 0 || change == 1 && now-p.lastPlan < calmEvery && refused < 1 && !p.short {
 			return nil
 		}
 	}
-	next.First = len(p.known) == 0
+	if n := len(p.known); n > 0 {
+		next.Prev = p.known[n-1].Number
+	}
 	next.Why = strings.Join(whys, "; ")
 	if next.Why == "" {
 		next.Why = "demand and room"
@@ -542,7 +564,7 @@
 	}
 	most := 0
 	for i, z := range b.Zones {
-		if a.Zones[i].State != z.State || a.Zones[i].Nodes != z.Nodes || a.Zones[i].Name != z.Name {
+		if a.Zones[i].State != z.State || a.Zones[i].Nodes != z.Nodes || a.Zones[i].Name != z.Name || a.Zones[i].Lender != z.Lender {
 			return 2
 		}
 		for c := range z.Want {
@@ -550,6 +572,9 @@
 				most = max(most, 1)
 			}
 		}
+		if x, y := float64(a.Zones[i].Reserve), float64(z.Reserve); math.Abs(x-y) > 0.1*float64(z.Room)+0.5 && math.Abs(x-y) > 0.15*max(x, y) {
+			most = max(most, 1)
+		}
 		have, get, want := 0.0, 0.0, 0.0 // of the zone's clients, in all zones
 		for _, w := range z.Want {
 			want += float64(w)
@@ -593,7 +618,7 @@
 		if z.at > 0 {
 			heard++
 		}
-		zone := Zone{Name: name, Region: d.region[i], State: z.state, Listed: len(p.list.InZone(name)), Turns: z.turns, Room: float32(d.room[i])}
+		zone := Zone{Name: name, Region: d.region[i], State: z.state, Listed: len(p.list.InZone(name)), Lender: p.lender(name), Turns: z.turns, Room: float32(d.room[i])}
 		for _, node := range p.list.InZone(name) {
 			if p.cut.Live(node) {
 				zone.Nodes++
@@ -666,7 +691,7 @@
 			want += v
 		}
 		guests := max(0, want-wants[o][o]) // in their own zone nodes may each have more than their part
-		short[o] = 1.15*want + math.Sqrt(guests*float64(max(1, plan.Zones[o].Nodes)))
+		short[o] = want + math.Sqrt(guests*float64(max(1, plan.Zones[o].Nodes)))
 		for t := range n {
 			short[o] -= wants[o][t]
 		}
@@ -714,6 +739,7 @@
 			free[t] = max(0, free[t]-asked[t])
 		}
 	}
+	reserve := make([]float64, n)
 	for t := range n {
 		switch z := p.state[p.zones[t]]; z.state {
 		case Lost: // for its own nodes' trials, one for each
@@ -724,6 +750,7 @@
 			continue
 		}
 		wants[t][t] += ownExtra * free[t]
+		reserve[t] = (1 - ownExtra) * (1 - standBy) * free[t]
 		// The rest stands by: whoever's own zone fails can go there at once, before any plan says so, and also when there is nobody who
 		// could make one.
 		weight := make([]float64, n)
@@ -741,7 +768,7 @@
 		}
 		for o := range n {
 			if weight[o] > 0 {
-				wants[o][t] += (1 - ownExtra) * free[t] * weight[o] / sum
+				wants[o][t] += (1 - ownExtra) * standBy * free[t] * weight[o] / sum
 			}
 		}
 	}
@@ -756,8 +783,17 @@
 	for r := range wanted {
 		tight[r] = wanted[r] > 0.8*room[r]
 	}
+	p.short = false
 	using := p.inUse(now)
-	restart := now-p.since <= p.rules.Life+time.Second && len(p.known) > 0
+	for o := range n { // for a planner that knows this plan and none before it
+		row := make([]float32, n)
+		for _, node := range p.list.InZone(p.zones[o]) {
+			for t, v := range using[node] {
+				row[t] = max(row[t], float32(v))
+			}
+		}
+		plan.Before = append(plan.Before, row)
+	}
 	for t := range n {
 		used := make([]float64, n) // by giving zone: what older plans may have there
 		total := 0.0
@@ -771,7 +807,11 @@
 				order = append(order, o)
 			}
 		}
-		plan.Zones[t].Open = float32(used[t])
+		lending, lent := p.lending(p.zones[t], now)
+		total += lent
+		for _, l := range slices.Sorted(maps.Keys(lending)) {
+			plan.Lends = append(plan.Lends, Lend{Zone: t, Lender: l, Load: float32(lending[l])})
+		}
 		for o := range n {
 			if o != t {
 				plan.Zones[t].Guests += float32(a.between(o, t))
@@ -793,15 +833,49 @@
 				if pass > 0 { // to spare is only what the new grants together leave
 					v = min(v, float64(room)-(sum-g[o]))
 				}
-				if restart && o != t { // an older plan, unknown here, may have given this room away
-					v = min(v, p.known[0].Plan.oldGrant(p.zones[o], p.zones[t]))
-				}
 				v = max(g[o], v)
 				spent := p.spent(plan, using, o, t, v)
 				total, sum = total+spent-used[o], sum+v-g[o]
 				g[o], used[o] = v, spent
 			}
 		}
+		// Where a zone's room has shrunk, what nodes have already is more than it: they are to have less, guests first. Those out of the
+		// view may be there, with a part of their own.
+		away := 1 + float64(plan.Zones[t].Listed-plan.Zones[t].Nodes)/float64(max(1, plan.Zones[t].Listed))
+		whole := float64(plan.Zones[t].Room)
+		g[t] = min(g[t], whole/away)
+		guests := 0.0
+		for o := range n {
+			if o != t {
+				guests += g[o]
+			}
+		}
+		if left := max(0, whole-g[t]*away); guests > left {
+			for o := range n {
+				if o != t {
+					g[o] *= left / guests
+				}
+			}
+			guests = left
+		}
+		sum = g[t]*away + guests
+		// What nobody needs and nobody stands by for is lent. A lender may have lent by its older plans what its new one takes back.
+		z := &plan.Zones[t]
+		if s := p.state[z.Name].state; z.Lender >= 0 && (s == Well || s == Returning) {
+			unmet := 0.0 // by its grants so far: it is lent meanwhile, and becomes grants as older plans go out of use
+			for o := range n {
+				if o != t {
+					unmet += max(0, a.between(o, t)-g[o])
+				}
+			}
+			v := min(max(reserve[t], lentOn*unmet), float64(z.Room)-sum, float64(z.Room)-(total-lending[z.Lender]))
+			z.Reserve = float32(max(0, v))
+		}
+		meant := reserve[t] - float64(z.Reserve)
+		for o := range n {
+			meant += max(0, wants[o][t]-g[o])
+		}
+		p.short = p.short || meant > 0.05*float64(z.Room)
 		for _, o := range order {
 			if g[o] > 1e-3 {
 				stay := 0.0
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -506,6 +506,9 @@
 		e.Plan, _ = get("plan").([]byte)
 	case "fleet_mode":
 		e.Kind, e.Mode, e.Number = faults.KindMode, text("mode"), num("plan")
+	case "fleet_loan":
+		e.Kind, e.To = faults.KindLoan, text("zone")
+		e.Value, _ = get("load").(float64)
 	case "fleet_leads":
 		e.Kind, e.Number = faults.KindLeads, num("term")
 	case "fleet_decided":
--- a/internal/lab/faults/history.go
+++ b/internal/lab/faults/history.go
@@ -45,6 +45,7 @@
 	KindTry     = "try"     // a host took the line of ID; To the host; Node
 	KindTried   = "tried"   // and has answered it, or seen its end
 	KindDrain   = "drain"   // To a host, told to Node
+	KindLoan    = "loan"    // Node has been lent Value in zone To, from now on
 	KindHeld    = "held"    // Zone's hosts hold Value connections
 	KindLate    = "late"    // the laboratory itself was late by Value seconds
 	KindCount   = "count"   // Detail: of what; Value: how many
--- a/internal/lab/faults/lab.go
+++ b/internal/lab/faults/lab.go
@@ -452,6 +452,9 @@
 		e.Plan, _ = base64.StdEncoding.DecodeString(text("plan"))
 	case "fleet_mode":
 		e.Kind, e.Mode, e.Number = KindMode, text("mode"), num("plan")
+	case "fleet_loan":
+		e.Kind, e.To = KindLoan, text("zone")
+		e.Value, _ = strconv.ParseFloat(strings.TrimSpace(string(raw["load"])), 64)
 	case "fleet_leads":
 		e.Kind, e.Number = KindLeads, num("term")
 	case "fleet_decided":
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -58,7 +58,7 @@
 	p.leaves = append(p.leaves, f.close)
 	p.closers = append(p.closers, f.close)
 	// Until there is word of a plan the node serves by its own zone alone.
-	core.Plan(failover.Use(failover.Alone, nil, 0, f.zone(), nil, 0))
+	core.Plan(failover.Use(failover.Alone, nil, 0, f.zone(), nil, 0, failover.Borrowed{}))
 	f.open()
 }
 
