Policy: changes agreed in steps, leases to serve by, schedules in simulated time

A checker's false find (a node killed at a step named by no fault) mended. Off in the node yet: nothing sets it up. choice is unchanged.

--- a/cmd/spurwinchctl/explore.go
+++ b/cmd/spurwinchctl/explore.go
@@ -22,6 +22,7 @@
 	Seed       uint64             `json:"seed"`
 	Scenario   string             `json:"scenario"`
 	Violations []faults.Violation `json:"violations"`
+	Seen       map[string]int     `json:"seen"`
 	Figures    faults.Figures     `json:"figures"`
 	Bytes      float64            `json:"bytes_node_s"`
 }
@@ -30,15 +31,20 @@
 	var o explore.Options
 	var seeds, policy string
 	var worker, asJSON bool
-	c := &cobra.Command{Use: "explore failover", Short: "Play schedules of faults in simulated time and check each history",
+	c := &cobra.Command{Use: "explore failover|policy", Short: "Play schedules of faults in simulated time and check each history",
 		Long: "Plays one schedule for each seed: the decision packages as they are in service, with network, clocks, disks and crashes by seed.\n" +
 			"Status 0: no rule broken; 1: one is, with its seed.",
-		Args: cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs), ValidArgs: []string{"failover"},
+		Args: cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs), ValidArgs: []string{"failover", "policy"},
 		RunE: func(c *cobra.Command, args []string) error {
 			from, to, err := seedRange(seeds)
 			if err != nil {
 				return err
 			}
+			if o.Faults == "" {
+				o.Faults = map[string]string{"failover": "drawn", "policy": "policy-drawn"}[args[0]]
+			} else if args[0] == "policy" && !strings.HasPrefix(o.Faults, "policy-") {
+				o.Faults = "policy-" + o.Faults
+			}
 			if _, err := explore.Find(o.Faults); err != nil {
 				return err
 			}
@@ -59,7 +65,7 @@
 	c.Flags().Float64Var(&o.Use, "use", 0.45, "part of what all hosts bear that clients ask for")
 	c.Flags().Float64Var(&o.Loss, "loss", 0.01, "part of the messages that are lost")
 	c.Flags().DurationVar(&o.Length, "length", 0, "of a schedule, simulated")
-	c.Flags().StringVar(&o.Faults, "faults", "drawn", "a scenario's name")
+	c.Flags().StringVar(&o.Faults, "faults", "", "a scenario's name; drawn: by seed")
 	c.Flags().StringVar(&o.Mutation, "mutation", "", "break the program in this way")
 	c.Flags().StringVar(&policy, "policy", "common", "common, each or static")
 	c.Flags().BoolVar(&asJSON, "json", false, "the result as JSON")
@@ -88,7 +94,7 @@
 		if err != nil {
 			return err
 		}
-		if err := enc.Encode(explored{seed, o.Faults, v.Violations, v.Figures, w.Rate()}); err != nil {
+		if err := enc.Encode(explored{seed, o.Faults, v.Violations, v.Seen, v.Figures, w.Rate()}); err != nil {
 			return err
 		}
 	}
@@ -158,6 +164,10 @@
 		SpreadHalf float64    `json:"spread_p50_s"` // from the first node that takes a plan to the others, in the mean
 		Spread     float64    `json:"spread_p99_s"`
 		Bytes      float64    `json:"bytes_node_s"`
+		OldPolicy  float64    `json:"old_policy_s"` // the longest time that a policy was in use after the next one was decided
+		Policies   int        `json:"policies"`
+		GivenUp    int        `json:"given_up"`
+		Commands   int        `json:"commands"` // of which an order was found
 		Broken     []explored `json:"broken"`
 	}
 	sum.Worst = 1
@@ -171,6 +181,8 @@
 		sum.SpreadHalf += e.Figures.SpreadHalf / float64(len(all))
 		sum.Spread += e.Figures.Spread / float64(len(all))
 		sum.Worst, sum.Peak, sum.Reversals = min(sum.Worst, e.Figures.Worst), max(sum.Peak, e.Figures.PeakOfRoom), sum.Reversals+e.Figures.Reversals
+		sum.OldPolicy, sum.Policies, sum.GivenUp = max(sum.OldPolicy, e.Figures.OldPolicy), sum.Policies+e.Seen["policies"], sum.GivenUp+e.Seen["change given up"]
+		sum.Commands += e.Seen["commands in order"]
 		if len(e.Violations) > 0 && len(sum.Broken) < 20 {
 			sum.Broken = append(sum.Broken, e)
 		}
@@ -183,6 +195,10 @@
 		}
 		fmt.Fprintf(out, "%s\n", raw)
 	} else {
+		if sum.Policies > 0 {
+			fmt.Fprintf(out, "%d schedules: %d policies decided, %d changes given up, %d commands in an order that fits; the old one in use for %.2f s at most\n",
+				sum.Schedules, sum.Policies, sum.GivenUp, sum.Commands, sum.OldPolicy)
+		}
 		fmt.Fprintf(out, "%d schedules: %.2f%% served, %.2f%% crossed zones, %.2f%% regions; fullest zone %.0f%%, %d reversals\n", sum.Schedules,
 			100*sum.Served, 100*sum.Crossed, 100*sum.Regions, 100*sum.Peak, sum.Reversals)
 		fmt.Fprintf(out, "a plan reaches the others %.3f s (p50), %.3f s (p99) after the first; %.0f bytes a node and second\n", sum.SpreadHalf, sum.Spread, sum.Bytes)
--- a/internal/agree/voter/voter.go
+++ b/internal/agree/voter/voter.go
@@ -52,6 +52,7 @@
 	decided     []agree.Decided
 	asked       uint64 // calls of Confirm
 	confirmed   uint64
+	reads       []raft.ReadState // confirmed, and what was decided before is not all applied yet
 	broken      error
 	quiet       silence
 }
@@ -470,11 +471,7 @@
 	if rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState) {
 		v.mem.SetHardState(rd.HardState)
 	}
-	for _, r := range rd.ReadStates {
-		if len(r.RequestCtx) == 8 {
-			v.confirmed = max(v.confirmed, binary.BigEndian.Uint64(r.RequestCtx))
-		}
-	}
+	v.reads = append(v.reads, rd.ReadStates...)
 	v.mem.Append(rd.Entries)
 	for _, m := range rd.Messages {
 		b := must(proto.Marshal(m))
@@ -486,6 +483,13 @@
 	for _, e := range rd.CommittedEntries {
 		v.commit(e)
 	}
+	// A call is answered by what stands here only once all that was decided before it does.
+	for len(v.reads) > 0 && v.reads[0].Index <= v.applied {
+		if r := v.reads[0]; len(r.RequestCtx) == 8 {
+			v.confirmed = max(v.confirmed, binary.BigEndian.Uint64(r.RequestCtx))
+		}
+		v.reads = v.reads[1:]
+	}
 	v.raft.Advance(rd)
 	return v.take(), v.told()
 }
--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -17,6 +17,7 @@
 	"spurwinch/internal/agree"
 	"spurwinch/internal/failover"
 	"spurwinch/internal/membership"
+	"spurwinch/internal/policy"
 )
 
 const (
@@ -47,6 +48,7 @@
 	Seed      uint64
 	Log       func(event string, fields ...any) // names and values in turn
 	Voter     NewVoter                          // nil: this program doesn't vote
+	Policy    *Policy                           // nil: each node goes by its own files
 }
 
 // Voter is one of those who agree on the log: internal/agree/voter.
@@ -110,6 +112,8 @@
 	stay   float64            // told load of classes that must stay in the region, and have no place in the own zone
 	saw    time.Duration      // when the module last told what it saw
 
+	pol policyPart
+
 	mode    failover.Mode
 	plan    *failover.Plan
 	number  uint64
@@ -187,6 +191,8 @@
 	a.next.tick, a.next.beat, a.next.look, a.next.evidence = now, spread(membership.BeatEvery), spread(lookEvery), spread(evidenceEvery)
 	a.next.sum, a.next.plan, a.next.ack = spread(sumEvery), spread(planStep), now
 	a.changed = true
+	a.pol.init()
+	a.adoptPolicy(a.follow.Newest(policy.Kind))
 	if e := a.follow.Newest(failover.PlanKind); e.Number > 0 { // as the disk has it
 		if p, err := failover.DecodePlan(e.Data); err == nil {
 			a.plan, a.number = p, e.Number
@@ -376,7 +382,8 @@
 
 // tell sends evidence to the heads of this zone.
 func (a *Agent) tell(n choice.News, now time.Duration) {
-	s := failover.Tell(a.zone, a.o.Classes, n, failover.Word{Node: a.o.Self, Plan: a.number, Silent: a.watch.Silent(now)})
+	s := failover.Tell(a.zone, a.o.Classes, n, failover.Word{Node: a.o.Self, Plan: a.number, Silent: a.watch.Silent(now),
+		Policy: a.policyWord(now)})
 	body := s.Encode()
 	chosen := a.heads(now)
 	if len(chosen) < heads || slices.Contains(chosen, a.o.Self) {
@@ -457,7 +464,7 @@
 		return
 	}
 	a.hold(h.from, s, stale, now)
-	w := wordBody{Answer: h.clock, Age: -1, Plan: a.ackPlan, Digest: a.follow.Digest()}
+	w := wordBody{Answer: h.clock, Age: -1, Plan: a.ackPlan, Digest: a.follow.Digest(), Policy: a.pol.told}
 	if a.leadNow {
 		w.Age = int64((now - a.lead) / time.Microsecond)
 	}
@@ -478,14 +485,15 @@
 	p.sent, p.deaf = 0, 0
 	if w.Age >= 0 {
 		// The one that leads was there when this evidence left, less the age that the head tells: the way back is on the safe side.
-		a.led(at-time.Duration(w.Age)*time.Microsecond, w.Plan)
+		a.led(at-time.Duration(w.Age)*time.Microsecond, w.Plan, w.Policy)
 	}
 	a.lacks(h.from, w.Digest, now)
 }
 
-// led takes in that the one that leads was surely there at a time of this node's clock, with that newest plan.
-func (a *Agent) led(at time.Duration, plan uint64) {
+// led takes in that the one that leads was surely there at a time of this node's clock, with that newest plan and policy.
+func (a *Agent) led(at time.Duration, plan uint64, told policy.Told) {
 	if !a.leadNow || at > a.lead {
+		a.pol.told = told
 		a.lead, a.leadNow, a.ackPlan = at, true, max(a.ackPlan, plan)
 	}
 	if a.plan != nil && a.ackPlan <= a.number {
@@ -562,6 +570,11 @@
 func (a *Agent) leaderHears(head int, s failover.Sum, stale bool, now time.Duration) {
 	if a.planner != nil {
 		a.planner.Hear(head, s, stale, now)
+		for _, w := range s.Words {
+			if w.Policy != nil && w.Node >= 0 && w.Node < a.o.List.Len() && a.o.List.Node(w.Node).Zone == s.Zone {
+				a.hearPolicy(w.Node, *w.Policy)
+			}
+		}
 	}
 }
 
@@ -579,7 +592,7 @@
 				plan = d.Number
 			}
 		}
-		a.led(at, plan)
+		a.led(at, plan, k.Policy)
 	}
 	a.lacks(h.from, k.Digest, now)
 }
@@ -598,7 +611,9 @@
 	}
 	if a.planner == nil {
 		e := a.follow.Newest(failover.PlanKind)
-		a.planner = failover.NewPlanner(a.o.List, a.o.Rules, a.knows, now)
+		a.planner = failover.NewPlanner(a.o.List, a.rules(), a.knows, now)
+		current, _ := a.newestPolicy()
+		a.pol.lead(a.o.Policy, current.Number)
 		if o, err := failover.DecodeOrders(a.follow.Newest(failover.OrdersKind).Data); err == nil {
 			a.planner.Order(o)
 		}
@@ -613,6 +628,7 @@
 		}
 	}
 	if a.due(&a.next.plan, planStep, now) {
+		a.drivePolicy(now)
 		if p := a.planner.Step(now); p != nil {
 			err := a.voter.Propose(agree.Proposal{ID: fmt.Sprintf("plan-%08x-%d", a.process, micros(now)), Kind: failover.PlanKind,
 				Replaces: a.follow.Newest(failover.PlanKind).Number, Data: p.Encode()})
@@ -633,10 +649,10 @@
 		n++
 		d := a.follow.Digest()
 		if k.to == a.o.Self {
-			a.led(time.Duration(k.at)*time.Microsecond, a.follow.Newest(failover.PlanKind).Number)
+			a.led(time.Duration(k.at)*time.Microsecond, a.follow.Newest(failover.PlanKind).Number, a.tellsPolicy())
 			continue
 		}
-		a.send(k.to, ack, encode(ackBody{Answer: k.at, Digest: d}), now)
+		a.send(k.to, ack, encode(ackBody{Answer: k.at, Digest: d, Policy: a.tellsPolicy()}), now)
 	}
 	a.acks = a.acks[n:]
 }
@@ -703,6 +719,7 @@
 // adopt has the node go by a plan that its disk has: after a crash it must not go by an older one than it told others of.
 func (a *Agent) adopt(kept []agree.Entry, now time.Duration) {
 	for _, e := range kept {
+		a.adoptPolicy(e)
 		if e.Kind != failover.PlanKind || e.Number <= a.number {
 			continue
 		}
@@ -819,6 +836,7 @@
 			}
 		}
 	}
+	a.committed()
 	for _, d := range decided {
 		if a.planner != nil {
 			a.o.Log("fleet_decided", "id", d.ID, "number", d.Number, "taken", d.Taken)
--- a/internal/failover/agent/ask.go
+++ b/internal/failover/agent/ask.go
@@ -9,6 +9,7 @@
 	"spurwinch/internal/agree"
 	"spurwinch/internal/failover"
 	"spurwinch/internal/membership"
+	"spurwinch/internal/policy"
 )
 
 // Operator is the sender's number in an operator's call: no node's.
@@ -20,6 +21,9 @@
 	Verb string   // status, plan, drain, undrain, explain, ended
 	Arg  string   // a zone, or a proposal's id
 	ID   string   // of the proposal that drain or undrain makes
+	Data []byte   // a policy
+	Base uint64   // the number that it is to replace
+	Part policy.Part
 }
 
 // Reply is the node's answer.
@@ -47,6 +51,7 @@
 	Nodes   []NodeReply        `json:"nodes,omitempty"` // of the one that leads
 	Explain []string           `json:"explain,omitempty"`
 	Ended   *Ended             `json:"ended,omitempty"`
+	Policy  *PolicyReply       `json:"policy,omitempty"`
 }
 
 // Ended is how a proposal ended.
@@ -175,8 +180,10 @@
 		if d, ok := a.voter.Ended(c.Arg); ok {
 			r.Ended = &Ended{ID: d.ID, Number: d.Number, Taken: d.Taken}
 		}
+	case "policy", "policy-propose", "policy-abort":
+		a.replyPolicy(c, &r, now)
 	default:
-		r.Error = fmt.Sprintf("no call %q: status, plan, drain, undrain, explain and ended are there", c.Verb)
+		r.Error = fmt.Sprintf("no call %q: status, plan, drain, undrain, explain, ended, policy, policy-propose and policy-abort are there", c.Verb)
 	}
 	return r
 }
--- a/internal/failover/agent/wire.go
+++ b/internal/failover/agent/wire.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"spurwinch/internal/agree"
+	"spurwinch/internal/policy"
 )
 
 // A message between nodes:
@@ -66,12 +67,14 @@
 	Age    int64    // microseconds since the one that leads was surely there; under 0: not known
 	Plan   uint64   // its newest plan then
 	Digest agree.Digest
+	Policy policy.Told
 }
 
 type ackBody struct {
 	_      struct{} `cbor:",toarray"`
 	Answer uint64
 	Digest agree.Digest
+	Policy policy.Told
 }
 
 type borrowBody struct {
--- a/internal/failover/evidence.go
+++ b/internal/failover/evidence.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"spurwinch/choice"
+	"spurwinch/internal/policy"
 )
 
 const (
@@ -36,6 +37,7 @@
 	Node   int      // its number in the list
 	Plan   uint64   // the newest plan that it uses
 	Silent []int    // whom it watches and doesn't hear
+	Policy *policy.Word
 }
 
 // Row is what nodes of one zone know of a zone's hosts, summed over these nodes.
@@ -113,6 +115,11 @@
 			return fmt.Errorf("evidence of zone %q: no sound numbers", r.Zone)
 		}
 	}
+	for _, w := range s.Words {
+		if p := w.Policy; p != nil && (len(p.Why) > 400 || !(p.Arrived >= 0 && p.Away >= 0 && p.Arrived < 1e15 && p.Away < 1e15)) {
+			return fmt.Errorf("evidence of node %d: no sound word of the policy", w.Node)
+		}
+	}
 	if !sane(s.Arrived...) || !sane(s.Refused...) {
 		return fmt.Errorf("evidence of classes: no sound numbers")
 	}
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -22,6 +22,24 @@
 	}
 }
 
+// TestPolicies plays each hard case of changes of policy.
+func TestPolicies(t *testing.T) {
+	for _, s := range PolicyScenarios {
+		t.Run(s.Name, func(t *testing.T) {
+			_, v, err := Play(Options{Seed: 2, Nodes: 15, Faults: s.Name, Loss: 0.01})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, x := range v.Violations {
+				t.Errorf("%s at %.2f s: %s", x.Rule, x.At, x.What)
+			}
+			if v.Seen["admitted: lease"] < 1000 || v.Seen["commands in order"] < 3 {
+				t.Errorf("%d requests were taken, %d commands answered: this shows nothing", v.Seen["admitted: lease"], v.Seen["commands in order"])
+			}
+		})
+	}
+}
+
 // TestDrawn plays schedules drawn by seed.
 func TestDrawn(t *testing.T) {
 	for seed := range uint64(12) {
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"spurwinch/internal/lab/faults"
@@ -243,13 +245,11 @@
 
 // Find finds a scenario.
 func Find(name string) (Scenario, error) {
-	for _, s := range Scenarios {
+	var all []string
+	for _, s := range slices.Concat(Scenarios, PolicyScenarios) {
 		if s.Name == name {
 			return s, nil
 		}
-	}
-	var all []string
-	for _, s := range Scenarios {
 		all = append(all, s.Name)
 	}
 	sort.Strings(all)
@@ -319,6 +319,9 @@
 	if err != nil {
 		return nil, faults.Verdict{}, err
 	}
+	if strings.HasPrefix(o.Faults, "policy-") {
+		o = o.lightUsual()
+	}
 	o = o.Usual()
 	if s.Set != nil {
 		s.Set(&o)
@@ -329,7 +332,11 @@
 	}
 	s.Put(w)
 	events := w.Run()
-	v := faults.Check(events, faults.UsualLimits)
+	limits := faults.UsualLimits
+	if o.Light {
+		limits.Window, limits.Slack = lightRules.Window.Seconds(), 0.1
+	}
+	v := faults.Check(events, limits)
 	if o.Policy == Common {
 		v.Want(s.Want)
 	}
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -43,6 +43,7 @@
 	Voters   int
 	Messages int // the longest time on the way, ms
 	Mutation string
+	Light    bool // no hosts and no clients: changes of policy
 }
 
 // Policy says who decides where clients of a zone go.
@@ -139,6 +140,9 @@
 	classes  []string
 	saves    int
 	served   map[string][2]int // by class: served, all
+	ops      []*operator
+	opPause  time.Duration
+	crashy   float64 // part of the steps of policies at which the node is killed
 }
 
 type host struct {
@@ -170,6 +174,10 @@
 	busy     bool // a record is on its way to the disk
 	list     []edge.UpstreamHost
 	order    []int // of zones, for the static policy
+	old      bool  // of a version that doesn't know all keys
+	reached  bool  // by operators, though nothing comes or goes to other nodes
+	came     float64
+	away     float64
 }
 
 type drawn struct{ *rand.Rand }
@@ -231,6 +239,11 @@
 			return nil, err
 		}
 	}
+	if o.Light {
+		w.opPause = 700 * time.Millisecond
+		w.operators(3)
+		return w, nil
+	}
 	for _, z := range w.zones {
 		w.arrivals(z)
 		// Who would stand there already comes over the first seconds.
@@ -312,7 +325,9 @@
 	if !n.up {
 		return
 	}
-	n.core.Flush()
+	if n.core != nil {
+		n.core.Flush()
+	}
 	if n.agent != nil {
 		n.pump()
 	}
@@ -339,6 +354,10 @@
 		n.disk = nil
 	}
 	w.note(faults.Event{Kind: faults.KindStart, Node: n.name, Zone: n.zone, Detail: files})
+	if w.o.Light {
+		n.came, n.away = 0, 0
+		return n.join()
+	}
 	set, err := Settings(w.o.Nodes, n.i, n.zone)
 	if err != nil {
 		return err
@@ -361,11 +380,25 @@
 		n.core.Flush()
 		return nil
 	}
-	n.agent, err = agent.New(agent.Options{List: w.list, Self: n.i, Key: []byte("a key of the laboratory"), Rules: rules(), Classes: w.classes,
-		ComeAgain: time.Second, Kept: n.disk, Seed: w.o.Seed*31 + uint64(n.i)*1009 + uint64(n.born), Log: n.log, Voter: NewVoter}, n.clock())
-	if err != nil {
+	return n.join()
+}
+
+const labKey = "a key of the laboratory"
+
+// join begins the node's part in the fleet.
+func (n *node) join() (err error) {
+	w := n.w
+	o := agent.Options{List: w.list, Self: n.i, Key: []byte(labKey), Rules: rules(), Classes: w.classes,
+		ComeAgain: time.Second, Kept: n.disk, Seed: w.o.Seed*31 + uint64(n.i)*1009 + uint64(n.born), Log: n.log, Voter: NewVoter}
+	if w.o.Light {
+		o.Policy = n.policyOptions()
+	}
+	if n.agent, err = agent.New(o, n.clock()); err != nil {
 		return err
 	}
+	if w.o.Light {
+		n.admits()
+	}
 	n.tick()
 	n.settle()
 	return nil
@@ -378,7 +411,11 @@
 	n.on(n.w.now+agree.Tick, func() {
 		n.agent.Tick(n.clock())
 		if n.agent.Wants(n.clock()) {
-			n.agent.Tell(n.core.News(), n.clock())
+			if n.core == nil {
+				n.agent.Tell(n.lightNews(), n.clock())
+			} else {
+				n.agent.Tell(n.core.News(), n.clock())
+			}
 		}
 		n.tick()
 	})
@@ -413,7 +450,7 @@
 func (n *node) pump() {
 	a := n.agent
 	for range 8 {
-		if p, changed := a.Use(); changed {
+		if p, changed := a.Use(); changed && n.core != nil {
 			n.core.Plan(p)
 			n.core.Flush()
 		}
@@ -509,6 +546,15 @@
 	case "fleet_loan":
 		e.Kind, e.To = faults.KindLoan, text("zone")
 		e.Value, _ = get("load").(float64)
+	case "fleet_policy_committed", "fleet_policy_decided":
+		e.Kind, e.Number, e.Digest, e.Detail = faults.KindPolicy, num("number"), text("digest"), strings.TrimPrefix(event, "fleet_policy_")
+	case "fleet_policy_trial":
+		e.Kind, e.ID, e.Number = faults.KindTrial, text("id"), num("number")
+	case "fleet_policy_ended":
+		e.Kind, e.ID, e.Number, e.Result, e.Detail = faults.KindEnded, text("id"), num("number"), "given up", text("why")
+		if taken, _ := get("taken").(bool); taken {
+			e.Result = "taken"
+		}
 	case "fleet_leads":
 		e.Kind, e.Number = faults.KindLeads, num("term")
 	case "fleet_decided":
@@ -517,6 +563,15 @@
 		e.Kind, e.Detail = "log", event+fmt.Sprint(fields...)
 	}
 	n.w.note(e)
+	if w := n.w; w.crashy > 0 && strings.HasPrefix(event, "fleet_policy_") && w.now < w.o.Length-14*time.Second && w.rng.Float64() < w.crashy {
+		born := n.born
+		w.at(w.now, func() {
+			if n.born == born {
+				w.note(faults.Event{Kind: faults.KindFault, Detail: "killed at a step", Node: n.name})
+				w.restart(n, "kept", time.Duration(100+w.rng.IntN(4000))*time.Millisecond)
+			}
+		})
+	}
 }
 
 func (n *node) crash() {
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -19,10 +19,11 @@
 	Crossing  float64 `json:"crossing"`  // part of the requests that may cross zones beyond the least that is needed
 	TurnTime  float64 `json:"turnTime"`  // seconds in which a zone turns back at most once
 	Life      float64 `json:"life"`      // seconds that a node may cross zones without the log
+	Window    float64 `json:"window"`    // seconds after a decision in which the policy before it may be in use
 }
 
 // UsualLimits are FAULTS.md's figures, with the slack of a machine that is busy.
-var UsualLimits = Limits{Patience: 4, Slack: 0.5, Attempts: 4, RoomSlack: 0.02, Crossing: 0.02, TurnTime: 60, Life: 10}
+var UsualLimits = Limits{Patience: 4, Slack: 0.5, Attempts: 4, RoomSlack: 0.02, Crossing: 0.02, TurnTime: 60, Life: 10, Window: 5}
 
 // Violation is one rule broken.
 type Violation struct {
@@ -43,12 +44,13 @@
 // Figures are measures of a run.
 type Figures struct {
 	Requests   int     `json:"requests"`
-	Served     float64 `json:"served"`    // part of the requests that came up
-	Crossed    float64 `json:"crossed"`   // part of the served that went to another zone
-	Regions    float64 `json:"regions"`   // and to another region
-	Worst      float64 `json:"worst"`     // least part served in any 5 s
-	Reversals  int     `json:"reversals"` // zones that turned back
-	PeakOfRoom float64 `json:"peak"`      // most that a zone's hosts held, as part of what they bear
+	Served     float64 `json:"served"`       // part of the requests that came up
+	Crossed    float64 `json:"crossed"`      // part of the served that went to another zone
+	Regions    float64 `json:"regions"`      // and to another region
+	Worst      float64 `json:"worst"`        // least part served in any 5 s
+	Reversals  int     `json:"reversals"`    // zones that turned back
+	PeakOfRoom float64 `json:"peak"`         // most that a zone's hosts held, as part of what they bear
+	OldPolicy  float64 `json:"old_policy_s"` // how long after a decision the policy before it was still in use, at most
 	Spread     float64 `json:"spread_p99_s"`
 	SpreadHalf float64 `json:"spread_p50_s"` // from the first node that took a plan to the others
 }
@@ -88,6 +90,7 @@
 	loans   map[string]map[string]float64 // by node and zone
 	inUse   map[uint64]int
 
+	pol       policies
 	hurt      []Event            // faults so far
 	held      map[string]float64 // by zone
 	wellSince map[string]float64
@@ -189,6 +192,8 @@
 		}
 		c.room(e.Node, e.At)
 	case KindLeads:
+	case KindPolicy, KindTrial, KindEnded, KindAdmit, KindOp:
+		c.policy(e)
 	case KindDecided:
 		if old, ok := c.told[e.ID]; ok && old != e.Number {
 			c.broken("agreed log (3)", e.At, "proposal %s ended at %d and at %d", e.ID, old, e.Number)
@@ -426,6 +431,7 @@
 }
 
 func (c *checker) end(events []Event) {
+	c.policyEnd(events)
 	if c.calm[1] >= 100 && float64(c.calm[0]) > c.limits.Crossing*float64(c.calm[1])+3 {
 		c.broken("plans (7)", 0, "%d of %d requests crossed zones although their own was well and had room", c.calm[0], c.calm[1])
 	}
--- a/internal/lab/faults/history.go
+++ b/internal/lab/faults/history.go
@@ -46,6 +46,11 @@
 	KindTried   = "tried"   // and has answered it, or seen its end
 	KindDrain   = "drain"   // To a host, told to Node
 	KindLoan    = "loan"    // Node has been lent Value in zone To, from now on
+	KindPolicy  = "policy"  // Node has learned that policy Number with Digest is in force; Detail committed: a voter, as it was decided
+	KindTrial   = "trial"   // a part may serve by policy Number from now on
+	KindEnded   = "ended"   // the change ID with Number has ended; Result: taken or given up
+	KindAdmit   = "admit"   // Node took a request, ID where it is told, under Number; Detail: lease, ground, or none: turned away for want of a lease
+	KindOp      = "op"      // an operator's command ID (Node: whose) has ended; Detail: its verb; Result, Number; Value: when it began
 	KindHeld    = "held"    // Zone's hosts hold Value connections
 	KindLate    = "late"    // the laboratory itself was late by Value seconds
 	KindCount   = "count"   // Detail: of what; Value: how many
