Policy in the node, its command, and 17 scenarios with processes

Need: as in the design: one document with a number, in force everywhere or nowhere, also when some are down while it is changed. A planner now takes it for suspect when every zone looks lost, and what a zone's nodes reach of late for well (all-look-lost: 75% and more served 4 s after).

--- a/cmd/spurwinchctl/main.go
+++ b/cmd/spurwinchctl/main.go
@@ -52,7 +52,7 @@
 	c := &cobra.Command{Use: "spurwinchctl", Short: "Checks, captures and plans for spurwinch nodes",
 		SilenceUsage: true, SilenceErrors: true,
 		Long: "spurwinchctl is all of spurwinch that does not serve.\n\nIt ends with status 0 when done, 1 when the answer is no, 2 on bad input or a wrong call."}
-	c.AddCommand(checkCommand(), importCommand(), captureCommand(), planCommand(), fleetCommand(), labCommand())
+	c.AddCommand(checkCommand(), importCommand(), captureCommand(), planCommand(), fleetCommand(), policyCommand(), labCommand())
 	return c
 }
 
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -21,6 +21,8 @@
 	Dir       string   `toml:"dir,omitempty"`     // for what must outlive the process; voters need it
 	Cluster   string   `toml:"cluster,omitempty"` // whose zones are planned; empty: the platform's
 	ComeAgain Duration `toml:"come_again,omitzero"`
+	// PolicyLevel holds this node to policies without keys of a later level, as while a fleet goes over to a newer version; 0: all that it knows.
+	PolicyLevel int `toml:"policy_level,omitzero"`
 
 	List   *FleetList `toml:"-"` // as they were read with the file
 	Secret []byte     `toml:"-"`
@@ -28,9 +30,10 @@
 
 // FleetList is the file that is the same at all nodes: who there is, and the rules of plans.
 type FleetList struct {
-	NodeList []FleetNode `toml:"node"`
-	Plan     FleetPlan   `toml:"plan,omitempty"`
-	Far      []FleetFar  `toml:"far,omitempty"`
+	NodeList []FleetNode  `toml:"node"`
+	Plan     FleetPlan    `toml:"plan,omitempty"`
+	Far      []FleetFar   `toml:"far,omitempty"`
+	Policy   *FleetPolicy `toml:"policy,omitempty"` // nil: each node goes by its own files
 
 	List *membership.List `toml:"-"`
 	Addr []string         `toml:"-"` // by number in List
@@ -94,6 +97,9 @@
 	if t := time.Duration(l.Plan.Hold); t < time.Second || t > time.Hour {
 		f.Fault("plan.hold", "hold = %q: 1s to 1h are possible", t)
 	}
+	if l.Policy != nil {
+		l.Policy.check(f)
+	}
 	var nodes []membership.Node
 	voters := 0
 	addrs := map[string]bool{}
@@ -161,6 +167,17 @@
 	} else if l.List.Node(l.List.Index(c.Self)).Voter && c.Dir == "" {
 		f.Fault("fleet.dir", "[fleet] without dir: %q is a voter, and what it promises must outlive its process", c.Self)
 	}
+	if c.List != nil && c.List.Policy != nil {
+		if c.Dir == "" {
+			f.Fault("fleet.dir", "[fleet] without dir: the fleet has its policy on the log, and what a node knows of it must outlive its process")
+		}
+		if c.Cluster != "" {
+			f.Fault("fleet.cluster", "[fleet] cluster = %q: a fleet with its policy on the log serves the platform's front, which has no cluster", c.Cluster)
+		}
+	}
+	if c.PolicyLevel < 0 || c.PolicyLevel > policyLevel {
+		f.Fault("fleet.policy_level", "[fleet] policy_level = %d: 1 to %d are known, 0 is all of them", c.PolicyLevel, policyLevel)
+	}
 	raw, err := os.ReadFile(c.KeyFile)
 	if key := strings.TrimSpace(string(raw)); err != nil {
 		f.Fault("fleet.key_file", "[fleet] key_file: %v", err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -170,6 +170,7 @@
 	minAim   time.Duration
 	seq      uint64
 	counts   []*Counts // by class
+	lease    *Lease    // nil: nothing but the settings says what is taken
 }
 
 type host struct {
@@ -473,6 +474,12 @@
 		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(c.leaving()) })
 		return r
 	}
+	if after, ok := c.takes(r); !ok {
+		c.requests[s.ID] = r
+		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(LocalReply{Refused: true, After: after}) })
+		return r
+	}
+	s = r.Spec
 	c.requests[s.ID] = r
 	// The module owns the deadline; this guards against a request that it has lost.
 	r.stop = c.o.Clock.At(s.Deadline, r.expired)
--- a/internal/failover/agent/policy.go
+++ b/internal/failover/agent/policy.go
@@ -126,7 +126,9 @@
 		return policy.Told{}
 	}
 	s, entry := a.newestPolicy()
-	return policy.Tells(entry, s)
+	t := policy.Tells(entry, s)
+	t.Window = uint32(a.o.Policy.Rules.Window / time.Millisecond)
+	return t
 }
 
 // Stands tells under which number this node may serve, and until when by its own clock. Without a policy on the log there is no such limit.
@@ -136,7 +138,7 @@
 	if !a.leadNow {
 		return s, 0
 	}
-	return s, a.lead + a.o.Policy.Rules.Lease()
+	return s, a.lead + a.o.Policy.Rules.Lease(p.told)
 }
 
 // Refuses tells that this node can't go by the document of a number: it does not serve under it.
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -35,16 +35,17 @@
 	calmEvery   = 5 * time.Second // the same, where nothing presses
 	decidedBy   = 3 * time.Second // a proposal that is not decided by then is made anew
 	turnHold    = 60 * time.Second
-	forgetLost  = time.Minute // a node out of the view so long has no part kept for it but a lost one's
-	trial       = 0.05        // of a lost zone's room, for its own nodes: somebody must see when it is back
-	ownExtra    = 0.1         // of the room that nobody needs: the zone's own
-	standBy     = 0.85        // of the rest, that stands by for other zones; what is left is lent
-	lentOn      = 0.8         // of what guests need and have no grant for yet, that is lent on
-	failing     = 0.5         // of the attempts, or of the hosts: from here on a zone, or a way, is bad
-	leastTries  = 4           // attempts that say something of a way
-	uneven      = 2.5         // standard deviations of a node's part that it gets on top, where there is room
-	guestUneven = 1.5         // the same of a guest
-	wantMemory  = time.Minute // what was asked for before a failure is still wanted
+	forgetLost  = time.Minute      // a node out of the view so long has no part kept for it but a lost one's
+	trial       = 0.05             // of a lost zone's room, for its own nodes: somebody must see when it is back
+	ownExtra    = 0.1              // of the room that nobody needs: the zone's own
+	standBy     = 0.85             // of the rest, that stands by for other zones; what is left is lent
+	lentOn      = 0.8              // of what guests need and have no grant for yet, that is lent on
+	doubtFor    = 20 * time.Second // after every zone looked lost: nodes leave hosts out for 16 s at most
+	failing     = 0.5              // of the attempts, or of the hosts: from here on a zone, or a way, is bad
+	leastTries  = 4                // attempts that say something of a way
+	uneven      = 2.5              // standard deviations of a node's part that it gets on top, where there is room
+	guestUneven = 1.5              // the same of a guest
+	wantMemory  = time.Minute      // what was asked for before a failure is still wanted
 	peakMemory  = 2 * time.Minute
 )
 
@@ -63,6 +64,8 @@
 	proposed  time.Duration // the newest proposal's time; 0: none is out
 	lastPlan  time.Duration
 	orders    Orders
+	doubt     time.Duration
+	suspect   bool // every zone looked lost of late: that is what is seen, and not the zones
 	short     bool // the newest plan gives less than it should, because of older ones in use
 }
 
@@ -250,6 +253,7 @@
 	}
 	self, says := p.bad(p.ways[[2]string{zone, zone}], now)
 	switch {
+	case own && says && !self: // what is left out is left out for a while yet, and what is tried answers
 	case own && (out > failing || says && self && out > failing/2) && no <= yes:
 		return true, fmt.Sprintf("its own nodes leave out %.0f%% of its hosts; of other zones %d say the same and %d don't", 100*out, yes, no)
 	case !own && (yes > no || out > failing):
@@ -287,6 +291,12 @@
 	case z.state == Drained:
 		set(Returning, "the order to drain it was taken back")
 		z.ramp = 0
+	case p.suspect && bad && z.state != Lost:
+	case p.suspect && z.state == Lost:
+		if z.turned == 0 || now-z.turned >= turnHold {
+			set(Returning, "every zone looks lost, which is suspect: there is nowhere else to go")
+			z.turned, z.ramp = now, 1 // nobody has restarted them, as far as is known: nodes' modules go easy on those that are cold
+		}
 	case bad && z.state != Lost:
 		if z.turned > 0 && now-z.turned < turnHold {
 			z.turns++
@@ -338,7 +348,11 @@
 		return
 	}
 	n := float64(v.Nodes)
-	hosts := float64(v.Warm) / n * (1 - float64(v.Out/v.Ready)) * p.rules.Limit
+	out := float64(v.Out / v.Ready)
+	if p.suspect {
+		out = 0
+	}
+	hosts := float64(v.Warm) / n * (1 - out) * p.rules.Limit
 	cost := float64(v.Cost) / n
 	held, whole := 0.0, true
 	for _, o := range p.zones {
@@ -513,6 +527,15 @@
 		whys = append(whys, fmt.Sprintf("%d nodes are out of the view", len(p.cut.Lost())))
 	}
 	dt := time.Second / 4
+	all := true
+	for _, z := range p.zones {
+		bad, _ := p.judge(z, now)
+		all = all && (bad || p.state[z].state == Lost || p.state[z].state == Drained)
+	}
+	if all {
+		p.doubt = now + doubtFor
+	}
+	p.suspect = now < p.doubt
 	for _, z := range p.zones {
 		p.measure(z, now)
 		if why := p.turn(z, now); why != "" {
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"testing"
+
+	"spurwinch/internal/lab/faults"
 )
 
 // TestScenarios plays each hard case with a small fleet: no rule broken, and what it is made for has happened.
@@ -95,3 +97,22 @@
 		}
 	}
 }
+
+// TestAllLookLost holds that a fleet whose lines to all hosts were cut is back soon: when every zone looks lost, what was seen is suspect.
+func TestAllLookLost(t *testing.T) {
+	w, _, err := Play(Options{Seed: 3, Nodes: 16, Zones: 4, Regions: 2, Faults: "all-look-lost"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	up, all := 0, 0
+	for _, e := range w.events {
+		if e.Kind == faults.KindAnswer && e.At > 26 && e.At < 40 {
+			if all++; e.Result == "up" {
+				up++
+			}
+		}
+	}
+	if all < 100 || up < all*3/4 {
+		t.Errorf("from 4 s after the fault on %d of %d requests were served", up, all)
+	}
+}
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -203,6 +203,18 @@
 		n := w.nodes[len(w.nodes)-1]
 		w.faultOf(8*sec, "hears nobody", n.name, "", func() { n.hard = true })
 	}, map[string]int{"plans": 1}, nil},
+	{"all-look-lost", "no node's lines to any host come through for 10 s: every zone looks lost, and there is nowhere else to go", func(w *World) {
+		w.fault(12*sec, "lines cut", func() {
+			for _, n := range w.nodes {
+				n.badLine = true
+			}
+		})
+		w.fault(22*sec, "lines well", func() {
+			for _, n := range w.nodes {
+				n.badLine = false
+			}
+		})
+	}, map[string]int{"plans": 1}, func(o *Options) { o.Length = max(o.Length, 45*sec) }},
 	{"slow-flap", "a zone goes for 6 s every 20 s", func(w *World) {
 		for t := 10 * sec; t < w.o.Length; t += 20 * sec {
 			w.fault(t, "zone lost", func() { w.lose("z1", "refuses") })
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -48,17 +48,21 @@
 	closed   bool
 	last     time.Time
 	lost     uint64 // messages that no stream took
+	policy   policed
 }
 
 // joinFleet has a core go by the fleet's plans. The address and the files may be another process's yet: then it begins as
 // soon as that one has given them back.
 func (p *Program) joinFleet(c config.Fleet, core *edge.Core, newVoter agent.NewVoter, classes func() ([]string, []choice.Class)) {
-	f := &fleet{loop: p.loop, core: core, conf: c, newVoter: newVoter, classes: classes, begin: time.Now()}
+	f := &fleet{policy: policed{program: p}, loop: p.loop, core: core, conf: c, newVoter: newVoter, classes: classes, begin: time.Now()}
 	p.fleet = f
 	p.leaves = append(p.leaves, f.close)
 	p.closers = append(p.closers, f.close)
 	// Until there is word of a plan the node serves by its own zone alone.
 	core.Plan(failover.Use(failover.Alone, nil, 0, f.zone(), nil, 0, failover.Borrowed{}))
+	if c.List.Policy != nil { // nor does it take anybody before it knows which policy is in force
+		core.Serve(edge.Lease{ComeAgain: time.Duration(c.ComeAgain), Told: f.told()})
+	}
 	f.open()
 }
 
@@ -111,7 +115,8 @@
 	rules.Classes = f.ruled()
 	l := f.conf.List.List
 	f.agent, err = agent.New(agent.Options{List: l, Self: l.Index(f.conf.Self), Key: f.conf.Secret, Rules: rules, Classes: names,
-		ComeAgain: time.Duration(f.conf.ComeAgain), Kept: kept, Seed: uint64(time.Now().UnixNano()), Log: say, Voter: f.newVoter}, f.now())
+		ComeAgain: time.Duration(f.conf.ComeAgain), Kept: kept, Seed: uint64(time.Now().UnixNano()), Log: say, Voter: f.newVoter,
+		Policy: f.policyOptions()}, f.now())
 	if err != nil {
 		f.again("fleet_not_begun", err)
 		return
@@ -157,6 +162,7 @@
 		f.agent.Tell(f.core.News(), f.now())
 	}
 	f.pump()
+	f.tellAdmitted(now)
 	f.loop.At(now.Add(agree.Tick), f.tick)
 }
 
@@ -171,6 +177,7 @@
 
 // pump carries out what the agent has decided.
 func (f *fleet) pump() {
+	f.stand()
 	if plan, changed := f.agent.Use(); changed {
 		f.core.Plan(plan)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,8 @@
 	platform *platform // nil: there is only an operator's file
 	beside   beside
 	fleet    *fleet // nil: the node is none of a fleet
+	hosts    bool   // the platform's front knows some
+	waits    bool   // for word of the policy in force: until then the platform's front doesn't say that it takes clients
 	door     netip.AddrPort
 }
 
@@ -74,6 +76,7 @@
 	if o.Fleet != nil && newVoter == nil && o.Fleet.Votes() {
 		return nil, ErrVoter
 	}
+	p.waits = o.Fleet != nil && o.Fleet.List.Policy != nil
 	var n config.Node
 	listen := ""
 	if len(o.Listeners) > 0 {
@@ -139,6 +142,19 @@
 	return p, nil
 }
 
+// listed is called where the platform's front knows hosts.
+func (p *Program) listed() {
+	p.hosts = true
+	p.takesClients()
+}
+
+// takesClients has the platform's front say so, once it can.
+func (p *Program) takesClients() {
+	if p.hosts && !p.waits && p.platform != nil {
+		p.platform.front.Ready()
+	}
+}
+
 func (p *Program) openDoor(addr string) (err error) {
 	if _, p.door, err = admin.Listen(p.loop, addr, p.ready, p.telemetry); err == nil {
 		zap.L().Info("listening", zap.String("protocol", "operators"), zap.Stringer("address", p.door))
@@ -161,7 +177,7 @@
 			return false
 		}
 	}
-	return !p.beside.closed && (p.platform == nil || p.platform.front.Taking())
+	return !p.beside.closed && (p.fleet == nil || p.fleet.serves()) && (p.platform == nil || p.platform.front.Taking())
 }
 
 // telemetry writes the figures behind buf.
@@ -177,6 +193,11 @@
 func (p *Program) rereads(front *platform, path string) func() (func(), error) {
 	return func() (func(), error) {
 		next, err := config.Again(path, front.conf)
+		if err == nil && p.fleet != nil {
+			if why := p.fleet.disagrees(next.Settings); why != "" {
+				err = fmt.Errorf("%s: %s", path, why)
+			}
+		}
 		return func() {
 			front.reload(next)
 			p.beside.limits(next)
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,6 +11,7 @@
 	"spurwinch/internal/platform/cluster"
 	"spurwinch/internal/platform/downstream"
 	"spurwinch/internal/platform/upstream"
+	"spurwinch/internal/wire"
 )
 
 const (
@@ -25,8 +26,10 @@
 	watch  *cluster.Watch
 	others *peers
 	hosts  *upstream.Cluster
-	conf   config.Node // in force
-	parts  int         // processes of this node
+	conf   config.Node                       // in force
+	parts  int                               // processes of this node
+	over   func(wire.Settings) wire.Settings // the fleet's policy, where it has one on its log; nil: the file says all
+	used   wire.Settings                     // in use: the file's, or the policy's over it
 }
 
 // reload takes a configuration in, checked whole, or changes nothing.
@@ -43,14 +46,17 @@
 func (n *platform) adapt(parts int) {
 	n.parts = parts
 	s := n.conf.Settings
-	n.core.Adapt(platformSettings(n.conf, n.others.socket != nil && len(n.conf.Peers) > 0, parts))
+	if n.over != nil {
+		s = n.over(s).After(n.used) // classes keep their indices
+	}
+	n.used = s
+	n.core.Adapt(platformSettings(n.conf, s.Settings, n.others.socket != nil && len(n.conf.Peers) > 0, parts))
 	n.front.Adapt(s.ClassByName, s.TenantByName, s.Classes)
 	n.hosts.Adapt(s.ReportFields)
 }
 
 // platformSettings is what the module is told on sockets; speaks says that there is a way to the other nodes.
-func platformSettings(n config.Node, speaks bool, parts int) choice.Settings {
-	s := n.Settings.Settings
+func platformSettings(n config.Node, s choice.Settings, speaks bool, parts int) choice.Settings {
 	// Hosts return a line at once however full they are, and no line tells a message's time: what the simulator tells
 	// of slow messages has no like here, and the module must do without.
 	s.TellsDelay = false
@@ -66,7 +72,7 @@
 	hosts := upstream.New(l, n.Settings.ReportFields)
 	var watch *cluster.Watch
 	var others *peers
-	core, err := edge.New(edge.Options{Clock: l, Settings: platformSettings(n, len(n.Peers) > 0, 1), Seed: n.Seed, Prober: hosts,
+	core, err := edge.New(edge.Options{Clock: l, Settings: platformSettings(n, n.Settings.Settings, len(n.Peers) > 0, 1), Seed: n.Seed, Prober: hosts,
 		Follow: func() { watch.Follow() }, Observer: observer, Figures: &p.figures,
 		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
@@ -91,7 +97,7 @@
 			}
 		}
 		if k != choice.ListLost {
-			front.Ready()
+			p.listed()
 		}
 	})
 	door, err := p.beside.listen(n.Listen, front.Accept)
@@ -106,11 +112,11 @@
 		hostsKnown, _ = known.Hosts()
 	}
 	core.Start(hostsKnown)
+	p.named[""] = core
+	p.platform = &platform{core: core, front: front, watch: watch, others: others, hosts: hosts, conf: n, parts: 1, used: n.Settings}
 	if len(hostsKnown) > 0 {
-		front.Ready()
+		p.listed()
 	}
-	p.named[""] = core
-	p.platform = &platform{core: core, front: front, watch: watch, others: others, hosts: hosts, conf: n, parts: 1}
 	p.beside.limits(n)
 	return p.platform, at, nil
 }
--- /dev/null
+++ b/internal/node/policy.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurwinch/choice"
+	"spurwinch/internal/config"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/failover/agent"
+	"spurwinch/internal/policy"
+	"spurwinch/internal/wire"
+)
+
+// policed is what a node keeps of the fleet's policy.
+type policed struct {
+	program  *Program
+	set      bool // the core goes by number
+	number   uint64
+	doc      *policy.Document // nil: the node's own files
+	lapsed   bool             // and by its ground
+	admitted []string         // requests, for the log of a laboratory
+	more     int
+	told     time.Time
+}
+
+const (
+	mostAdmitted = 400 // requests in one line of the log
+	admittedTime = 100 * time.Millisecond
+)
+
+// policyOptions has the agent read documents as this node can go by them; nil: the fleet has no policy on its log.
+func (f *fleet) policyOptions() *agent.Policy {
+	if f.conf.List.Policy == nil {
+		return nil
+	}
+	return &agent.Policy{Rules: f.conf.List.Policy.Rules(), Counts: f.core.Asked, Read: func(text []byte) (*policy.Document, error) {
+		d, err := config.ReadPolicy("policy", text, f.conf.PolicyLevel)
+		if err != nil {
+			return nil, err
+		}
+		room := policy.Room{}
+		if n := f.policy.program.platform; n != nil {
+			room = policy.Room{Descriptors: n.conf.Sockets, MemoryMB: n.conf.MemoryMB}
+		}
+		if why := d.Fits(room); why != "" {
+			return nil, fmt.Errorf("policy: %s", why)
+		}
+		return d, nil
+	}}
+}
+
+// stand has the core take requests under the number that this node may serve by.
+func (f *fleet) stand() {
+	if f.agent == nil || f.conf.List.Policy == nil {
+		return
+	}
+	p := &f.policy
+	s, until := f.agent.Stands()
+	if s.Known && (!p.set || s.Number != p.number) {
+		var doc *policy.Document
+		if s.Number > 0 {
+			d, err := f.policyOptions().Read(s.Text)
+			if err != nil {
+				f.agent.Refuses(s.Number)
+				if !p.set || p.number != s.Number {
+					zap.L().Error("fleet_policy_beyond_this_node", zap.Uint64("number", s.Number), zap.Error(err), zap.String("what", "it serves nothing"))
+				}
+				s.Known = false
+			}
+			doc = d
+		}
+		if s.Known {
+			p.set, p.number, p.doc = true, s.Number, doc
+			f.overlay(false)
+			zap.L().Info("fleet_policy_in_use", zap.Uint64("number", s.Number), zap.String("digest", policy.Digest(s.Text)))
+		}
+	}
+	until = max(0, until)
+	ends := f.begin.Add(until)
+	lease := edge.Lease{Number: s.Number, Known: s.Known, Until: ends, Told: f.told(), ComeAgain: time.Duration(f.conf.ComeAgain)}
+	if d := p.doc; d != nil {
+		lease.ComeAgain = d.ComeAgain
+		lease.Lapse = func() { f.overlay(true) }
+		lease.Ground = func(class int) bool {
+			classes := f.core.Classes()
+			return class < len(classes) && slices.ContainsFunc(d.Classes, func(c policy.Class) bool { return c.Ground && c.Name == classes[class].Name })
+		}
+	}
+	live := s.Known && f.loop.Now().Before(ends)
+	if live && p.lapsed {
+		f.overlay(false)
+	}
+	f.core.Serve(lease)
+	if live && p.program.waits {
+		p.program.waits = false
+		p.program.takesClients()
+	}
+}
+
+// overlay puts the policy in use over the node's files, or its ground.
+func (f *fleet) overlay(ground bool) {
+	p := &f.policy
+	p.lapsed = ground
+	n := p.program.platform
+	if n == nil || p.doc == nil && n.over == nil {
+		return
+	}
+	if ground {
+		zap.L().Warn("fleet_policy_lease_over", zap.Uint64("number", p.number), zap.String("what", "classes with a ground are served by it, others are refused"))
+	}
+	if d := p.doc; d != nil {
+		n.over = func(s wire.Settings) wire.Settings { return under(d, s, ground) }
+	}
+	n.adapt(n.parts)
+	f.adapt()
+}
+
+// under is a node's own settings with a policy over them.
+func under(d *policy.Document, s wire.Settings, ground bool) wire.Settings {
+	old := s.Classes
+	s.Classes, s.ClassByName = nil, map[string]int{}
+	for i, k := range d.Classes {
+		c := choice.Class{Name: k.Name}
+		if j := slices.IndexFunc(old, func(o choice.Class) bool { return o.Name == k.Name }); j >= 0 {
+			c = old[j]
+		}
+		c.Former, c.SetupAim, c.Deadline, c.MessageAim, c.Worth = false, k.Aim, k.Patience, k.MessageAim, k.Worth
+		if ground && k.Ground {
+			c.Deadline = min(c.Deadline, d.Ground.Patience)
+			c.SetupAim = min(c.SetupAim, c.Deadline)
+		}
+		s.Classes, s.ClassByName[k.Name] = append(s.Classes, c), i
+	}
+	if len(d.Tenants) > 0 {
+		was := s.Tenants
+		s.Tenants, s.TenantByName = nil, map[string]int{}
+		for i, k := range d.Tenants {
+			t := choice.Tenant{Name: k.Name}
+			if j := slices.IndexFunc(was, func(o choice.Tenant) bool { return o.Name == k.Name }); j >= 0 {
+				t = was[j]
+			}
+			t.Connections, t.Rate = k.Connections, k.Rate
+			s.Tenants, s.TenantByName[k.Name] = append(s.Tenants, t), i
+		}
+	}
+	s.Limits.Attempts = min(s.Limits.Attempts, d.Attempts)
+	if ground && d.Ground.Attempts > 0 {
+		s.Limits.Attempts = min(s.Limits.Attempts, d.Ground.Attempts)
+	}
+	s.OverQuotaWorth = d.OverShareWorth
+	return s
+}
+
+// serves says whether this node takes requests by the policy in force; without one on the log each does.
+func (f *fleet) serves() bool {
+	if f.conf.List.Policy == nil {
+		return true
+	}
+	if f.agent == nil || !f.policy.set {
+		return false
+	}
+	s, until := f.agent.Stands()
+	return s.Known && s.Number == f.policy.number && f.now() < until
+}
+
+// disagrees says what a file says otherwise than the policy in use; empty: nothing.
+func (f *fleet) disagrees(s wire.Settings) string {
+	d := f.policy.doc
+	if d == nil {
+		return ""
+	}
+	what := func(key string, file, has any) string {
+		return fmt.Sprintf("%s is %v, policy %d of the fleet has %v: what is common is changed by spurwinchctl policy propose", key, file, f.policy.number, has)
+	}
+	if s.Limits.Attempts < d.Attempts {
+		return what("sendCap", s.Limits.Attempts, d.Attempts)
+	}
+	for name, i := range s.ClassByName {
+		c := s.Classes[i]
+		j := slices.IndexFunc(d.Classes, func(k policy.Class) bool { return k.Name == name })
+		switch {
+		case j < 0:
+			return what("class "+name, "there", "none")
+		case c.Deadline != d.Classes[j].Patience:
+			return what("giveUpS of "+name, c.Deadline, d.Classes[j].Patience)
+		case c.SetupAim != d.Classes[j].Aim:
+			return what("aimS of "+name, c.SetupAim, d.Classes[j].Aim)
+		case c.Worth != d.Classes[j].Worth:
+			return what("value of "+name, c.Worth, d.Classes[j].Worth)
+		}
+	}
+	return ""
+}
+
+// told keeps which request was taken under which number, where the log wants it; a laboratory reads it there.
+func (f *fleet) told() func(id choice.RequestID, number uint64, how string) {
+	if !zap.L().Core().Enabled(zap.DebugLevel) {
+		return nil
+	}
+	return func(id choice.RequestID, number uint64, how string) {
+		p := &f.policy
+		if len(p.admitted) >= mostAdmitted {
+			p.more++
+			return
+		}
+		p.admitted = append(p.admitted, fmt.Sprintf("%s=%d=%s=%d", id, number, how, f.now().Microseconds()))
+	}
+}
+
+func (f *fleet) tellAdmitted(now time.Time) {
+	p := &f.policy
+	if len(p.admitted) == 0 || now.Sub(p.told) < admittedTime {
+		return
+	}
+	p.told = now
+	zap.L().Debug("fleet_admitted", zap.String("requests", strings.Join(p.admitted, " ")), zap.Int64("now", f.now().Microseconds()), zap.Int("untold", p.more))
+	p.admitted, p.more = p.admitted[:0], 0
+}
--- a/internal/policy/serve.go
+++ b/internal/policy/serve.go
@@ -11,8 +11,11 @@
 // drift is the part by which the clocks of two machines may run apart.
 const drift = 0.01
 
-// Lease is how long a node may serve from a time on at which the one that leads was surely there.
-func (r Rules) Lease() time.Duration { return time.Duration(float64(r.Window) * (1 - 2*drift)) }
+// Lease is how long a node may serve from a time on at which the one that leads was surely there, and told this.
+func (r Rules) Lease(told Told) time.Duration {
+	w := min(r.Window, time.Duration(told.Window)*time.Millisecond)
+	return time.Duration(float64(w) * (1 - 2*drift))
+}
 
 // Told is what the one that leads told with its word: the newest entry, the number in force and the one on trial by it.
 type Told struct {
@@ -20,6 +23,8 @@
 	Entry uint64
 	Force uint64
 	Trial uint64
+	// Window is the one that the leading node goes by, in milliseconds: where lists differ, the shorter one counts.
+	Window uint32
 }
 
 // Tells is a state's form for it.
