Policy: the same id proposed again, a no that is there counts, times of changes

It holds now that no change is in force to which a member said no that no fault touched, that an id proposed again tells the same end, and tells how long a change takes from the command to the last node.

--- a/cmd/spurwinchctl/explore.go
+++ b/cmd/spurwinchctl/explore.go
@@ -165,6 +165,9 @@
 		Spread     float64    `json:"spread_p99_s"`
 		Bytes      float64    `json:"bytes_node_s"`
 		OldPolicy  float64    `json:"old_policy_s"` // the longest time that a policy was in use after the next one was decided
+		ChangeHalf float64    `json:"change_p50_s"` // in the mean over schedules
+		Change99   float64    `json:"change_p99_s"`
+		ChangeMost float64    `json:"change_longest_s"`
 		Policies   int        `json:"policies"`
 		GivenUp    int        `json:"given_up"`
 		Commands   int        `json:"commands"` // of which an order was found
@@ -181,6 +184,8 @@
 		sum.SpreadHalf += e.Figures.SpreadHalf / float64(len(all))
 		sum.Spread += e.Figures.Spread / float64(len(all))
 		sum.Worst, sum.Peak, sum.Reversals = min(sum.Worst, e.Figures.Worst), max(sum.Peak, e.Figures.PeakOfRoom), sum.Reversals+e.Figures.Reversals
+		sum.ChangeHalf, sum.Change99 = sum.ChangeHalf+e.Figures.ChangeHalf/float64(len(all)), sum.Change99+e.Figures.Change99/float64(len(all))
+		sum.ChangeMost = max(sum.ChangeMost, e.Figures.ChangeMost)
 		sum.OldPolicy, sum.Policies, sum.GivenUp = max(sum.OldPolicy, e.Figures.OldPolicy), sum.Policies+e.Seen["policies"], sum.GivenUp+e.Seen["change given up"]
 		sum.Commands += e.Seen["commands in order"]
 		if len(e.Violations) > 0 && len(sum.Broken) < 20 {
@@ -198,6 +203,7 @@
 		if sum.Policies > 0 {
 			fmt.Fprintf(out, "%d schedules: %d policies decided, %d changes given up, %d commands in an order that fits; the old one in use for %.2f s at most\n",
 				sum.Schedules, sum.Policies, sum.GivenUp, sum.Commands, sum.OldPolicy)
+			fmt.Fprintf(out, "from a command to a policy in force at the last node: p50 %.2f s, p99 %.2f s (means), longest %.2f s\n", sum.ChangeHalf, sum.Change99, sum.ChangeMost)
 		}
 		fmt.Fprintf(out, "%d schedules: %.2f%% served, %.2f%% crossed zones, %.2f%% regions; fullest zone %.0f%%, %d reversals\n", sum.Schedules,
 			100*sum.Served, 100*sum.Crossed, 100*sum.Regions, 100*sum.Peak, sum.Reversals)
--- a/cmd/spurwinchctl/lab.go
+++ b/cmd/spurwinchctl/lab.go
@@ -151,6 +151,10 @@
 			100*f.Served, 100*f.Worst, 100*f.Crossed, 100*f.Regions)
 		fmt.Fprintf(out, "plans %d, from the first node to the others p50 %.3f s, p99 %.3f s; fullest zone %.0f%%; zones turned back %d times\n", v.Seen["plans"], f.SpreadHalf,
 			f.Spread, 100*f.PeakOfRoom, f.Reversals)
+		if v.Seen["policies"] > 0 {
+			fmt.Fprintf(out, "policies %d, given up %d, from a command to the last node p50 %.2f s, p99 %.2f s, longest %.2f s; the old one in use for %.2f s at most\n",
+				v.Seen["policies"], v.Seen["change given up"], f.ChangeHalf, f.Change99, f.ChangeMost, f.OldPolicy)
+		}
 		for _, x := range v.Violations {
 			fmt.Fprintf(out, "broken at %.2f s: %s: %s\n", x.At, x.Rule, x.What)
 		}
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -548,6 +548,11 @@
 		e.Value, _ = get("load").(float64)
 	case "fleet_policy_committed", "fleet_policy_decided":
 		e.Kind, e.Number, e.Digest, e.Detail = faults.KindPolicy, num("number"), text("digest"), strings.TrimPrefix(event, "fleet_policy_")
+	case "fleet_policy_change":
+		e.Kind, e.ID, e.Number, e.Result = faults.KindVerdict, text("id"), num("number"), "yes"
+		if strings.HasPrefix(text("verdict"), "no") {
+			e.Result = "no"
+		}
 	case "fleet_policy_trial":
 		e.Kind, e.ID, e.Number = faults.KindTrial, text("id"), num("number")
 	case "fleet_policy_ended":
--- a/internal/lab/faults/checkpolicy.go
+++ b/internal/lab/faults/checkpolicy.go
@@ -21,14 +21,17 @@
 	ops     []Event
 	old     []float64 // how long after a decision the policy before it was still in use
 	admits  map[string]int
-	none    map[string]bool // requests that were turned away for want of a lease
+	no      map[uint64][]string  // by number: who said no
+	learned map[uint64][]float64 // by number: when nodes had it on their disks
+	none    map[string]bool      // requests that were turned away for want of a lease
 }
 
 func (p *policies) begin() {
 	if p.digest == nil {
 		p.digest, p.decided, p.trial = map[uint64]string{}, map[uint64]float64{}, map[uint64]float64{}
 		p.ended, p.gone, p.last, p.admits = map[string]Event{}, map[uint64]float64{}, map[string]Event{}, map[string]int{}
-		p.none = map[string]bool{}
+		p.no = map[uint64][]string{}
+		p.none, p.learned = map[string]bool{}, map[uint64][]float64{}
 	}
 }
 
@@ -52,9 +55,22 @@
 			c.broken("policy (10)", e.At, "%s has number %d with digest %s, others have %s", e.Node, e.Number, e.Digest, old)
 		}
 		p.digest[e.Number] = e.Digest
+		if e.Detail == "decided" {
+			p.learned[e.Number] = append(p.learned[e.Number], e.At)
+		}
 		if _, ok := p.decided[e.Number]; !ok {
 			p.decided[e.Number] = e.At
 			c.v.Seen["policies"]++
+			for _, name := range p.no[e.Number] {
+				if i := c.list.Index(name); i >= 0 && !c.touched(c.list.Node(i)) {
+					c.broken("policy (10)", e.At, "number %d is in force, and %s, which is there, had said no", e.Number, name)
+				}
+			}
+		}
+	case KindVerdict:
+		if e.Result == "no" {
+			p.no[e.Number] = append(p.no[e.Number], e.Node)
+			c.v.Seen["verdict no"]++
 		}
 	case KindTrial:
 		if _, ok := p.trial[e.Number]; !ok {
@@ -101,6 +117,13 @@
 			}
 		}
 	case KindOp:
+		if e.Detail == "again" {
+			c.v.Seen["proposed again"]++
+			if old, ok := p.ended[e.ID]; (e.Result == "taken" || e.Result == "given up") && (!ok || old.Result != e.Result || old.Number != e.Number) {
+				c.broken("policy (10)", e.At, "change %s was proposed again and ended %s as number %d, before it %s as %d", e.ID, e.Result, e.Number, old.Result, old.Number)
+			}
+			return
+		}
 		p.ops = append(p.ops, e)
 		c.v.Seen["op "+e.Result]++
 	}
@@ -126,6 +149,26 @@
 	if n := len(p.old); n > 0 {
 		c.v.Figures.OldPolicy = slices.Max(p.old)
 	}
+	// From a command to the last node that learned of the decision; those that were cut off learn it later than a window.
+	var took []float64
+	for _, e := range p.ops {
+		if e.Detail != "propose" || e.Result != "taken" {
+			continue
+		}
+		last := 0.0
+		for _, at := range p.learned[e.Number] {
+			if at < p.decided[e.Number]+c.limits.Window {
+				last = max(last, at)
+			}
+		}
+		if last > e.Value {
+			took = append(took, last-e.Value)
+		}
+	}
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		c.v.Figures.ChangeHalf, c.v.Figures.Change99, c.v.Figures.ChangeMost = took[n/2], took[min(n-1, n*99/100)], took[n-1]
+	}
 	for _, d := range []string{"lease", "ground", "none"} {
 		c.v.Seen["admitted: "+d] = p.admits[d]
 	}
--- a/internal/lab/faults/history.go
+++ b/internal/lab/faults/history.go
@@ -47,6 +47,7 @@
 	KindDrain   = "drain"   // To a host, told to Node
 	KindLoan    = "loan"    // Node has been lent Value in zone To, from now on
 	KindPolicy  = "policy"  // Node has learned that policy Number with Digest is in force; Detail committed: a voter, as it was decided
+	KindVerdict = "verdict" // Node has checked the change ID with Number; Result: yes or no
 	KindTrial   = "trial"   // a part may serve by policy Number from now on
 	KindEnded   = "ended"   // the change ID with Number has ended; Result: taken or given up
 	KindAdmit   = "admit"   // Node took a request, ID where it is told, under Number; Detail: lease, ground, or none: turned away for want of a lease
--- a/internal/lab/faults/lab.go
+++ b/internal/lab/faults/lab.go
@@ -470,6 +470,11 @@
 		e.Value, _ = strconv.ParseFloat(strings.TrimSpace(string(raw["load"])), 64)
 	case "fleet_policy_committed", "fleet_policy_decided":
 		e.Kind, e.Number, e.Digest, e.Detail = KindPolicy, num("number"), text("digest"), strings.TrimPrefix(l.Event, "fleet_policy_")
+	case "fleet_policy_change":
+		e.Kind, e.ID, e.Number, e.Result = KindVerdict, text("id"), num("number"), "yes"
+		if strings.HasPrefix(text("verdict"), "no") {
+			e.Result = "no"
+		}
 	case "fleet_policy_trial":
 		e.Kind, e.ID, e.Number = KindTrial, text("id"), num("number")
 	case "fleet_policy_ended":
