--- a/internal/lab/explore/policy.go
+++ b/internal/lab/explore/policy.go
@@ -122,7 +122,11 @@
 		})
 	default:
 		text := fmt.Sprintf("of=%s", id)
-		switch w.rng.IntN(8) {
+		often := 8
+		if w.olds {
+			often = 3
+		}
+		switch w.rng.IntN(often) {
 		case 0:
 			text += " newer=1"
 		case 1:
@@ -344,6 +348,7 @@
 		}
 	}, map[string]int{"policies": 1}, nil},
 	{"policy-older", "one in five is of an older version that doesn't know a key", func(w *World) {
+		w.olds = true
 		for i, n := range w.nodes {
 			n.old = i%5 == 4
 		}
