--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -168,7 +168,7 @@
 	return s.Known && s.Number == f.policy.number && f.now() < until
 }
 
-// disagrees says what a file says otherwise than the policy in use; empty: nothing.
+// disagrees says what a file says otherwise than the policy in use; empty: nothing. Attempts are a node's own limit as well: the lower one counts.
 func (f *fleet) disagrees(s wire.Settings) string {
 	d := f.policy.doc
 	if d == nil {
@@ -177,9 +177,6 @@
 	what := func(key string, file, has any) string {
 		return fmt.Sprintf("%s is %v, policy %d of the fleet has %v: what is common is changed by spurwinchctl policy propose", key, file, f.policy.number, has)
 	}
-	if s.Limits.Attempts < d.Attempts {
-		return what("sendCap", s.Limits.Attempts, d.Attempts)
-	}
 	for name, i := range s.ClassByName {
 		c := s.Classes[i]
 		j := slices.IndexFunc(d.Classes, func(k policy.Class) bool { return k.Name == name })
--- /dev/null
+++ b/internal/node/policy_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/policy"
+	"spurwinch/internal/wire"
+)
+
+// TestUnder holds what a node goes by under a policy, and under its ground: classes keep their indices, and what the policy doesn't speak of is the
+// node's own.
+func TestUnder(t *testing.T) {
+	own := wire.Settings{ClassByName: map[string]int{"a": 0, "b": 1}, TenantByName: map[string]int{}}
+	own.Classes = []choice.Class{{Name: "a", Deadline: 9 * time.Second, Repeat: choice.Unsafe}, {Name: "b", Deadline: 9 * time.Second}}
+	own.Limits.Attempts = 3
+	d := &policy.Document{Attempts: 4, Classes: []policy.Class{{Name: "b", Aim: time.Second, Patience: 3 * time.Second, Worth: 2, Ground: true},
+		{Name: "new", Aim: time.Second, Patience: 2 * time.Second}}, Ground: policy.Ground{Attempts: 1, Patience: 2 * time.Second}, OverShareWorth: 0.3}
+	for _, c := range []struct {
+		ground   bool
+		attempts int
+		patience time.Duration
+	}{{false, 3, 3 * time.Second}, {true, 1, 2 * time.Second}} {
+		s := under(d, own, c.ground).After(own)
+		if s.ClassByName["b"] != 1 || s.ClassByName["new"] != 2 || !s.Classes[0].Former || s.Classes[0].Repeat != choice.Unsafe {
+			t.Errorf("ground %v: classes %+v, by name %v", c.ground, s.Classes, s.ClassByName)
+		}
+		if _, there := s.ClassByName["a"]; there {
+			t.Errorf("ground %v: a class that the policy doesn't have can be asked for", c.ground)
+		}
+		if b := s.Classes[1]; b.Deadline != c.patience || b.Worth != 2 || s.Limits.Attempts != c.attempts || s.OverQuotaWorth != 0.3 {
+			t.Errorf("ground %v: %+v, %d attempts", c.ground, b, s.Limits.Attempts)
+		}
+	}
+	f := &fleet{policy: policed{number: 7, doc: d}}
+	if why := f.disagrees(own); !strings.Contains(why, "policy 7 of the fleet") {
+		t.Errorf("a file with a class that the policy doesn't have: %q", why)
+	}
+	own.ClassByName = map[string]int{"b": 1}
+	if why := f.disagrees(own); !strings.HasPrefix(why, "giveUpS of b is 9s, policy 7 of the fleet has 3s") {
+		t.Errorf("a file with another patience: %q", why)
+	}
+	own.Classes[1].Deadline, own.Classes[1].SetupAim, own.Classes[1].Worth, own.Limits.Attempts = 3*time.Second, time.Second, 2, 4
+	if why := f.disagrees(own); why != "" {
+		t.Errorf("a file that agrees: %q", why)
+	}
+}
