Upgrades in a fleet: a process beside the running one does not wait for a lease

Cause: read again, a process that takes over said that it is ready only with a lease, which it can have only once the one before it has left the fleet's address, which leaves when the new one is ready: neither would have moved. Test with one voter, and without the change it is not ready in time. Measured: a client is served 1.2 s after the first was told to leave, about 1 s of which that one took to end.

--- a/cmd/spurwinch/upgrade_test.go
+++ b/cmd/spurwinch/upgrade_test.go
@@ -284,3 +284,50 @@
 		now.signal(syscall.SIGKILL)
 	}
 }
+
+// TestUpgradeInAFleet has a node whose fleet has its policy on the log replaced by a process beside it, which can join the fleet only when the first
+// one leaves: it says that it is ready all the same, and takes clients by a lease of its own soon after.
+func TestUpgradeInAFleet(t *testing.T) {
+	s := newSite(t)
+	s.bin = programs(t)
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		writeFile(t, path, text)
+		return path
+	}
+	at := exchange.FreeAddr(t)
+	nodes := write("nodes.toml", fmt.Sprintf("[policy]\n[[node]]\nname = \"a\"\naddr = %q\nzone = \"a\"\nvoter = true\n", at))
+	op := write("op.toml", fmt.Sprintf("[fleet]\nself = \"a\"\nlisten = %q\nnodes = %q\nkey_file = %q\ndir = %q\n", at, nodes, write("key", strings.Repeat("k", 32)),
+		filepath.Join(dir, "files")))
+	start := func() *program {
+		p := launch(t, s.bin, []string{"GW_CONFIG=" + s.config, "GW_MGMT=127.0.0.1:0", "TMPDIR=" + s.tmp}, "-operator", op)
+		exchange.Until(t, "the process is ready", func() bool { return p.status() == http.StatusOK })
+		return p
+	}
+	n := 0
+	up := func() bool {
+		c, err := net.Dial("tcp", s.listen)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(2 * time.Second))
+		n++
+		fmt.Fprintf(c, "OPEN up%d 1 c=chat,d=1000\r\n", n)
+		b := make([]byte, 64)
+		k, _ := c.Read(b)
+		return strings.HasPrefix(string(b[:k]), "UP")
+	}
+	first := start()
+	exchange.Until(t, "a client is served by the first process", up)
+	second := start()
+	first.signal(syscall.SIGTERM)
+	began := time.Now()
+	<-first.done
+	exchange.Until(t, "a client is served by the second process", up)
+	t.Logf("served again %v after the first was told to leave", time.Since(began).Round(10*time.Millisecond))
+	if second.status() != http.StatusOK {
+		t.Error("the second process is not ready")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	beside   beside
 	fleet    *fleet // nil: the node is none of a fleet
 	hosts    bool   // the platform's front knows some
+	second   bool   // started beside a running process
 	waits    bool   // for word of the policy in force: until then the platform's front doesn't say that it takes clients
 	door     netip.AddrPort
 }
@@ -97,6 +98,11 @@
 	}
 	place := handover.Path(getenv("TMPDIR"), listen)
 	p.beside.ask(place)
+	if p.beside.lent != nil {
+		// The running process has the node's part in the fleet until it leaves, which it does once this one says that it is ready: to wait for a
+		// lease here would be to wait for ever.
+		p.waits, p.second = false, true
+	}
 	if onPlatform {
 		observer, err := p.record(o.Capture, n.Name, n.Settings.Settings, n.Settings.ReportFields)
 		if err != nil {
@@ -177,7 +183,7 @@
 			return false
 		}
 	}
-	return !p.beside.closed && (p.fleet == nil || p.fleet.serves()) && (p.platform == nil || p.platform.front.Taking())
+	return !p.beside.closed && (p.fleet == nil || p.second || p.fleet.serves()) && (p.platform == nil || p.platform.front.Taking())
 }
 
 // telemetry writes the figures behind buf.
