--- a/internal/failover/agent/policy.go
+++ b/internal/failover/agent/policy.go
@@ -300,7 +300,11 @@
 	if c := s.Change; c != nil {
 		r.Change = &ChangeReply{ID: c.ID, Number: c.Number, Base: c.Base, Step: c.Step.String(), Digest: policy.Digest(c.Text), Part: c.Part, Text: c.Text}
 	}
-	for _, m := range a.members() {
+	var members []policy.Member
+	if a.planner != nil {
+		members = a.members()
+	}
+	for _, m := range members {
 		x := PolicyMember{Name: m.Name, Live: m.Live, Heard: m.Heard, Has: m.Word.Has, Serves: m.Word.Serves, May: m.Word.May}
 		if s.Change != nil && m.Word.Entry == entry {
 			x.Answer = [...]string{"", "yes", "no: " + m.Word.Why}[min(m.Word.Verdict, 2)]
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -142,8 +142,9 @@
 	served   map[string][2]int // by class: served, all
 	ops      []*operator
 	opPause  time.Duration
-	olds     bool    // some nodes are of an older version
-	crashy   float64 // part of the steps of policies at which the node is killed
+	patience time.Duration // of an operator's call, where it is longer than usual
+	olds     bool          // some nodes are of an older version
+	crashy   float64       // part of the steps of policies at which the node is killed
 }
 
 type host struct {
