Failover: a node whose own part is full borrows in its own zone before it crosses

Ruled out: a zone with a third of its nodes down, which the checker leaves out, and a bad link (none). Change: Asks turns to the own zone's lender first; a case in TestAsks that fails without it.

--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -292,10 +292,15 @@
 	}{
 		{"room of its own", news(0, 5, 1, 0), nil, nil},
 		{"nearly full", news(0, 17, 2, 0), nil, []string{"a"}},
+		{"its own part is full, with room elsewhere", news(0, 18, 2, 0), nil, []string{"a"}},
 		{"its own lender has no more", news(0, 18, 4, 2), map[string]bool{"a": true}, []string{"a", "b"}},
 		{"its own zone fails", news(4, 0, 5, 5), nil, []string{"b"}},
 		{"and the region has no more", news(4, 0, 5, 5), map[string]bool{"b": true}, []string{"b", "c"}},
 	} {
+		p.Grants = p.Grants[:1]
+		if c.name == "its own part is full, with room elsewhere" {
+			p.Grants = append(p.Grants, Grant{From: 0, To: 1, Load: 40})
+		}
 		got := Asks(Planned, p, 0, "a", c.n, 100*time.Millisecond, 12, map[string]float64{}, c.full)
 		if names := slices.Sorted(maps.Keys(got)); !slices.Equal(names, c.want) {
 			t.Errorf("%s: %v is asked for, wanted from %v", c.name, got, c.want)
--- a/internal/failover/loan.go
+++ b/internal/failover/loan.go
@@ -102,11 +102,29 @@
 		arrived, refused = arrived+c.Arrived, refused+c.Refused
 	}
 	// What it may have without loans, in zones whose hosts answer.
-	may := 0.0
+	may, near, here := 0.0, 0.0, 0.0
 	for _, g := range Use(m, p, node, zone, p.Classes, 0, Borrowed{}).Grants {
 		if !bad[g.Zone] {
 			may += g.Load
 		}
+		if g.Zone == zone {
+			near += g.Load
+		}
+	}
+	for _, z := range n.Zones {
+		if z.Zone == zone {
+			for _, v := range z.Held {
+				here += v
+			}
+		}
+	}
+	// Its own zone's room before any other's: one that has held what others of its zone should, while they were away, finds its part full
+	// although the zone has room.
+	if z := p.Zones[own]; !bad[zone] && z.Lender >= 0 && z.Reserve > 0 && here > nearly*near {
+		if ask := min(here+math.Sqrt(here)-near, float64(z.Reserve)); ask >= leastAsk {
+			out[zone] = ask
+			may += ask
+		}
 	}
 	soon := 0.0
 	if refused > 0 || held > nearly*may { // what comes within a second, and some for chance: what is asked for at need comes too late for it
@@ -133,7 +151,7 @@
 				continue
 			}
 			ask := want * float64(z.Reserve) / sum
-			out[z.Name] = ask
+			out[z.Name] += ask
 			if full[z.Name] {
 				left -= min(ask, got[z.Name])
 			} else {
