Policy: read again: a document beyond a node is read once, check knows policies

A node that can't go by the policy in force parsed it, and logged an error, with each message that came (10 of 10 calls; once now, by a test). spurwinchctl check took a policy for a fleet file. A part of a zone that there isn't was checked by all and given up on trial; it is refused at once now.

--- a/cmd/spurwinchctl/check.go
+++ b/cmd/spurwinchctl/check.go
@@ -17,7 +17,7 @@
 )
 
 func checkCommand() *cobra.Command {
-	return &cobra.Command{Use: "check FILE...", Short: "Check operator's files, lists of nodes, fleet files, scenarios and captures",
+	return &cobra.Command{Use: "check FILE...", Short: "Check operator's files, lists of nodes, policies, fleet files, scenarios and captures",
 		Long: "Tells each fault as FILE:LINE: what is wrong, and what would be right; in a capture FILE: byte N: what.\nWhat a file is, is seen from what it holds.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -45,9 +45,10 @@
 var fleetTables = regexp.MustCompile(`(?m)^\s*\[\[?\s*(kind|servers|centre|edition|fleet|store|clients|node)\b`)
 
 var (
-	faultTables  = regexp.MustCompile(`(?m)^\s*\[\[\s*(fault|want)\s*\]\]`)                 // only a scenario of the laboratory has
-	operatorKeys = regexp.MustCompile(`(?m)^\s*(key_file\s*=|\[\[\s*(listener|cluster)\b)`) // only an operator's file
-	nodeAddr     = regexp.MustCompile(`(?m)^\s*\[\[\s*node\s*\]\][^[]*^\s*addr\s*=`)        // only a list of nodes: planners' fleets have no addresses
+	faultTables  = regexp.MustCompile(`(?m)^\s*\[\[\s*(fault|want)\s*\]\]`)                         // only a scenario of the laboratory has
+	policyKeys   = regexp.MustCompile(`(?m)^\s*(patience|come_again|without|over_share_worth)\s*=`) // with classes and without clusters: a fleet's policy
+	operatorKeys = regexp.MustCompile(`(?m)^\s*(key_file\s*=|\[\[\s*(listener|cluster)\b)`)         // only an operator's file
+	nodeAddr     = regexp.MustCompile(`(?m)^\s*\[\[\s*node\s*\]\][^[]*^\s*addr\s*=`)                // only a list of nodes: planners' fleets have no addresses
 )
 
 func check(path string) (kind string, faults []string, err error) {
@@ -71,6 +72,9 @@
 	case !operatorKeys.Match(raw) && nodeAddr.Match(raw):
 		kind = "list of a fleet's nodes"
 		_, err = config.ReadFleetList(path)
+	case !operatorKeys.Match(raw) && !fleetTables.Match(raw) && policyKeys.Match(raw):
+		kind = "policy"
+		_, err = config.ReadPolicy(path, raw, 0)
 	case !operatorKeys.Match(raw) && fleetTables.Match(raw):
 		kind = "fleet file"
 		_, err = fleet.Read(path)
--- a/internal/failover/agent/policy.go
+++ b/internal/failover/agent/policy.go
@@ -359,6 +359,10 @@
 	id := c.ID
 	switch c.Verb {
 	case "policy-propose":
+		if z := c.Part.Zone; z != "" && !slices.Contains(a.o.List.Zones(), z) {
+			r.Error = fmt.Sprintf("a part of zone %q: one of %v is wanted", z, a.o.List.Zones())
+			return
+		}
 		doc, err := a.o.Policy.Read(c.Data)
 		if err != nil {
 			r.Error = a.o.List.Node(a.o.Self).Name + ": " + err.Error()
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -23,6 +23,7 @@
 	number   uint64
 	doc      *policy.Document // nil: the node's own files
 	lapsed   bool             // and by its ground
+	beyond   uint64           // number that this node can't go by: it is read, and told of, once; 0: none
 	admitted []string         // requests, for the log of a laboratory
 	more     int
 	told     time.Time
@@ -61,16 +62,18 @@
 	}
 	p := &f.policy
 	s, until := f.agent.Stands()
+	if s.Known && s.Number > 0 && s.Number == p.beyond {
+		s.Known = false
+	}
 	if s.Known && (!p.set || s.Number != p.number) {
 		var doc *policy.Document
 		if s.Number > 0 {
 			d, err := f.policyOptions().Read(s.Text)
 			if err != nil {
+				p.beyond, s.Known = s.Number, false
 				f.agent.Refuses(s.Number)
-				if !p.set || p.number != s.Number {
-					zap.L().Error("fleet_policy_beyond_this_node", zap.Uint64("number", s.Number), zap.Error(err), zap.String("what", "it serves nothing"))
-				}
-				s.Known = false
+				zap.L().Error("fleet_policy_beyond_this_node", zap.Uint64("number", s.Number), zap.Error(err),
+					zap.String("what", "it takes nothing but classes with a ground, by the last policy that it could read"))
 			}
 			doc = d
 		}
--- a/internal/node/policy_test.go
+++ b/internal/node/policy_test.go
@@ -5,7 +5,16 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"spurwinch/choice"
+	"spurwinch/internal/agree"
+	"spurwinch/internal/config"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/failover/agent"
+	"spurwinch/internal/loop"
+	"spurwinch/internal/membership"
 	"spurwinch/internal/policy"
 	"spurwinch/internal/wire"
 )
@@ -47,3 +56,37 @@
 		t.Errorf("a file that agrees: %q", why)
 	}
 }
+
+// TestBeyond holds that a node that can't go by the policy in force reads it, and tells of it, once: not with each message that comes.
+func TestBeyond(t *testing.T) {
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	list, err := membership.NewList([]membership.Node{{Name: "a", Zone: "z"}, {Name: "v", Zone: "z", Voter: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, err := edge.New(edge.Options{Clock: l, Settings: choice.Settings{Nodes: 1, Classes: []choice.Class{{Name: "a", Deadline: time.Second}}}, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen, told := observer.New(zap.ErrorLevel)
+	defer zap.ReplaceGlobals(zap.New(seen))()
+	f := &fleet{loop: l, core: core, begin: time.Now(), policy: policed{program: &Program{}},
+		conf: config.Fleet{Self: "a", List: &config.FleetList{List: list, Policy: &config.FleetPolicy{Window: config.Duration(5 * time.Second)}}}}
+	state := &policy.State{Number: 1, Last: 1, Docs: []policy.Numbered{{Number: 1, Text: []byte("newer = 1\n")}}}
+	if f.agent, err = agent.New(agent.Options{List: list, Key: []byte("k"), Policy: f.policyOptions(),
+		Kept: []agree.Record{{Log: 7, Newest: []agree.Entry{{Number: 3, Kind: policy.Kind, Data: state.Encode()}}}}}, 0); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		f.stand()
+	}
+	if n := told.FilterMessage("fleet_policy_beyond_this_node").Len(); n != 1 {
+		t.Errorf("told %d times, wanted once", n)
+	}
+	if f.serves() {
+		t.Error("it says that it serves")
+	}
+}
