Discovery: silent watches opened anew at once; pushed lists are followed

Cause: see the design. cluster.go told the module of a silent watch as of a failed call, and the module pauses before it asks again (choice.ask, 0.25 to 0.75 s); with a grace of 0.5 s the first late request was 0.55 to 0.73 s late. With pushed lists nothing started the watch: only choice/step.go:17 does, where lists are asked for. The known list was never renewed. Ruled out: a failed call at discovery, and sends after news had come (the nodes' logs have neither).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,22 +31,23 @@
 
 // Program is a node on its loop. Its methods belong to the loop's goroutine, or to the time before the loop runs.
 type Program struct {
-	loop     *loop.Loop
-	cores    []*edge.Core
-	named    map[string]*edge.Core             // by cluster; the platform's has no name
-	reloads  []func() (take func(), err error) // reads the files again; take has what they say take effect
-	leaves   []func()                          // when the planned stop begins
-	closers  []func()
-	exit     time.Duration
-	figures  stats.Figures
-	xmpp     *xmpp.Front
-	platform *platform // nil: there is only an operator's file
-	beside   beside
-	fleet    *fleet // nil: the node is none of a fleet
-	hosts    bool   // the platform's front knows some
-	second   bool   // started beside a running process
-	waits    bool   // for word of the policy in force: until then the platform's front doesn't say that it takes clients
-	door     netip.AddrPort
+	loop      *loop.Loop
+	cores     []*edge.Core
+	named     map[string]*edge.Core             // by cluster; the platform's has no name
+	reloads   []func() (take func(), err error) // reads the files again; take has what they say take effect
+	leaves    []func()                          // when the planned stop begins
+	closers   []func()
+	exit      time.Duration
+	figures   stats.Figures
+	xmpp      *xmpp.Front
+	platform  *platform // nil: there is only an operator's file
+	beside    beside
+	fleet     *fleet        // nil: the node is none of a fleet
+	hosts     bool          // the platform's front knows some
+	firstList time.Duration // waited for an agent's first list
+	second    bool          // started beside a running process
+	waits     bool          // for word of the policy in force: until then the platform's front doesn't say that it takes clients
+	door      netip.AddrPort
 }
 
 // ErrVoter says that the node is to vote in its fleet and this program can't.
@@ -54,7 +55,7 @@
 
 // newProgram is a node without fronts.
 func newProgram(l *loop.Loop) *Program {
-	p := &Program{loop: l, exit: operatorExit, named: map[string]*edge.Core{}}
+	p := &Program{loop: l, exit: operatorExit, firstList: firstList, named: map[string]*edge.Core{}}
 	p.beside = beside{program: p, listeners: map[string]*loop.Listener{}}
 	return p
 }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -59,7 +59,7 @@
 			return nil, nil, fmt.Errorf("%s: cluster %q: %w", path, c.Name, err)
 		}
 		if c.Discovery != "" {
-			watch = cluster.New(l, c.Discovery, nil, core.List)
+			watch = cluster.New(l, c.Discovery, nil, way(settings), seed+uint64(i), core.List)
 			op.watch[c.Name] = watch
 		}
 		op.cores[c.Name], p.named[c.Name] = core, core
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,6 +18,7 @@
 const (
 	spareSockets   = 48 // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
 	defaultSockets = 1024
+	firstList      = 2 * time.Second // for the first list of an agent: what it has counts as told to a process from its start
 )
 
 // platform is the platform's front with its core.
@@ -53,6 +55,11 @@
 	n.core.Adapt(platformSettings(n.conf, s.Settings, n.others.socket != nil && len(n.conf.Peers) > 0, parts))
 	n.front.Adapt(s.ClassByName, s.TenantByName, s.Classes)
 	n.hosts.Adapt(s.ReportFields)
+	n.watch.Adapt(way(s.Settings))
+}
+
+func way(s choice.Settings) cluster.Way {
+	return cluster.Way{Pushed: !s.Subscribe, Grace: s.Rules.DrainGrace}
 }
 
 // platformSettings is what the module is told on sockets; speaks says that there is a way to the other nodes.
@@ -89,7 +96,7 @@
 		OnReady: func() { l.At(l.Now(), p.takes) }})
 	front.Adapt(n.Settings.ClassByName, n.Settings.TenantByName, n.Settings.Classes)
 	known := p.beside.known(n.Known, n.Discovery)
-	watch = cluster.New(l, n.Discovery, known, func(k choice.ListKind, news []edge.UpstreamHost) {
+	watch = cluster.New(l, n.Discovery, known, way(n.Settings.Settings), n.Seed, func(k choice.ListKind, news []edge.UpstreamHost) {
 		core.List(k, news)
 		for _, h := range news {
 			if h.State == choice.Gone {
@@ -114,8 +121,15 @@
 	core.Start(hostsKnown)
 	p.named[""] = core
 	p.platform = &platform{core: core, front: front, watch: watch, others: others, hosts: hosts, conf: n, parts: 1, used: n.Settings}
-	if len(hostsKnown) > 0 {
+	if !n.Settings.Subscribe {
+		watch.Follow()
+	}
+	switch {
+	case len(hostsKnown) == 0:
+	case n.Settings.Subscribe:
 		p.listed()
+	default:
+		l.At(l.Now().Add(p.firstList), p.listed)
 	}
 	p.beside.limits(n)
 	return p.platform, at, nil
--- a/internal/platform/cluster/cluster.go
+++ b/internal/platform/cluster/cluster.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"time"
 
 	"spurwinch/choice"
@@ -17,12 +18,26 @@
 )
 
 const (
-	wait        = 10 * time.Second // a watch waits so long for news
-	answerTime  = 1500 * time.Millisecond
 	connectTime = 500 * time.Millisecond
 	listTime    = 4 * time.Second // for an answer that does not wait
 )
 
+// pace is how long calls wait, and for what.
+type pace struct {
+	wait   time.Duration // a watch waits so long for news at the most,
+	spread time.Duration // less by up to this, so that watches that began together don't end together
+	answer time.Duration // for its answer after that, at the most;
+	spare  time.Duration // beyond the grace: what is told by the next call still comes in time
+
+	// Of an agent that lists are pushed to: what it has counts as told, so what it doesn't answer is asked for at once.
+	agentWait   time.Duration
+	agentRetry  time.Duration // the wait after a call without an answer, and the pause after one that failed
+	agentAnswer time.Duration
+}
+
+var usual = pace{wait: 10 * time.Second, spread: 2 * time.Second, answer: 1500 * time.Millisecond, spare: 500 * time.Millisecond,
+	agentWait: time.Second, agentRetry: 100 * time.Millisecond, agentAnswer: 150 * time.Millisecond}
+
 // List is a list of hosts in discovery's form.
 type List struct {
 	Version int64   `json:"version"`
@@ -88,6 +103,9 @@
 	loop    *loop.Loop
 	addr    string
 	news    func(choice.ListKind, []edge.UpstreamHost)
+	rng     *rand.Rand
+	way     Way
+	pace    pace
 	version int64
 	have    bool // version is one of discovery's
 	hosts   bool // some host was ever told
@@ -96,13 +114,21 @@
 	calling bool
 	call    string // written once the connection is up
 	reused  bool   // the call went out on a connection that had served one before
+	waits   bool   // the call may wait for news
+	lost    bool   // the last call failed or had no answer
 	in      response
-	stop    func()
+	stop    func() // of the call in hand, or of the pause before the next one to an agent
 }
 
-// New makes a Watch that starts from the known list and tells news.
-func New(l *loop.Loop, addr string, known *List, news func(choice.ListKind, []edge.UpstreamHost)) *Watch {
-	w := &Watch{loop: l, addr: addr, news: news}
+// Way is how the settings have lists come to a node.
+type Way struct {
+	Pushed bool          // to an agent beside it, which answers at once; else they are asked of a service for all nodes
+	Grace  time.Duration // for what still goes to a host after it was told to drain
+}
+
+// New makes a Watch that starts from the known list and tells news. The seed spreads the ends of watches.
+func New(l *loop.Loop, addr string, known *List, way Way, seed uint64, news func(choice.ListKind, []edge.UpstreamHost)) *Watch {
+	w := &Watch{loop: l, addr: addr, way: way, pace: usual, news: news, rng: rand.New(rand.NewPCG(seed, 2))}
 	if known != nil {
 		w.version, w.have, w.hosts = known.Version, known.Version >= 0, len(known.Servers) > 0
 	}
@@ -120,10 +146,27 @@
 // Follow starts a watch, unless one is on.
 func (w *Watch) Follow() {
 	if !w.calling {
+		w.pause()
 		w.ask()
 	}
 }
 
+// Adapt has lists come another way from the next call on.
+func (w *Watch) Adapt(way Way) {
+	w.way = way
+	if way.Pushed {
+		w.Follow()
+	}
+}
+
+// pause ends the time set for a call, or before one.
+func (w *Watch) pause() {
+	if w.stop != nil {
+		w.stop()
+		w.stop = nil
+	}
+}
+
 // Move has the watch follow discovery at another address from now on. The list stands as it was told; the service there
 // may count its versions anew, so the whole list is asked for. What the old address may still answer is not heard.
 func (w *Watch) Move(addr string) {
@@ -132,25 +175,40 @@
 	}
 	w.addr, w.version, w.have = addr, 0, false
 	w.close()
-	if w.calling {
-		w.stop()
-	}
+	w.pause()
 	w.ask()
 }
 
+// times are how long a watch waits for news, and how long its answer may take beyond that.
+func (w *Watch) times() (waits, answer time.Duration) {
+	p := w.pace
+	switch {
+	case w.way.Pushed && w.lost:
+		return p.agentRetry, p.agentAnswer
+	case w.way.Pushed:
+		return p.agentWait, p.agentAnswer
+	}
+	// Guards against a watch that fell silent: what it misses counts as told 2 s after its wait.
+	return p.wait - time.Duration(w.rng.Int64N(int64(p.spread))), min(p.answer, w.way.Grace+p.spare)
+}
+
 func (w *Watch) ask() {
-	w.calling = true
+	w.calling, w.waits = true, w.have
+	waits, answer := w.times()
 	path, until := "/v1/servers", listTime
+	if w.way.Pushed {
+		until = answer
+	}
 	if w.have {
-		path, until = fmt.Sprintf("/v1/servers?after=%d&wait_ms=%d", w.version, wait.Milliseconds()), wait+answerTime
+		path, until = fmt.Sprintf("/v1/servers?after=%d&wait_ms=%d", w.version, waits.Milliseconds()), waits+answer
 	}
 	w.call = "GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"
 	w.in = response{}
 	now := w.loop.Now()
-	w.stop = w.loop.At(now.Add(until), func() { w.failed("no answer in time") })
+	w.stop = w.loop.At(now.Add(until), w.silent)
 	w.reused = w.conn != nil
 	if w.conn == nil {
-		w.conn = w.loop.Dial(w.addr, now.Add(connectTime), w)
+		w.conn = w.loop.Dial(w.addr, now.Add(min(connectTime, until)), w)
 	} else {
 		w.conn.Write([]byte(w.call))
 	}
@@ -197,8 +255,8 @@
 		return
 	}
 	w.hosts = w.hosts || len(hosts) > 0
-	w.stop()
-	w.calling = false
+	w.pause()
+	w.calling, w.lost = false, false
 	if w.in.close {
 		w.close()
 	}
@@ -211,15 +269,34 @@
 	w.ask() // at once: a watch lasts only while its next call follows soon
 }
 
-// failed ends a call without an answer; the module says when to ask again.
+// silent ends a call that got no answer in time. A watch is opened anew at once: silence is a broken connection, and says
+// nothing of a service that would be spared by a pause.
+func (w *Watch) silent() {
+	w.stop = nil
+	if !w.waits && !w.way.Pushed {
+		w.failed("no answer in time")
+		return
+	}
+	zap.L().Warn("discovery_watch_silent", zap.String("address", w.addr))
+	w.lost = true
+	w.close()
+	w.ask()
+}
+
+// failed ends a call without an answer. The module says when a service is asked again; an agent is asked soon.
 func (w *Watch) failed(why string) {
 	zap.L().Warn("discovery_call_failed", zap.String("address", w.addr), zap.String("cause", why))
 	w.close()
-	if w.calling {
-		w.stop()
-		w.calling = false
-		w.news(choice.ListLost, nil)
+	if !w.calling {
+		return
+	}
+	w.pause()
+	w.calling, w.lost = false, true
+	if w.way.Pushed {
+		w.stop = w.loop.At(w.loop.Now().Add(w.pace.agentRetry), w.Follow)
+		return
 	}
+	w.news(choice.ListLost, nil)
 }
 
 func (w *Watch) close() {
@@ -240,7 +317,7 @@
 	retry := w.calling && w.reused && !w.in.begun()
 	w.close()
 	if retry { // a kept connection may end just as a call goes out on it: that's no failed call
-		w.stop()
+		w.pause()
 		w.ask()
 		return
 	}
--- /dev/null
+++ b/internal/platform/cluster/watch_test.go
@@ -0,0 +1,192 @@
+package cluster
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/loop"
+)
+
+// discovery is a stand-in for the service or the agent: calls hears of each call, with its connection's number.
+type discovery struct {
+	addr   string
+	calls  chan string
+	silent atomic.Bool
+	cut    atomic.Bool // connections are reset under calls
+}
+
+func listen(t *testing.T, version *atomic.Int64) *discovery {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	d := &discovery{addr: l.Addr().String(), calls: make(chan string, 1024)}
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					d.calls <- fmt.Sprintf("%d %s", n, r.URL)
+					switch {
+					case d.silent.Load():
+						continue
+					case d.cut.Load():
+						c.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					for v := version.Load(); strings.Contains(r.URL.String(), fmt.Sprintf("after=%d&", v)) && !d.cut.Load(); v = version.Load() {
+						time.Sleep(time.Millisecond) // nothing newer: the call waits
+					}
+					body := fmt.Sprintf("{\n \"version\": %d,\n \"full\": false,\n \"servers\": [\n ]\n}\n", version.Load())
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				}
+			}()
+		}
+	}()
+	return d
+}
+
+// follow runs a watch until the test ends; news has the kinds that it tells.
+func follow(t *testing.T, addr string, known *List, way Way, p pace) (w *Watch, news chan choice.ListKind) {
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	news = make(chan choice.ListKind, 1024)
+	w = New(l, addr, known, way, 1, func(k choice.ListKind, _ []edge.UpstreamHost) { news <- k })
+	w.pace = p
+	l.At(l.Now(), w.Follow)
+	done := make(chan struct{})
+	go func() {
+		l.Run()
+		close(done)
+	}()
+	t.Cleanup(func() {
+		l.Post(l.Stop)
+		<-done
+		l.Close()
+	})
+	return w, news
+}
+
+func next[T any](t *testing.T, c chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing comes")
+	}
+	return v
+}
+
+// TestSilentWatch guards drains against a watch that says nothing any more: it is opened anew, on another connection, and
+// not left to the module's pauses, which a short grace has no room for.
+func TestSilentWatch(t *testing.T) {
+	var version atomic.Int64
+	d := listen(t, &version)
+	d.silent.Store(true)
+	p := usual
+	p.wait, p.spread, p.answer = 20*time.Millisecond, time.Millisecond, 20*time.Millisecond
+	_, news := follow(t, d.addr, &List{Version: 7}, Way{}, p)
+	for n := 1; n <= 3; n++ {
+		if c := next(t, d.calls); !strings.HasPrefix(c, fmt.Sprintf("%d /v1/servers?after=7&wait_ms=", n)) {
+			t.Errorf("call %d is %q", n, c)
+		}
+	}
+	d.silent.Store(false)
+	version.Store(8)
+	if k := next(t, news); k != choice.ListChange {
+		t.Error("the module hears of a failed call", k)
+	}
+}
+
+// TestFailedCall: a service that fails a call is asked again when the module says so.
+func TestFailedCall(t *testing.T) {
+	var version atomic.Int64
+	d := listen(t, &version)
+	d.cut.Store(true)
+	_, news := follow(t, d.addr, &List{Version: 7}, Way{}, usual)
+	if k := next(t, news); k != choice.ListLost {
+		t.Error("news of a failed call", k)
+	}
+}
+
+// TestAgent guards nodes whose lists are pushed: what the agent has counts as told, so it is asked without end and without
+// the module, which hears of lists only.
+func TestAgent(t *testing.T) {
+	var version atomic.Int64
+	d := listen(t, &version)
+	d.silent.Store(true)
+	_, news := follow(t, d.addr, &List{Version: 7}, Way{Pushed: true}, usual)
+	if a, b := next(t, d.calls), next(t, d.calls); !strings.HasSuffix(a, "wait_ms=1000") || !strings.HasSuffix(b, "wait_ms=100") {
+		t.Error("first calls", a, b)
+	}
+	d.cut.Store(true)
+	d.silent.Store(false)
+	for range 3 {
+		next(t, d.calls)
+	}
+	d.cut.Store(false)
+	for v := int64(8); v < 11; v++ {
+		version.Store(v)
+		if k := next(t, news); k != choice.ListChange {
+			t.Error("news", k)
+		}
+	}
+}
+
+// TestTimes holds the waits to what counts as told: 2 s after a watch's wait, and what may still go to a host after that.
+func TestTimes(t *testing.T) {
+	for _, grace := range []time.Duration{0, 200 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second} {
+		waits := map[time.Duration]bool{}
+		for seed := range uint64(50) {
+			w := New(nil, "", nil, Way{Grace: grace}, seed, nil)
+			wait, answer := w.times()
+			waits[wait] = true
+			if wait > 10*time.Second || wait < 8*time.Second || answer > 1500*time.Millisecond || answer > grace+500*time.Millisecond {
+				t.Errorf("grace %v: a wait of %v and %v for its answer", grace, wait, answer)
+			}
+		}
+		if len(waits) < 40 {
+			t.Errorf("only %d different waits", len(waits))
+		}
+	}
+}
+
+// TestMove has an agent that is gone given up for another one, whose whole list is asked for.
+func TestMove(t *testing.T) {
+	var version atomic.Int64
+	version.Store(9)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	d := listen(t, &version)
+	w, news := follow(t, gone.Addr().String(), nil, Way{Pushed: true}, usual)
+	w.loop.Post(func() { w.Move(d.addr) })
+	if c := next(t, d.calls); c != "1 /v1/servers" {
+		t.Error("the first call to the new address is", c)
+	}
+	if k := next(t, news); k != choice.ListChange {
+		t.Error("news", k)
+	}
+}
