Planned stop: MOVE is a line of its own when a host hangs amid a line

Cause: downstream.depart wrote MOVE behind the half line of a host that had stopped amid it, so the client read one line "half a liMOVE" and no MOVE; and a client moved within the last second of a planned stop waited for the line's end up to a second, past the time by which nothing is held (edge.finish). Change: Client.Move takes the time by which the line in hand is waited for, a second or the end of the stop; a line that is still open then is ended before MOVE. Seen to fail without it: TestPlatform/sigterm ("came MOVE, then EOF"); TestPlannedStopTakesTheTimeThereIs holds the time. Race tests of edge, node, platform, xmpp, loop, planner, explore pass.

--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -68,6 +68,7 @@
 
 // finish leaves nothing held at end.
 func (c *Core) finish(end time.Time, done func()) {
+	c.end = end
 	c.o.Clock.At(end, func() {
 		c.draining = true
 		for _, r := range c.ordered() {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,8 +29,9 @@
 	Attempt(a *Attempt) UpstreamRequest
 	// LocalReply gives the client the final answer of a request that no host serves.
 	LocalReply(r LocalReply)
-	// Move asks the client of an open connection to come again, and ends its connection on both sides.
-	Move()
+	// Move asks the client of an open connection to come again, and ends its connection on both sides: between two of the
+	// host's lines where the one in hand ends by the given time, else then.
+	Move(by time.Time)
 }
 
 // UpstreamRequest is a front's side of one attempt.
@@ -151,6 +152,7 @@
 	probeTime   = 150 * time.Millisecond // for a probe's answer: longer than any way there and back, short against a placement
 	retryPinned = 250 * time.Millisecond // between tries at the host of a connection open before the run
 	silentTime  = 4500 * time.Millisecond
+	moveEnds    = time.Second // for the end of a host's line in hand, where a client is to be moved
 )
 
 // Core is the core of one cluster.
@@ -165,6 +167,7 @@
 	requests map[choice.RequestID]*Request
 	draining bool
 	leaveBy  time.Time // of a handover: when the last connections go
+	end      time.Time // of a planned stop: nothing is held from then on
 	moving   bool      // of a handover: they are told to move
 	moved    int       // of a handover: connections that were
 	minAim   time.Duration
@@ -607,7 +610,11 @@
 		r.core.moved++
 	}
 	r.observeEnd(Moved)
-	r.client.Move()
+	by := r.core.o.Clock.Now().Add(moveEnds)
+	if end := r.core.end; !end.IsZero() { // a host that stopped amid a line must not have its client held past the stop
+		by = earlier(by, end)
+	}
+	r.client.Move(by)
 	r.attempt.Ended(choice.Cancelled, nil)
 	r.settle()
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -186,7 +186,7 @@
 	}
 }
 
-func (c *client) Move() {
+func (c *client) Move(time.Time) {
 	if !c.open || c.moved {
 		c.w.t.Errorf("%s: moved twice, or not open", c.r.ID)
 	}
@@ -341,7 +341,7 @@
 		w.run(from.Add(mostDeadline + killedAfter))
 		first, last := time.Duration(1<<62), time.Duration(0)
 		for _, s := range all {
-			first, last = min(first, s.moved.Sub(from)), max(last, s.moved.Sub(from))
+			first, last = min(first, s.moved.Sub(from)), max(last, s.by.Sub(from)) // its host may have stopped amid a line
 		}
 		if first < c.first || last > c.last || last-first < (c.last-c.first)/2 {
 			t.Errorf("patience %v: moved from %v to %v", c.patience, first, last)
@@ -351,8 +351,8 @@
 
 // stayer is a client whose connection stands until it is moved.
 type stayer struct {
-	w     *world
-	moved time.Time
+	w         *world
+	moved, by time.Time
 }
 
 func (s *stayer) Attempt(a *Attempt) UpstreamRequest {
@@ -361,4 +361,4 @@
 }
 func (s *stayer) GiveUp()               {}
 func (s *stayer) LocalReply(LocalReply) {}
-func (s *stayer) Move()                 { s.moved = s.w.now }
+func (s *stayer) Move(by time.Time)     { s.moved, s.by = s.w.now, by }
--- a/internal/edge/lease_test.go
+++ b/internal/edge/lease_test.go
@@ -17,7 +17,7 @@
 
 func (a *asker) Attempt(*Attempt) UpstreamRequest { a.tried = true; return alone{} }
 func (a *asker) LocalReply(r LocalReply)          { a.reply = &r }
-func (a *asker) Move()                            {}
+func (a *asker) Move(time.Time)                   {}
 
 type alone struct{}
 
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -760,7 +760,7 @@
 	c.later(r.After)
 }
 
-func (c *client) Move() {
+func (c *client) Move(time.Time) {
 	if c.on != nil {
 		delete(c.on.host.held, c.on)
 	}
--- a/internal/planner/client.go
+++ b/internal/planner/client.go
@@ -272,7 +272,7 @@
 }
 
 // Move sends the client away.
-func (c *client) Move() {
+func (c *client) Move(time.Time) {
 	c.w.stats.Moves++
 	c.try.close()
 	c.settled()
--- a/internal/platform/downstream/downstream.go
+++ b/internal/platform/downstream/downstream.go
@@ -382,6 +382,7 @@
 		// Only the rest of the line in hand: MOVE goes between two lines.
 		if i := bytes.IndexByte(p, '\n'); i >= 0 {
 			s.conn.Write(p[:i+1])
+			s.out = line.Scanner{}
 			s.depart()
 			return
 		}
@@ -432,13 +433,13 @@
 }
 
 // Move sends the client away, once the line in hand is over.
-func (s *session) Move() {
+func (s *session) Move(by time.Time) {
 	if s.over {
 		return
 	}
 	if s.out.Mid() {
 		s.moving = true
-		s.stop = s.front.loop.At(s.front.loop.Now().Add(time.Second), s.depart)
+		s.stop = s.front.loop.At(by, s.depart)
 		return
 	}
 	s.depart()
@@ -449,7 +450,11 @@
 		return
 	}
 	s.host.End(false)
-	s.finish([]byte("MOVE\r\n"))
+	last := "MOVE\r\n"
+	if s.moving && s.out.Mid() { // the host's line stops amid: MOVE behind it would be a part of it, and no MOVE
+		last = "\r\n" + last
+	}
+	s.finish([]byte(last))
 }
 
 // OnEnd ends the host's side as the client did its own.
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -383,13 +383,13 @@
 }
 
 // Move tells the client of an open session to leave, between two stanzas.
-func (s *session) Move() {
+func (s *session) Move(by time.Time) {
 	if s.over {
 		return
 	}
 	if s.upstream != nil && !s.upstream.in.between() {
 		s.leaving = true
-		s.stop = s.front.loop.At(s.front.loop.Now().Add(time.Second), s.depart)
+		s.stop = s.front.loop.At(by, s.depart)
 		return
 	}
 	s.depart()
