Discovery: spoilt answers are asked for again at once; files before a stop

Cause: cluster.go told the module of an answer that can't be read as of a failed call, which pauses 0.25 to 0.75 s and more, although what was written counts as told: a grace of 0.5 s has no room for that. Changes of a version below the known one were taken as if nothing else differed. A list asked for after SIGHUP could hang for 4 s, when it counts as told, and then wait for a pause. node.Run had a goroutine for each signal, so that of SIGHUP and SIGTERM at once the stop could go by the old deadlines. Measured: race tests of cluster and node's exchanges.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,17 +269,24 @@
 }
 
 // Run runs the loop until the planned stop is over. A signal on reload has the files read again; the first on stop begins
-// the planned stop.
+// the planned stop. Of two that come at once the files go first: how long a stop may take hangs on them.
 func (p *Program) Run(reload, stop <-chan os.Signal) error {
 	go func() {
-		for range reload {
-			p.loop.Post(p.Reload)
+		for {
+			select {
+			case <-reload:
+				p.loop.Post(p.Reload)
+			case <-stop:
+				select {
+				case <-reload:
+					p.loop.Post(p.Reload)
+				default:
+				}
+				p.loop.Post(p.Leave)
+				stop = nil // a second one has nothing to add
+			}
 		}
 	}()
-	go func() {
-		<-stop
-		p.loop.Post(p.Leave)
-	}()
 	err := p.loop.Run()
 	p.Close()
 	if err != nil {
--- a/internal/platform/cluster/cluster.go
+++ b/internal/platform/cluster/cluster.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,7 +18,8 @@
 
 const (
 	connectTime = 500 * time.Millisecond
-	listTime    = 4 * time.Second // for an answer that does not wait
+	listTime    = 4 * time.Second         // for an answer that does not wait,
+	listSpare   = 2500 * time.Millisecond // but no longer than this beyond the grace: a new discovery's list counts as told 4 s after SIGHUP
 )
 
 // pace is how long calls wait, and for what.
@@ -116,6 +116,7 @@
 	reused  bool   // the call went out on a connection that had served one before
 	waits   bool   // the call may wait for news
 	lost    bool   // the last call failed or had no answer
+	spoilt  bool   // the last answer could not be read
 	in      response
 	stop    func() // of the call in hand, or of the pause before the next one to an agent
 }
@@ -192,10 +193,13 @@
 	return p.wait - time.Duration(w.rng.Int64N(int64(p.spread))), min(p.answer, w.way.Grace+p.spare)
 }
 
+// listWithin is for an answer that doesn't wait.
+func (w *Watch) listWithin() time.Duration { return min(listTime, w.way.Grace+listSpare) }
+
 func (w *Watch) ask() {
 	w.calling, w.waits = true, w.have
 	waits, answer := w.times()
-	path, until := "/v1/servers", listTime
+	path, until := "/v1/servers", w.listWithin()
 	if w.way.Pushed {
 		until = answer
 	}
@@ -229,7 +233,7 @@
 	done, err := w.in.feed(p)
 	switch {
 	case err != nil:
-		w.failed(err.Error())
+		w.unreadable(err.Error())
 	case done:
 		w.answered()
 	}
@@ -248,18 +252,26 @@
 	}
 	if err == nil && l.Full && len(hosts) == 0 && w.hosts {
 		// Guards against a discovery that lost its state, which would have a whole fleet forgotten at once.
-		err = errors.New("whole, but without hosts; the known ones stand")
+		w.failed("list: whole, but without hosts; the known ones stand")
+		return
 	}
 	if err != nil {
-		w.failed("list: " + err.Error())
+		w.unreadable("list: " + err.Error())
 		return
 	}
-	w.hosts = w.hosts || len(hosts) > 0
 	w.pause()
-	w.calling, w.lost = false, false
+	w.calling, w.lost, w.spoilt = false, false, false
 	if w.in.close {
 		w.close()
 	}
+	if w.have && !l.Full && l.Version < w.version {
+		// Guards against a discovery that came back with an older state: what changed since its version is not all that differs.
+		zap.L().Warn("discovery_version_fell", zap.String("address", w.addr), zap.Int64("from", w.version), zap.Int64("to", l.Version))
+		w.have = false
+		w.ask()
+		return
+	}
+	w.hosts = w.hosts || len(hosts) > 0
 	w.version, w.have = l.Version, true
 	kind := choice.ListChange
 	if l.Full {
@@ -283,6 +295,20 @@
 	w.ask()
 }
 
+// unreadable ends a call whose answer can't be read. What was written counts as told, so it is asked for again at once; one
+// that is spoilt again is a failed call.
+func (w *Watch) unreadable(why string) {
+	if w.spoilt || !w.calling {
+		w.failed(why)
+		return
+	}
+	zap.L().Warn("discovery_answer_unreadable", zap.String("address", w.addr), zap.String("cause", why))
+	w.spoilt = true
+	w.pause()
+	w.close()
+	w.ask()
+}
+
 // failed ends a call without an answer. The module says when a service is asked again; an agent is asked soon.
 func (w *Watch) failed(why string) {
 	zap.L().Warn("discovery_call_failed", zap.String("address", w.addr), zap.String("cause", why))
@@ -291,7 +317,7 @@
 		return
 	}
 	w.pause()
-	w.calling, w.lost = false, true
+	w.calling, w.lost, w.spoilt = false, true, false
 	if w.way.Pushed {
 		w.stop = w.loop.At(w.loop.Now().Add(w.pace.agentRetry), w.Follow)
 		return
@@ -315,6 +341,10 @@
 	}
 	idle := !w.calling
 	retry := w.calling && w.reused && !w.in.begun()
+	if w.calling && w.in.begun() {
+		w.unreadable("connection ended amid an answer: " + err.Error())
+		return
+	}
 	w.close()
 	if retry { // a kept connection may end just as a call goes out on it: that's no failed call
 		w.pause()
--- a/internal/platform/cluster/watch_test.go
+++ b/internal/platform/cluster/watch_test.go
@@ -21,6 +21,7 @@
 	calls  chan string
 	silent atomic.Bool
 	cut    atomic.Bool // connections are reset under calls
+	spoilt chan string // answers as they are written, each followed by the end of the connection
 }
 
 func listen(t *testing.T, version *atomic.Int64) *discovery {
@@ -29,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	d := &discovery{addr: l.Addr().String(), calls: make(chan string, 1024)}
+	d := &discovery{addr: l.Addr().String(), calls: make(chan string, 1024), spoilt: make(chan string, 8)}
 	go func() {
 		for n := 1; ; n++ {
 			c, err := l.Accept()
@@ -45,6 +46,12 @@
 						return
 					}
 					d.calls <- fmt.Sprintf("%d %s", n, r.URL)
+					select {
+					case s := <-d.spoilt:
+						fmt.Fprint(c, s)
+						return
+					default:
+					}
 					switch {
 					case d.silent.Load():
 						continue
@@ -161,6 +168,10 @@
 			w := New(nil, "", nil, Way{Grace: grace}, seed, nil)
 			wait, answer := w.times()
 			waits[wait] = true
+			// After SIGHUP, with a first call that hangs and the longest of the module's first pauses.
+			if list := w.listWithin(); list > listTime || list+750*time.Millisecond > 4*time.Second+max(grace, 500*time.Millisecond) {
+				t.Errorf("grace %v: %v for a list", grace, list)
+			}
 			if wait > 10*time.Second || wait < 8*time.Second || answer > 1500*time.Millisecond || answer > grace+500*time.Millisecond {
 				t.Errorf("grace %v: a wait of %v and %v for its answer", grace, wait, answer)
 			}
@@ -190,3 +201,43 @@
 		t.Error("news", k)
 	}
 }
+
+// TestSpoiltAnswer has answers that can't be read: what they held counts as told, so each is asked for again at once and not
+// left to the module's pauses. One that is spoilt twice is a failed call.
+func TestSpoiltAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 39\r\n\r\n"
+	for name, s := range map[string]string{
+		"cut":     head + `{"version":9,"full":tr`,
+		"garbage": head + strings.Repeat("x", 39),
+		"state":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + `{"version":9,"full":false,"servers":[{"id":"s","state":"NAPPING"}]}`,
+		"no HTTP": "nonsense\r\n\r\n",
+		"half":    "HTTP/1.1 200 O",
+	} {
+		for times := 1; times <= 2; times++ {
+			var version atomic.Int64
+			version.Store(9)
+			d := listen(t, &version)
+			for range times {
+				d.spoilt <- s
+			}
+			_, news := follow(t, d.addr, &List{Version: 7}, Way{}, usual)
+			want := map[int]choice.ListKind{1: choice.ListChange, 2: choice.ListLost}[times]
+			if k := next(t, news); k != want || len(d.calls) < 2 {
+				t.Errorf("%s, %d times: news %v after %d calls, want %v", name, times, k, len(d.calls), want)
+			}
+		}
+	}
+}
+
+// TestVersionFalls has discovery come back with an older state: the whole list is asked for, since changes alone don't tell
+// what else it has forgotten.
+func TestVersionFalls(t *testing.T) {
+	var version atomic.Int64
+	version.Store(3)
+	d := listen(t, &version)
+	_, news := follow(t, d.addr, &List{Version: 7}, Way{}, usual)
+	next(t, news)
+	if a, b, c := next(t, d.calls), next(t, d.calls), next(t, d.calls); !strings.Contains(a, "after=7&") || b != "1 /v1/servers" || !strings.Contains(c, "after=3&") {
+		t.Error("calls", a, b, c)
+	}
+}
