Module: what reports told is forgotten when other settings change what they say

Ruled out: keeping them by name of kind, which two deployments may share; forgetting at any new file, which would lose costs at each change of a deadline (TestOtherSettingsForget holds both). Change: Learned carries the meaning of its settings and is taken under the same one only; new settings of another meaning unlearn. A process of an older version tells none, so the first upgrade starts with empty costs. TestDrip holds that an answer that drips in has no more time than any.

--- a/choice/learned.go
+++ b/choice/learned.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,7 @@
 	Worth   float64         `cbor:"10,keyasint"`
 	Kinds   []LearnedKind   `cbor:"11,keyasint,omitempty"`
 	Servers []LearnedServer `cbor:"12,keyasint,omitempty"`
+	Meaning string          `cbor:"13,keyasint,omitempty"` // of the settings that the values were learned under
 }
 
 // LearnedKind is what reports said of a kind of machine.
@@ -56,10 +58,28 @@
 	Since    float64       `cbor:"16,keyasint,omitempty"` // own told load that the report doesn't show
 }
 
+// meaning is of the settings what gives learned values their sense: under another one they are some other deployment's.
+func (s Settings) meaning() string {
+	return fmt.Sprint(s.Reports, s.Fields, s.Sizes, s.WorthByWork, s.TellsDelay)
+}
+
+// unlearn forgets what reports have told: it was said of other values than those that come from now on.
+func (b *Balancer) unlearn() {
+	for _, k := range b.kinds {
+		k.num, k.den, k.n = 0, 0, 0
+	}
+	for _, s := range b.servers {
+		s.num, s.den, s.n, s.known, s.report, s.reportAt = 0, 0, 0, false, 0, 0
+		s.errSum, s.prevErr, s.trim, s.lent, s.denied = 0, 0, 0, 0, 0
+	}
+	b.anyKnown, b.tellsHeld, b.gate, b.avg = false, false, 1, 0
+	b.sumLoad, b.sumBase, b.sumAt = 0, 0, 0
+}
+
 // Learned tells what this balancer has found out.
 func (b *Balancer) Learned() Learned {
 	l := Learned{Form: LearnedForm, Unit: b.unit, Hints: b.hints, SumLoad: b.sumLoad, SumBase: b.sumBase, SumAt: b.sumAt,
-		Rate: b.rate, RateAt: b.rateAt, Gate: b.gate, Worth: b.meanWorth}
+		Rate: b.rate, RateAt: b.rateAt, Gate: b.gate, Worth: b.meanWorth, Meaning: b.set.meaning()}
 	for name, k := range b.kinds {
 		if k.n > 0 {
 			l.Kinds = append(l.Kinds, LearnedKind{name, k.num, k.den, k.n})
@@ -99,7 +119,7 @@
 // inherit takes in what another process found out, where it is newer than what this one knows or rests on more. A report
 // keeps its age: it fades as it would have there.
 func (b *Balancer) inherit(l Learned) {
-	if !l.sound() {
+	if !l.sound() || l.Meaning != b.set.meaning() {
 		return
 	}
 	if b.hints < l.Hints {
--- a/choice/learned_test.go
+++ b/choice/learned_test.go
@@ -172,11 +172,11 @@
 	}
 	b.Step(now, []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Kind: "k", Size: 1, Started: 5}, {ID: "b", Kind: "k", Size: 1}}},
 		ProbeResult{Server: "b", Report: []float64{0.5}}})
-	good := Learned{Form: LearnedForm, Unit: 1, Gate: 1, Worth: 1, SumLoad: 1, SumBase: 2, SumAt: now - time.Second,
+	good := Learned{Form: LearnedForm, Meaning: b.set.meaning(), Unit: 1, Gate: 1, Worth: 1, SumLoad: 1, SumBase: 2, SumAt: now - time.Second,
 		Servers: []LearnedServer{{ID: "a", Started: 5, Known: true, Report: 0.9, ReportAt: now - time.Second, BadUntil: now + time.Hour, Num: 9, Den: 90, N: 9},
 			{ID: "b", Known: true, Report: 0.1, ReportAt: now - time.Second}, {ID: "nobody"}}}
 	for i, spoil := range []func(*Learned){
-		func(l *Learned) { l.Form = 9 }, func(l *Learned) { l.Unit = 0 }, func(l *Learned) { l.Unit = math.NaN() },
+		func(l *Learned) { l.Form = 9 }, func(l *Learned) { l.Meaning = "" }, func(l *Learned) { l.Unit = 0 }, func(l *Learned) { l.Unit = math.NaN() },
 		func(l *Learned) { l.Gate = math.Inf(1) }, func(l *Learned) { l.SumBase = 0 }, func(l *Learned) { l.Rate = -1 },
 		func(l *Learned) { l.Servers = []LearnedServer{{ID: "a", Report: math.NaN()}} },
 		func(l *Learned) { l.Servers = []LearnedServer{{ID: "a", Trim: math.Inf(-1)}} },
@@ -205,6 +205,57 @@
 	}
 }
 
+// TestOtherSettingsForget has settings come under which reports say something else: what they told before is another deployment's,
+// for the balancer that takes them and for one that is told by another process. Settings that change nothing in that change
+// nothing in what was learned.
+func TestOtherSettingsForget(t *testing.T) {
+	now := time.Hour
+	learned := func() *Balancer {
+		b, err := New(knows(), 1, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Step(now, []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Kind: "k", Size: 1}, {ID: "b", Kind: "k", Size: 1}}},
+			ProbeResult{Server: "a", Report: []float64{0.9}}, ProbeResult{Server: "b", Report: []float64{0.7}}})
+		return b
+	}
+	same := knows()
+	same.Limits.Attempts, same.Classes = 2, append(same.Classes, Class{Name: "d", Worth: 9, Deadline: time.Second})
+	b := learned()
+	b.Step(now, []Event{NewSettings{same}})
+	if !b.find("a").known || b.avg == 0 || len(b.Learned().Kinds) != 1 {
+		t.Error("forgotten with settings under which reports say the same")
+	}
+	for i, change := range []func(*Settings){
+		func(s *Settings) { s.Fields = []Field{InFlight} }, func(s *Settings) { s.Reports = AllReports },
+		func(s *Settings) { s.Sizes = LiveSize }, func(s *Settings) { s.WorthByWork = true },
+	} {
+		other := knows()
+		change(&other)
+		b := learned()
+		told := b.Learned()
+		b.Step(now, []Event{NewSettings{other}})
+		fresh, err := New(other, 1, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Kind: "k", Size: 1}, {ID: "b", Kind: "k", Size: 1}}}
+		fresh.Step(now, []Event{list})
+		for _, inherits := range []bool{false, true} {
+			if inherits {
+				b = fresh
+				b.Step(now, []Event{Inherited{told}})
+			}
+			for _, id := range []ServerID{"a", "b"} {
+				s, clean := b.find(id), fresh.find(id)
+				if s.known || s.n != 0 || b.kinds["k"].n != 0 || s.cost != clean.cost || b.predict(s) != fresh.predict(clean) || b.avg != fresh.avg {
+					t.Errorf("settings %d, told %v: of %s it knows %+v, average %v", i, inherits, id, s, b.avg)
+				}
+			}
+		}
+	}
+}
+
 // TestKnownCost has far more connections come than the guess of a connection's load allows for, before reports can tell better:
 // where the settings know the load, all are placed.
 func TestKnownCost(t *testing.T) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -175,7 +175,11 @@
 		s.Nodes = b.plan.Nodes
 	}
 	s.Nodes *= max(1, s.Parts) // the processes of a node share its part as nodes share the fleet
-	b.set = s
+	other := len(b.set.Classes) > 0 && b.set.meaning() != s.meaning()
+	if b.set = s; other {
+		b.unlearn()
+		b.price()
+	}
 }
 
 func (b *Balancer) find(id ServerID) *server {
--- a/internal/platform/cluster/watch_test.go
+++ b/internal/platform/cluster/watch_test.go
@@ -241,3 +241,40 @@
 		t.Error("calls", a, b, c)
 	}
 }
+
+// TestDrip has an answer come byte by byte without end: the time for it stands, whatever drips in, and the watch is opened anew.
+func TestDrip(t *testing.T) {
+	var version atomic.Int64
+	version.Store(9)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	dripped := make(chan int, 16)
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				http.ReadRequest(bufio.NewReader(c))
+				dripped <- n
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+				for _, err := c.Write([]byte(" ")); err == nil; _, err = c.Write([]byte(" ")) {
+					time.Sleep(time.Millisecond)
+				}
+			}()
+		}
+	}()
+	p := usual
+	p.wait, p.spread, p.answer = 20*time.Millisecond, time.Millisecond, 20*time.Millisecond
+	follow(t, l.Addr().String(), &List{Version: 7}, Way{}, p)
+	for n := 1; n <= 3; n++ {
+		if got := next(t, dripped); got != n {
+			t.Error("connection", got, "of", n)
+		}
+	}
+}
