--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -202,7 +202,10 @@
 }
 
 func (c *Conn) lingered() {
-	for c.drop() && c.l.Now().Before(c.lastBy) { // closing over what lies there would be a reset
+	for range mostHeard { // closing over what lies there would be a reset
+		if !c.drop() {
+			break
+		}
 	}
 	switch {
 	case c.closed:
