Module: hosts that shed connections are left out for a time, where they report no load

A trace of attempts' ends (a trial) shows connections that stood reset each 250 ms by one or two hosts that shed what they can't bear, and their clients placed there again: ended() learned nothing of an open connection's reset. Change: choice.ended takes such a reset as a failure of its host, where Reports says that hosts tell nothing; else reports decide. TestShedding is red without it (a is left out: false). Sites with reports are not touched.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -643,7 +643,7 @@
 	}
 	s, open := r.on, r.open
 	b.release(r)
-	if !open {
+	if !open || b.set.Reports == NoReports { // there what is shed alone tells of a full one
 		switch e.Outcome {
 		case TimedOut, ConnectFailed, Reset, Failed:
 			b.strike(s)
--- a/choice/failures_test.go
+++ b/choice/failures_test.go
@@ -246,3 +246,32 @@
 		}
 	}
 }
+
+// TestShedding has a server reset a connection that stood. Where servers report no load, it is left out for a time: what it sheds
+// is all that tells of a full one, and its clients come again at once. Where they report, the report decides; and an end that the
+// server announced, or one that its client made, says nothing anywhere.
+func TestShedding(t *testing.T) {
+	for _, reports := range []Channel{NoReports, ProbeReports} {
+		for _, o := range []Outcome{Reset, Served, Cancelled} {
+			b, err := New(Settings{Nodes: 1, Reports: reports, Fields: []Field{Load}, Limits: Limits{Attempts: 4},
+				Classes: []Class{{SetupAim: time.Second, Deadline: 4 * time.Second, Worth: 1}}}, 1, time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			acts := b.Step(time.Hour, []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Size: 1}, {ID: "b", Size: 1}, {ID: "c", Size: 1}}},
+				Request{ID: "1", Tenant: -1, Left: 4 * time.Second}})
+			var on ServerID
+			for _, a := range acts {
+				if s, ok := a.(Send); ok {
+					on = s.Server
+				}
+			}
+			b.Step(time.Hour, []Event{Established{ID: "1", Server: on}})
+			b.Step(time.Hour+250*time.Millisecond, []Event{AttemptEnded{ID: "1", Server: on, Outcome: o, Final: true}})
+			out := b.find(on).badUntil > b.now
+			if want := reports == NoReports && o == Reset; on == "" || out != want {
+				t.Errorf("reports %v, outcome %v: %s is left out: %v", reports, o, on, out)
+			}
+		}
+	}
+}
