Tests: a client that leaves while another node is asked has nothing sent for it

Cause: of the places where a client waits, this one had no test: another node's yes, or its silence, after the client left or a stop answered it. Seen to fail without the check in answered().

--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -315,3 +315,31 @@
 	}
 	t.Error("no keeper was asked")
 }
+
+// TestClientLeavesWhileAKeeperIsAsked has a client leave, or a stop answer it, while another node's answer is on the way, or lost:
+// nothing is sent for it.
+func TestClientLeavesWhileAKeeperIsAsked(t *testing.T) {
+	for _, end := range []Event{ClientGone{"r"}, TimeUp{"r"}} {
+		for _, lost := range []bool{false, true} {
+			f := newReferee(t, keeping(), 1)
+			f.now = time.Hour
+			f.step(fleet(13))
+			asked := false
+			for _, a := range f.step(Request{ID: "r", Group: 7, Left: 2 * time.Second, Tenant: -1}) {
+				if a, ok := a.(Tell); ok {
+					asked = true
+					q, _ := decode(a.Data)
+					f.step(end)
+					if lost {
+						f.run(f.now + 2*muteAfter)
+					} else {
+						f.step(PeerMessage{a.To, message{kind: yes, token: q.token}.encode()})
+					}
+				}
+			}
+			if sent := f.sends(); !asked || len(sent) > 0 {
+				t.Errorf("%T, lost %v: asked %v, sent to %v", end, lost, asked, sent)
+			}
+		}
+	}
+}
