--- /dev/null
+++ b/choice/simulation_test.go
@@ -0,0 +1,654 @@
+package choice_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+)
+
+// Simulated time starts here: a start time of zero would read as a host that started long ago.
+const simulationStart = time.Hour
+
+// simulation plays real balancers among simulated hosts, clients, discovery and links, in simulated time. All chance comes from
+// one seed. It uses the exported interface of the module alone and hands each action to a judge before it carries it out.
+type simulation struct {
+	t        testing.TB
+	name     string
+	rng      *rand.Rand
+	now      time.Duration
+	agenda   agenda
+	queued   int
+	settings choice.Settings
+	terms    terms
+	nodes    []*simNode
+	hosts    []*simHost
+	byID     map[choice.ServerID]*simHost
+	requests map[choice.RequestID]*simRequest
+	judge    judge
+	counts   map[string]int
+}
+
+// terms are what a simulated world is like beyond the settings that nodes are told.
+type terms struct {
+	perHost     float64       // mean connections that fill a warm host
+	life        time.Duration // mean life of a connection
+	listDelay   time.Duration // longest delay of a change on its way to a node
+	lossOfList  float64       // part of the asks for a list that fail
+	lossOfTells float64       // part of the messages between nodes that get lost
+	tries       int           // most requests of one client
+	leavers     float64       // part of the clients that lose patience early
+	toldLoads   bool          // requests name their load
+	oddAnswers  float64       // part of the set-ups that end with no connection: an error, a loss, or served at once
+	shedAt      float64       // load from which on a host sheds connections
+	slotsAt     float64       // load from which on a host refuses connections
+	skew        int           // a fifth of the nodes gets this many times the traffic of the others
+}
+
+// judge sees what nodes are told and what they do. The first violation ends the test.
+type judge interface {
+	told(n *simNode, e choice.Event)
+	acts(n *simNode, a choice.Action)
+	stepped(n *simNode, events []choice.Event, actions []choice.Action)
+}
+
+type occurrence struct {
+	at    time.Duration
+	order int // of two at the same time the one queued first comes first
+	do    func()
+}
+
+type agenda []occurrence
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(occurrence)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// simNode is one node: a balancer and what is on its way to it.
+type simNode struct {
+	number    int
+	balancer  *choice.Balancer
+	inbox     []choice.Event
+	awake     bool // a batch is due
+	following bool // changes of the list reach it
+	listAt    time.Duration
+	listed    map[choice.ServerID]choice.Server // as it was last told
+}
+
+// simHost is one host. Its capacity grows evenly over its warm-up.
+type simHost struct {
+	choice.Server
+	running      bool
+	failingUntil time.Duration
+	held         []*simAttempt // connections that stand, oldest first
+	arrivals     []arrival
+	seen         float64 // load as its reports show it, some time old
+	seenHeld     int
+}
+
+// arrival is one attempt that reached a host.
+type arrival struct {
+	at       time.Duration
+	informed bool // its node had been told of the host's present start
+}
+
+type simClient struct {
+	class  int
+	tenant int
+	key    uint64
+	group  uint64
+	load   float64
+	tries  int
+}
+
+type simRequest struct {
+	choice.Request
+	node     *simNode
+	client   *simClient
+	class    choice.Class
+	deadline time.Duration
+	attempts []*simAttempt
+	open     bool // its node knows that a connection stands
+	answered bool // its node gave a final answer
+	over     bool // its node was told that it is over
+	gone     bool // its node was told that nobody waits
+}
+
+type simAttempt struct {
+	request     *simRequest
+	number      int
+	host        *simHost
+	sentAt      time.Duration
+	established bool
+	settled     bool // its outcome is known to the world
+	ended       bool // its outcome was told to the node
+	outcome     choice.Outcome
+}
+
+func newSimulation(t testing.TB, name string, s choice.Settings, of terms, hosts []choice.Server, seed uint64, j judge) *simulation {
+	w := &simulation{t: t, name: name, rng: rand.New(rand.NewPCG(seed, 11)), now: simulationStart, settings: s, terms: of,
+		byID: map[choice.ServerID]*simHost{}, requests: map[choice.RequestID]*simRequest{}, judge: j, counts: map[string]int{}}
+	for _, server := range hosts {
+		h := &simHost{Server: server, running: true}
+		w.hosts, w.byID[h.ID] = append(w.hosts, h), h
+		w.after(w.upTo(250*time.Millisecond), func() { w.refresh(h) })
+	}
+	for number := range s.Nodes {
+		s.Node = number
+		b, err := choice.New(s, seed*1000+uint64(number), w.now)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		n := &simNode{number: number, balancer: b, listed: map[choice.ServerID]choice.Server{}, following: !s.Subscribe}
+		w.nodes = append(w.nodes, n)
+		if !s.Subscribe {
+			w.deliver(n, choice.ServerList{Kind: choice.ListWhole, Servers: w.entries()})
+		} else {
+			w.deliver(n, choice.ServerList{Kind: choice.ListCached, Servers: w.entries()})
+		}
+	}
+	return w
+}
+
+// after has something happen once a time has passed.
+func (w *simulation) after(d time.Duration, do func()) {
+	w.queued++
+	heap.Push(&w.agenda, occurrence{w.now + max(d, 0), w.queued, do})
+}
+
+// run lets time pass up to a moment.
+func (w *simulation) run(to time.Duration) {
+	for len(w.agenda) > 0 && w.agenda[0].at <= to {
+		next := heap.Pop(&w.agenda).(occurrence)
+		w.now = next.at
+		next.do()
+	}
+	w.now = to
+}
+
+// upTo draws a time of at most d.
+func (w *simulation) upTo(d time.Duration) time.Duration {
+	return time.Duration(w.rng.Float64() * float64(d))
+}
+
+// around draws a time of d in the mean.
+func (w *simulation) around(d time.Duration) time.Duration {
+	return time.Duration((0.5 + w.rng.Float64()) * float64(d))
+}
+
+// often is true in the given part of its calls.
+func (w *simulation) often(part float64) bool { return w.rng.Float64() < part }
+
+// count notes that something happened, for the check that a run exercised what it is to show.
+func (w *simulation) count(what string) { w.counts[what]++ }
+
+// deliver puts an event into a node's inbox; batches come at most once a round.
+func (w *simulation) deliver(n *simNode, e choice.Event) {
+	n.inbox = append(n.inbox, e)
+	if !n.awake {
+		n.awake = true
+		w.after(w.settings.Round, func() { w.batch(n) })
+	}
+}
+
+func (w *simulation) batch(n *simNode) {
+	events := n.inbox
+	n.inbox, n.awake = nil, false
+	for _, e := range events {
+		w.judge.told(n, e)
+		w.note(n, e)
+	}
+	actions := n.balancer.Step(w.now, events)
+	for _, a := range actions {
+		w.judge.acts(n, a)
+		w.carryOut(n, a)
+	}
+	w.judge.stepped(n, events, actions)
+}
+
+// note keeps the world's book of what a node knows.
+func (w *simulation) note(n *simNode, e choice.Event) {
+	switch e := e.(type) {
+	case choice.ServerList:
+		if e.Kind == choice.ListWhole || e.Kind == choice.ListCached {
+			clear(n.listed)
+		}
+		for _, s := range e.Servers {
+			n.listed[s.ID] = s
+		}
+	case choice.Established:
+		w.requests[e.ID].open = true
+	case choice.AttemptEnded:
+		if r := w.requests[e.ID]; r != nil {
+			r.attempts[e.Attempt].ended, r.attempts[e.Attempt].outcome = true, e.Outcome
+			r.over = r.over || e.Final
+		}
+	case choice.ClientGone:
+		w.requests[e.ID].gone = true
+	}
+}
+
+func (w *simulation) carryOut(n *simNode, a choice.Action) {
+	switch a := a.(type) {
+	case choice.SetTimer:
+		w.after(a.After, func() { w.deliver(n, choice.TimerFired{Token: a.Token}) })
+	case choice.Send:
+		w.send(w.requests[a.ID], w.byID[a.Server], a.Cap)
+	case choice.Refuse:
+		w.count("refusals")
+		w.answer(w.requests[a.ID], true, a.After)
+	case choice.Fail:
+		w.count("failures")
+		r := w.requests[a.ID]
+		w.answer(r, r.class.Repeat == choice.Safe, 0)
+	case choice.Cancel:
+		w.count("cancels")
+		if at := w.requests[a.ID].attempts[a.Attempt]; !at.established {
+			w.settle(at, choice.Cancelled, w.settings.Round)
+		}
+	case choice.Probe:
+		w.probe(n, w.byID[a.Server])
+	case choice.Move:
+		w.count("moves")
+		r := w.requests[a.ID]
+		at := r.attempts[len(r.attempts)-1]
+		w.after(w.upTo(100*time.Millisecond), func() { w.closeConnection(at, choice.Cancelled, true) })
+	case choice.Follow:
+		w.follow(n)
+	case choice.Tell:
+		w.tell(n, a)
+	}
+}
+
+// tell carries a message between nodes: some get lost, some come twice.
+func (w *simulation) tell(n *simNode, a choice.Tell) {
+	if w.often(w.terms.lossOfTells) {
+		w.count("lost messages")
+		return
+	}
+	w.count("messages")
+	copies := 1
+	if w.often(w.terms.lossOfTells / 3) {
+		copies = 2
+	}
+	for range copies {
+		w.after(5*time.Millisecond+w.upTo(20*time.Millisecond), func() {
+			w.deliver(w.nodes[a.To], choice.PeerMessage{From: n.number, Data: a.Data})
+		})
+	}
+}
+
+// entries is the whole list as discovery has it: gone hosts are not in it.
+func (w *simulation) entries() (all []choice.Server) {
+	for _, h := range w.hosts {
+		if h.State != choice.Gone {
+			all = append(all, h.Server)
+		}
+	}
+	return all
+}
+
+// publish tells nodes of a host's entry, each after a delay of its own, in sequence for each node.
+func (w *simulation) publish(h *simHost) {
+	for _, n := range w.nodes {
+		if n.following {
+			w.bringList(n, choice.ServerList{Kind: choice.ListChange, Servers: []choice.Server{h.Server}})
+		}
+	}
+}
+
+func (w *simulation) bringList(n *simNode, e choice.ServerList) {
+	n.listAt = max(n.listAt, w.now+w.upTo(w.terms.listDelay))
+	w.after(n.listAt-w.now, func() { w.deliver(n, e) })
+}
+
+func (w *simulation) follow(n *simNode) {
+	if w.often(w.terms.lossOfList) {
+		w.count("failed asks")
+		w.bringList(n, choice.ServerList{Kind: choice.ListLost})
+		return
+	}
+	n.following = true
+	w.bringList(n, choice.ServerList{Kind: choice.ListWhole, Servers: w.entries()})
+}
+
+// breakList ends a node's subscription: what changes from now on does not reach it.
+func (w *simulation) breakList(n *simNode) {
+	w.count("broken subscriptions")
+	n.following = false
+	w.bringList(n, choice.ServerList{Kind: choice.ListLost})
+}
+
+// warm is the part of its capacity that a host has now.
+func (w *simulation) warm(h *simHost) float64 {
+	age := w.now - h.Started
+	if h.Started == 0 || age >= w.settings.Rules.WarmUp {
+		return 1
+	}
+	cold := w.settings.Rules.ColdShare
+	return cold + (1-cold)*age.Seconds()/w.settings.Rules.WarmUp.Seconds()
+}
+
+// load is a host's load now, over what it can do now.
+func (w *simulation) load(h *simHost) (sum float64) {
+	for _, at := range h.held {
+		sum += at.request.client.load
+	}
+	return sum / w.terms.perHost / w.warm(h) / max(h.Size, 0.1)
+}
+
+// refresh renews what a host's reports show, and has it shed its newest connections while it is overloaded.
+func (w *simulation) refresh(h *simHost) {
+	w.after(w.around(250*time.Millisecond), func() { w.refresh(h) })
+	for len(h.held) > 0 && w.load(h) > w.terms.shedAt {
+		w.count("sheds")
+		w.closeConnection(h.held[len(h.held)-1], choice.Reset, true)
+	}
+	h.seen, h.seenHeld = w.load(h), len(h.held)
+	if w.settings.TellsDelay && h.seen > 0.8 && len(h.held) > 0 {
+		at := h.held[w.rng.IntN(len(h.held))]
+		w.count("delay notes")
+		w.deliver(at.request.node, choice.DelayNote{ID: at.request.ID, Server: h.ID, Took: w.around(time.Duration(h.seen * float64(150*time.Millisecond)))})
+	}
+	if w.terms.toldLoads && len(h.held) > 0 && w.often(0.2) {
+		at := h.held[w.rng.IntN(len(h.held))]
+		at.request.client.load *= 0.5 + w.rng.Float64()
+		w.deliver(at.request.node, choice.LoadNote{ID: at.request.ID, Attempt: at.number, Load: at.request.client.load})
+	}
+}
+
+// report is a host's load report, a little noisy.
+func (w *simulation) report(h *simHost) (values []float64) {
+	for _, f := range w.settings.Fields {
+		v := 0.0
+		switch f {
+		case choice.Load:
+			v = h.seen
+		case choice.PiledUp:
+			v = max(0, h.seen-1)
+		case choice.InFlight:
+			v = float64(h.seenHeld)
+		case choice.Utilization:
+			v = min(1, h.seen)
+		case choice.Latency:
+			v = 10 / max(0.1, 1.1-h.seen)
+		case choice.Queue, choice.Throughput, choice.ErrorRate, choice.OtherField:
+			v = w.rng.Float64()
+		}
+		values = append(values, v*(0.95+0.1*w.rng.Float64()))
+	}
+	return values
+}
+
+func (w *simulation) probe(n *simNode, h *simHost) {
+	w.count("probes")
+	took := 2*time.Millisecond + w.upTo(6*time.Millisecond)
+	result := choice.ProbeResult{Server: h.ID, Outcome: choice.Served, Took: took}
+	if !h.running || w.now < h.failingUntil {
+		result.Outcome, took = choice.TimedOut, 100*time.Millisecond
+	} else if w.settings.Reports != choice.NoReports {
+		result.Report = w.report(h)
+	}
+	w.after(took, func() { w.deliver(n, result) })
+}
+
+// drawNode draws the node that a client reaches.
+func (w *simulation) drawNode() *simNode {
+	if w.terms.skew > 1 {
+		busy := (len(w.nodes) + 4) / 5
+		if w.often(float64(busy*w.terms.skew) / float64(busy*w.terms.skew+len(w.nodes)-busy)) {
+			return w.nodes[w.rng.IntN(busy)]
+		}
+	}
+	return w.nodes[w.rng.IntN(len(w.nodes))]
+}
+
+// arrive brings a client's request, its first or a further one, to a node.
+func (w *simulation) arrive(c *simClient, returned bool) *simRequest {
+	n, class := w.drawNode(), w.settings.Classes[c.class]
+	c.tries++
+	r := &simRequest{node: n, client: c, class: class}
+	r.Request = choice.Request{ID: choice.RequestID(fmt.Sprint("r", len(w.requests)+1)), Class: c.class, Tenant: c.tenant, Key: c.key,
+		Group: c.group, Left: time.Duration((0.3 + 0.7*w.rng.Float64()) * float64(class.Deadline)), Returned: returned}
+	if w.terms.toldLoads {
+		r.Load = c.load
+	}
+	if w.settings.PassThru && w.often(0.1) {
+		r.MidFlow = true
+	}
+	if w.often(0.03) {
+		r.Home = w.hosts[w.rng.IntN(len(w.hosts))].ID
+	}
+	w.requests[r.ID] = r
+	w.count("requests")
+	w.deliver(n, r.Request)
+	if w.often(w.terms.leavers) {
+		w.after(w.upTo(r.Left), func() { w.leave(r) })
+	}
+	return r
+}
+
+// leave has a client walk away, whether it still waits or is served.
+func (w *simulation) leave(r *simRequest) {
+	if r.answered || r.over || r.gone {
+		return
+	}
+	if at := r.standing(); at != nil {
+		w.closeConnection(at, choice.Cancelled, false)
+		return
+	}
+	w.count("clients that leave")
+	w.deliver(r.node, choice.ClientGone{ID: r.ID})
+}
+
+// standing is the attempt whose connection stands, or nil.
+func (r *simRequest) standing() *simAttempt {
+	if n := len(r.attempts); n > 0 && r.attempts[n-1].established {
+		return r.attempts[n-1]
+	}
+	return nil
+}
+
+// returns has a client come again, after a time that it chooses.
+func (w *simulation) returns(c *simClient, broken bool, advice time.Duration) {
+	if c.tries < w.terms.tries {
+		w.count("clients that return")
+		w.after(advice+w.around(150*time.Millisecond<<min(c.tries, 4)), func() { w.arrive(c, broken) })
+	}
+}
+
+// answer is a node's final answer to a request.
+func (w *simulation) answer(r *simRequest, again bool, advice time.Duration) {
+	r.answered = true
+	if at := r.standing(); at != nil { // the answer crossed the news that the connection stands
+		w.closeConnection(at, choice.Cancelled, false)
+	}
+	if again && !r.gone {
+		w.returns(r.client, false, advice)
+	}
+}
+
+func (w *simulation) send(r *simRequest, h *simHost, limit time.Duration) {
+	at := &simAttempt{request: r, number: len(r.attempts), host: h, sentAt: w.now}
+	r.attempts = append(r.attempts, at)
+	w.count("sends")
+	if at.number > 0 {
+		w.count("retries")
+	}
+	if r.gone || r.answered {
+		w.settle(at, choice.Moot, w.settings.Round)
+		return
+	}
+	informed := r.node.listed[h.ID].Started == h.Started
+	w.after(w.upTo(3*time.Millisecond), func() { w.reach(at, informed) })
+	w.after(limit, func() {
+		if !at.established {
+			w.settle(at, choice.TimedOut, 0)
+		}
+	})
+}
+
+// reach has an attempt reach its host.
+func (w *simulation) reach(at *simAttempt, informed bool) {
+	h := at.host
+	if at.settled {
+		return
+	}
+	h.arrivals = append(h.arrivals, arrival{w.now, informed})
+	if w.warm(h) < 1 {
+		w.count("sends to cold hosts")
+	}
+	switch {
+	case !h.running:
+		w.settle(at, choice.ConnectFailed, w.settings.Limits.ConnectTimeout)
+	case w.now < h.failingUntil:
+		if w.often(0.5) {
+			w.settle(at, choice.Failed, time.Millisecond)
+		} // else it stays silent until the attempt's time is over
+	case h.State != choice.Ready || w.load(h) > w.terms.slotsAt:
+		w.count("refused by a full host")
+		w.settle(at, choice.Full, time.Millisecond)
+	case w.often(w.terms.oddAnswers):
+		odd := []choice.Outcome{choice.Failed, choice.Reset, choice.TimedOut, choice.ConnectFailed, choice.Served}
+		w.settle(at, odd[w.rng.IntN(len(odd))], w.upTo(50*time.Millisecond))
+	default:
+		w.after(time.Duration(float64(w.around(10*time.Millisecond))/w.warm(h)), func() { w.establish(at) })
+	}
+}
+
+func (w *simulation) establish(at *simAttempt) {
+	r, h := at.request, at.host
+	switch {
+	case at.settled:
+	case r.answered || r.gone:
+		w.settle(at, choice.Cancelled, 0)
+	case !h.running:
+		w.settle(at, choice.Reset, 0)
+	default:
+		w.count("connections")
+		at.established = true
+		h.held = append(h.held, at)
+		w.deliver(r.node, choice.Established{ID: r.ID, Attempt: at.number, Server: h.ID, Took: w.now - at.sentAt})
+		w.after(w.around(w.terms.life), func() { w.closeConnection(at, choice.Served, false) })
+	}
+}
+
+// closeConnection ends a connection that stands.
+func (w *simulation) closeConnection(at *simAttempt, o choice.Outcome, again bool) {
+	if at.settled {
+		return
+	}
+	for i, held := range at.host.held {
+		if held == at {
+			at.host.held = append(at.host.held[:i:i], at.host.held[i+1:]...)
+			break
+		}
+	}
+	w.settle(at, o, 0)
+	if again {
+		w.returns(at.request.client, true, 0)
+	}
+}
+
+// settle ends an attempt; its node hears of it after a time.
+func (w *simulation) settle(at *simAttempt, o choice.Outcome, after time.Duration) {
+	if at.settled {
+		return
+	}
+	at.settled = true
+	w.after(after, func() {
+		r := at.request
+		e := choice.AttemptEnded{ID: r.ID, Attempt: at.number, Server: at.host.ID, Outcome: o, Took: w.now - at.sentAt,
+			Final: o == choice.Served || at.established || r.answered || r.gone}
+		if w.settings.Reports == choice.AllReports && at.host.running {
+			e.Report = w.report(at.host)
+		}
+		w.deliver(r.node, e)
+	})
+}
+
+// stop ends a host's process: its connections break.
+func (w *simulation) stop(h *simHost) {
+	h.running = false
+	for len(h.held) > 0 {
+		w.closeConnection(h.held[0], choice.Reset, true)
+	}
+}
+
+// drain has a host finish its work, stop and come back cold.
+func (w *simulation) drain(h *simHost) {
+	if h.State != choice.Ready || !h.running {
+		return
+	}
+	w.count("drains")
+	h.State = choice.Draining
+	w.publish(h)
+	w.after(w.around(3*time.Second), func() {
+		w.stop(h)
+		h.State = choice.Gone
+		w.publish(h)
+		w.after(w.around(time.Second), func() { w.start(h) })
+	})
+}
+
+// vanish has a host stop without a word; discovery finds out later.
+func (w *simulation) vanish(h *simHost) {
+	if h.State != choice.Ready || !h.running {
+		return
+	}
+	w.count("hosts that vanish")
+	w.stop(h)
+	w.after(w.around(time.Second), func() {
+		if !h.running {
+			h.State = choice.Gone
+			w.publish(h)
+		}
+	})
+	w.after(w.around(3*time.Second), func() { w.start(h) })
+}
+
+// restart has a host's process come back at once: it is cold, and nothing said that it was gone.
+func (w *simulation) restart(h *simHost) {
+	if h.State == choice.Ready && h.running {
+		w.stop(h)
+		w.start(h)
+	}
+}
+
+func (w *simulation) start(h *simHost) {
+	if h.running {
+		return
+	}
+	w.count("cold starts")
+	h.running, h.State, h.Started = true, choice.Ready, w.now
+	w.publish(h)
+}
+
+// fail has a host answer with errors, or not at all, for a time.
+func (w *simulation) fail(h *simHost) {
+	w.count("failing hosts")
+	h.failingUntil = w.now + w.around(2*time.Second)
+}
+
+// arrivalsFor has clients come at an even rate, by chance, for a time.
+func (w *simulation) arrivalsFor(d time.Duration, perSecond float64, draw func() *simClient) {
+	for at := time.Duration(0); ; {
+		at += time.Duration(w.rng.ExpFloat64() / perSecond * float64(time.Second))
+		if at >= d {
+			return
+		}
+		w.after(at, func() { w.arrive(draw(), false) })
+	}
+}
