Tests: cold hosts under the sum of what 3, 30 and 300 nodes send

Cause: the rule counts what all nodes together send to a cold host; tests had one settings file's rules, even traffic and no restarts. Ruled out: measuring what one node sends against its own part. Parts that are each kept can add up to a fall. Change: a simulated fleet with hosts that join, vanish, restart and restart again while warming up, a burst, retries, and nodes of which a fifth gets four times the traffic; with and without reports and keepers, under two sets of rules. Windows over N + 2*sqrt(N) + 2 are counted, as are those that nodes which knew of the start sent two thirds of; a cold host must get a part of an even spread as well. Not here: keepers of 30 nodes with uneven traffic, which break the limit in some runs.

--- /dev/null
+++ b/choice/cold_fleet_test.go
@@ -0,0 +1,266 @@
+package choice_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+)
+
+// coldFleet is a fleet whose nodes together must not push a cold host over.
+type coldFleet struct {
+	name    string
+	nodes   int
+	hosts   int // one in four of them is cold
+	reports choice.Channel
+	peers   bool // nodes may send one another messages: hosts have keepers
+	rules   choice.Rules
+	skew    int     // a fifth of the nodes gets this many times the traffic of the others
+	homes   float64 // part of the requests that resume on some host
+	told    bool    // the load of a mean connection is told in the settings
+	burst   float64
+	seed    uint64
+}
+
+const (
+	coldPerHost = 20.0 // mean connections that fill a warm host
+	coldLife    = 20 * time.Second
+	coldLoad    = 0.6
+	beforeCold  = 30 * time.Second // until the fleet is in balance
+)
+
+// shortWarmUp and longWarmUp are rules as sites have them.
+var (
+	shortWarmUp = choice.Rules{AnswerSlack: 20 * time.Millisecond, AskWithin: 10 * time.Second, DrainGrace: 500 * time.Millisecond,
+		ColdShare: 0.2, WarmUp: 10 * time.Second, FallMultiple: 3, FallTime: time.Second}
+	longWarmUp = choice.Rules{AnswerSlack: 20 * time.Millisecond, AskWithin: 10 * time.Second, DrainGrace: 3 * time.Second,
+		ColdShare: 0.14, WarmUp: 24 * time.Second, FallMultiple: 4, FallTime: 2 * time.Second}
+)
+
+// coldFigures say how cold hosts fared in one run.
+type coldFigures struct {
+	worst      float64 // the most that one got in a window, over what it bears then
+	worstSum   int
+	worstBears float64
+	windows    int     // windows over what it bears
+	broken     int     // of these: over two thirds came from nodes that knew of the start
+	budgetPart float64 // of all that cold hosts might get
+	fairPart   float64 // of an even part of all connections placed, for what a cold host can do
+	least      float64 // the least fair part of one
+}
+
+// noJudge lets all pass.
+type noJudge struct{}
+
+func (noJudge) told(*simNode, choice.Event)                       {}
+func (noJudge) acts(*simNode, choice.Action)                      {}
+func (noJudge) stepped(*simNode, []choice.Event, []choice.Action) {}
+
+func (f coldFleet) settings() choice.Settings {
+	s := choice.Settings{Nodes: f.nodes, Zone: "z0", Reports: f.reports, Sizes: choice.NominalSize, Round: 5 * time.Millisecond,
+		Classes: []choice.Class{{Name: "c", SetupAim: 800 * time.Millisecond, Deadline: 4 * time.Second,
+			MessageAim: 100 * time.Millisecond, Worth: 1}},
+		Limits:  choice.Limits{Attempts: 4, MayProbe: true, MayCancel: true, MayTell: f.peers, ConnectTimeout: 100 * time.Millisecond},
+		Rules:   f.rules,
+		Tariffs: choice.Tariffs{Probe: 0.002, Move: 0.01, Peer: 0.01},
+	}
+	if f.reports != choice.NoReports {
+		s.Fields, s.Sizes = []choice.Field{choice.Load, choice.Utilization}, choice.NoSize
+	}
+	if f.told {
+		s.FirstCost = 1 / coldPerHost
+	}
+	return s
+}
+
+// play has the fleet come into balance, then cold hosts join and others come back cold, under a burst, and counts.
+func (f coldFleet) play(t *testing.T) coldFigures {
+	var list []choice.Server
+	for i := range f.hosts {
+		h := choice.Server{ID: choice.ServerID(fmt.Sprintf("h%02d", i)), Zone: "z0", Kind: fmt.Sprint("k", i%2), Size: 1 - 0.4*float64(i%2)}
+		if i%8 == 3 { // joins
+			h.State = choice.Gone
+		}
+		list = append(list, h)
+	}
+	world := terms{perHost: coldPerHost, life: coldLife, listDelay: 300 * time.Millisecond, tries: 6, oddAnswers: 0.02, shedAt: 1.3,
+		slotsAt: 1.3, lossOfTells: 0.02, skew: f.skew, homes: f.homes}
+	s := f.settings()
+	w := newSimulation(t, f.name, s, world, list, f.seed, noJudge{})
+	var strength float64
+	for _, h := range w.hosts {
+		strength += h.strength
+		if s.Sizes == choice.NoSize { // nodes have to learn it
+			h.Size = 1
+		}
+	}
+	rate := coldLoad * strength * coldPerHost / coldLife.Seconds()
+	draw := func() *simClient { return &simClient{tenant: -1, key: w.rng.Uint64(), load: 1} }
+	day := beforeCold + f.rules.WarmUp + 4*time.Second
+	w.arrivalsFor(day, rate, draw)
+	if f.burst > 0 {
+		w.after(beforeCold+time.Second, func() { w.arrivalsFor(5*time.Second, rate*f.burst, draw) })
+	}
+	for i, h := range w.hosts {
+		switch at := beforeCold + w.upTo(3*time.Second); {
+		case i%8 == 3:
+			w.after(at, func() { w.start(h) })
+		case i%8 == 6:
+			w.after(at, func() { w.vanish(h) })
+		case i%8 == 5 && i < 8: // one restarts again in its warm-up
+			w.after(at, func() { w.restart(h) })
+			w.after(at+f.rules.WarmUp/2, func() { w.restart(h) })
+		}
+	}
+	w.run(w.now + day)
+	for _, what := range []string{"cold starts", "sends to cold hosts", "clients that return", "retries"} {
+		if w.counts[what] == 0 {
+			t.Errorf("%s: no %s; the run shows nothing", f.name, what)
+		}
+	}
+	return w.coldFigures(f)
+}
+
+// warmAt is the part of its capacity that a host has so long after a cold start.
+func warmAt(r choice.Rules, age time.Duration) float64 {
+	return min(1, r.ColdShare+(1-r.ColdShare)*age.Seconds()/r.WarmUp.Seconds())
+}
+
+// bears is how many requests of mean work a cold host is allowed in a window that ends so long after its start: what fills it over
+// its warm-up, by the part of its capacity that it has, by the multiple. The slack for chance comes on top.
+func bears(r choice.Rules, strength float64, age time.Duration) float64 {
+	return r.FallMultiple * warmAt(r, age) * strength * coldPerHost / r.WarmUp.Seconds() * r.FallTime.Seconds()
+}
+
+// withSlack is the sum from which on a cold host falls.
+func withSlack(n float64) float64 { return n + 2*math.Sqrt(n) + 2 }
+
+// coldFigures reads the arrivals at all cold hosts.
+func (w *simulation) coldFigures(f coldFleet) (c coldFigures) {
+	c.least = math.Inf(1)
+	var got, might, even float64
+	for _, h := range w.hosts {
+		for i, start := range h.starts {
+			end := min(start+f.rules.WarmUp, w.now)
+			if i+1 < len(h.starts) {
+				end = min(end, h.starts[i+1])
+			}
+			n := c.addStart(f, h, start, end)
+			age := end - start
+			mean := (warmAt(f.rules, 0) + warmAt(f.rules, age)) / 2
+			got += n
+			might += f.rules.FallMultiple * mean * h.strength * coldPerHost * age.Seconds() / f.rules.WarmUp.Seconds()
+			part := w.evenPart(h, start, end) * mean
+			even += part
+			c.least = min(c.least, n/part)
+		}
+	}
+	c.budgetPart, c.fairPart = got/might, got/even
+	return c
+}
+
+// addStart takes in the windows of one cold start, and returns how much the host got in it.
+func (c *coldFigures) addStart(f coldFleet, h *simHost, start, end time.Duration) (got float64) {
+	for i, last := range h.arrivals {
+		if last.at < start || last.at >= end {
+			continue
+		}
+		got++
+		sum, informed := 0, 0
+		for _, a := range h.arrivals[:i+1] {
+			if a.at >= start && a.at > last.at-f.rules.FallTime {
+				if sum++; a.informed {
+					informed++
+				}
+			}
+		}
+		n := bears(f.rules, h.strength, last.at-start)
+		over := float64(sum) / withSlack(n)
+		if over > 1 {
+			if c.windows++; 3*informed > 2*sum {
+				c.broken++
+			}
+		}
+		if over > c.worst {
+			c.worst, c.worstSum, c.worstBears = over, sum, n
+		}
+	}
+	return got
+}
+
+// evenPart is what a host would get of all that reached hosts in a time, if it came by strength.
+func (w *simulation) evenPart(of *simHost, from, to time.Duration) float64 {
+	all, strength := 0.0, 0.0
+	for _, h := range w.hosts {
+		strength += h.strength
+		for _, a := range h.arrivals {
+			if a.at >= from && a.at < to {
+				all++
+			}
+		}
+	}
+	return all * of.strength / strength
+}
+
+// TestColdHostsUnderManyNodes sets the sum of what all nodes send to a cold host against what makes it fall, while traffic is uneven
+// between nodes, a burst comes, hosts join, vanish and restart, and clients retry. A window over the limit breaks the rule if over
+// two thirds of it came from nodes that had been told of the start; the others can't know. Nor may cold hosts starve: they get at
+// least a part of what an even spread by capacity would bring them.
+//
+// Without keepers a cold host of 300 nodes gets next to nothing: for these the part is logged and has no bound.
+func TestColdHostsUnderManyNodes(t *testing.T) {
+	for _, c := range []struct {
+		nodes     int
+		reports   choice.Channel
+		peers     bool
+		told      bool
+		seeds     uint64
+		leastFair float64
+	}{
+		{3, choice.NoReports, false, true, 4, 0.3},
+		{3, choice.ProbeReports, false, false, 3, 0.25},
+		{3, choice.AllReports, true, true, 3, 0.25},
+		{30, choice.NoReports, false, true, 3, 0.03},
+		{30, choice.ProbeReports, false, false, 3, 0.3},
+		{30, choice.AllReports, false, true, 3, 0.2},
+		{300, choice.NoReports, false, true, 1, 0},
+		{300, choice.ProbeReports, false, false, 1, 0},
+		{300, choice.ProbeReports, true, false, 2, 1},
+		{300, choice.AllReports, true, true, 1, 1},
+	} {
+		for _, rules := range []choice.Rules{shortWarmUp, longWarmUp} {
+			name := fmt.Sprintf("%d nodes, reports %d, peers %v, warm after %v", c.nodes, c.reports, c.peers, rules.WarmUp)
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				var sum coldFigures
+				for seed := range c.seeds {
+					f := coldFleet{name: fmt.Sprintf("%s, seed %d", name, seed), nodes: c.nodes, hosts: 24, reports: c.reports, peers: c.peers,
+						rules: rules, skew: 4, told: c.told, burst: 4, seed: seed}
+					sum.add(f.play(t), c.seeds)
+				}
+				t.Logf("worst window %.2f of the limit (%d requests, N %.1f), over it %d, rule broken %d; part of the budget %.2f, "+
+					"of an even spread %.2f, least %.2f", sum.worst, sum.worstSum, sum.worstBears, sum.windows, sum.broken, sum.budgetPart,
+					sum.fairPart, sum.least)
+				if sum.broken > 0 {
+					t.Errorf("%d windows over what a cold host bears, sent by nodes that knew of its start", sum.broken)
+				}
+				if sum.fairPart < c.leastFair {
+					t.Errorf("cold hosts get %.2f of an even part", sum.fairPart)
+				}
+			})
+		}
+	}
+}
+
+// add takes in another run, as one of so many.
+func (c *coldFigures) add(o coldFigures, runs uint64) {
+	if o.worst > c.worst {
+		c.worst, c.worstSum, c.worstBears = o.worst, o.worstSum, o.worstBears
+	}
+	c.windows, c.broken = c.windows+o.windows, c.broken+o.broken
+	c.budgetPart += o.budgetPart / float64(runs)
+	c.fairPart += o.fairPart / float64(runs)
+	c.least += o.least / float64(runs)
+}
--- a/choice/random_settings_test.go
+++ b/choice/random_settings_test.go
@@ -293,7 +293,7 @@
 	hosts, zones := 3+int(58*rng.Float64()*rng.Float64()), 1+rng.IntN(5)
 	world := terms{perHost: between(6, 20), life: seconds(3, 9), listDelay: seconds(0.05, 2), lossOfList: between(0, 0.4),
 		lossOfTells: between(0, 0.3), tries: 1 + rng.IntN(4), leavers: between(0, 0.2), toldLoads: chance(0.4),
-		oddAnswers: between(0.02, 0.2), shedAt: between(1, 1.6), skew: 1 + rng.IntN(5)}
+		oddAnswers: between(0.02, 0.2), shedAt: between(1, 1.6), homes: 0.03, skew: 1 + rng.IntN(5)}
 	world.slotsAt = world.shedAt * between(0.8, 1.1)
 	s := choice.Settings{
 		Nodes: 1 + rng.IntN(30), Zone: "z0", Grouped: chance(0.4), PassThru: chance(0.2), Subscribe: chance(0.5),
--- a/choice/simulation_test.go
+++ b/choice/simulation_test.go
@@ -45,6 +45,7 @@
 	oddAnswers  float64       // part of the set-ups that end with no connection: an error, a loss, or served at once
 	shedAt      float64       // load from which on a host sheds connections
 	slotsAt     float64       // load from which on a host refuses connections
+	homes       float64       // part of the requests that resume on some host
 	skew        int           // a fifth of the nodes gets this many times the traffic of the others
 }
 
@@ -90,9 +91,11 @@
 // simHost is one host. Its capacity grows evenly over its warm-up.
 type simHost struct {
 	choice.Server
+	strength     float64 // what it can do when warm, in units of terms.perHost; nodes may be told otherwise
 	running      bool
 	failingUntil time.Duration
-	held         []*simAttempt // connections that stand, oldest first
+	held         []*simAttempt   // connections that stand, oldest first
+	starts       []time.Duration // cold ones
 	arrivals     []arrival
 	seen         float64 // load as its reports show it, some time old
 	seenHeld     int
@@ -141,7 +144,7 @@
 	w := &simulation{t: t, name: name, rng: rand.New(rand.NewPCG(seed, 11)), now: simulationStart, settings: s, terms: of,
 		byID: map[choice.ServerID]*simHost{}, requests: map[choice.RequestID]*simRequest{}, judge: j, counts: map[string]int{}}
 	for _, server := range hosts {
-		h := &simHost{Server: server, running: true}
+		h := &simHost{Server: server, strength: max(server.Size, 0.1), running: server.State == choice.Ready}
 		w.hosts, w.byID[h.ID] = append(w.hosts, h), h
 		w.after(w.upTo(250*time.Millisecond), func() { w.refresh(h) })
 	}
@@ -346,7 +349,7 @@
 	for _, at := range h.held {
 		sum += at.request.client.load
 	}
-	return sum / w.terms.perHost / w.warm(h) / max(h.Size, 0.1)
+	return sum / w.terms.perHost / w.warm(h) / h.strength
 }
 
 // refresh renews what a host's reports show, and has it shed its newest connections while it is overloaded.
@@ -428,7 +431,7 @@
 	if w.settings.PassThru && w.often(0.1) {
 		r.MidFlow = true
 	}
-	if w.often(0.03) {
+	if w.often(w.terms.homes) {
 		r.Home = w.hosts[w.rng.IntN(len(w.hosts))].ID
 	}
 	w.requests[r.ID] = r
@@ -633,6 +636,7 @@
 	}
 	w.count("cold starts")
 	h.running, h.State, h.Started = true, choice.Ready, w.now
+	h.starts = append(h.starts, w.now)
 	w.publish(h)
 }
 
