Module: one estimate of load from what is seen, where hosts report nothing

Cause: connections counted 1 until their host told a load, about 0.02 afterwards; slow messages and drops changed no prediction; leave for cold hosts lapsed on large fleets; attempts were bounded by nothing that came of them; refusals gave no advice. Ruled out: slow messages and probes as signs on sockets, the unit alone, wider groups for all that return (docs/silent-hosts.md). Change: choice/estimate.go (told loads give the unit and each class its mean; slow messages, slow set-ups, drops and standing connections are observations like reports), choice/throttle.go, advice where settings allow it, groups ordered by registered size and warm-up, leave for cold hosts taken before it lapses and some for all of them together, the average rests at a half while nothing is seen (a gate shut by an overload stayed shut). Five faults of drawn worlds: advice over the most that clients heed, a waiting request that left a new plan's zones, resumption past the cold budget, budgets of keepers that see much, starved cold hosts. The judge of drawn worlds holds all requests to the plan now, not only those that came after it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,39 +12,41 @@
 )
 
 const (
-	kP, kI, kD  = 0.6, 0.5, 0.125 // the paper's gains, on relative error
-	gain        = 5.0             // PID output to weight: the base is lost a third above average
-	windup      = 0.08            // most that the integral may hold (of PID output)
-	floorShare  = 0.02            // least weight, part of the base: a server is never wholly forgotten
-	topShare    = 3.0             // most weight, times the base: bounds what one good report can draw
-	tick        = time.Second     // PID step: a placement needs about that long to show in a report
-	memory      = 8 * time.Second // a report's news fades with this: loads change, others place too
-	costKeep    = 0.98            // of a kind's cost at each report: costs are slow, noise is not
-	firstCost   = 0.02            // load of a mean connection before anything is learned
-	costPrior   = 3.0             // own mean connections where a server's own cost outweighs its kind's
-	fleetPrior  = 4.0             // the same on all servers, for what is told before anything is learned
-	probeSpend  = 0.006           // service worth spending on probes, a first try
-	reportLag   = time.Second     // about as long as a placement takes to show in a report
-	mirrorPrior = 4.0             // mean connections of evidence that a server bears the average
-	groupShare  = 0.7             // load that one group may put on a server before it takes a further one
-	freshFor    = 300 * time.Millisecond
-	holdShare   = 5    // a request waits aim/holdShare for its probes
-	crowded     = 0.85 // predicted load from which on more servers are sampled, and in the end none used
-	maxRounds   = 8    // samples for one placement at most
-	moveChance  = 0.4  // of asking whether to move, for each note that messages miss their aim (one a second)
-	coldSafety  = 0.5  // part of the cold budget used: what all nodes may hold at once is all of it then
-	avgKeep     = 0.97 // of the average, at each report
-	gateGain    = 2.0  // how fast the gate closes and opens, a second and load over or under crowded
-	peek        = 0.15 // of probing a server for each request that the gate turns away: it must see to open
-	full        = 1.2  // most that a server counts in the average: few slow ones must not shut the gate
-	spill       = 0.15 // predicted load over the average from which on a group's next server is taken
-	firstEject  = 2 * time.Second
-	patrolAfter = 3 * time.Second        // without a report of a server with own connections
-	muteAfter   = 150 * time.Millisecond // a keeper's answer, with a probe of its own before it
-	maxMuted    = 2                      // lost questions until a request is placed without keepers
-	coldKept    = 0.7                    // part of the cold budget that a keeper spends steadily
-	groupMemory = 40 * time.Second       // about as long as a connection lives: then its group may be gone
-	rateMemory  = 10 * time.Second       // arrivals: long against gaps between them, short against a day
+	kP, kI, kD   = 0.6, 0.5, 0.125 // the paper's gains, on relative error
+	gain         = 5.0             // PID output to weight: the base is lost a third above average
+	windup       = 0.08            // most that the integral may hold (of PID output)
+	floorShare   = 0.02            // least weight, part of the base: a server is never wholly forgotten
+	topShare     = 3.0             // most weight, times the base: bounds what one good report can draw
+	tick         = time.Second     // PID step: a placement needs about that long to show in a report
+	memory       = 8 * time.Second // a report's news fades with this: loads change, others place too
+	costKeep     = 0.98            // of a kind's cost at each report: costs are slow, noise is not
+	firstCost    = 0.02            // load of a mean connection before anything is learned
+	costPrior    = 3.0             // own mean connections where a server's own cost outweighs its kind's
+	fleetPrior   = 4.0             // the same on all servers, for what is told before anything is learned
+	probeSpend   = 0.006           // service worth spending on probes, a first try
+	reportLag    = time.Second     // about as long as a placement takes to show in a report
+	mirrorPrior  = 4.0             // mean connections of evidence that a server bears the average
+	groupShare   = 0.7             // load that one group may put on a server before it takes a further one
+	freshFor     = 300 * time.Millisecond
+	holdShare    = 5    // a request waits aim/holdShare for its probes
+	crowded      = 0.85 // predicted load from which on more servers are sampled, and in the end none used
+	maxRounds    = 8    // samples for one placement at most
+	moveChance   = 0.4  // of asking whether to move, for each note that messages miss their aim
+	coldSafety   = 0.5  // part of the cold budget used: what all nodes may hold at once is all of it then
+	avgKeep      = 0.97 // of the average, at each report
+	gateGain     = 2.0  // how fast the gate closes and opens, a second and load over or under crowded
+	peek         = 0.15 // of probing a server for each request that the gate turns away: it must see to open
+	full         = 1.2  // most that a server counts in the average: few slow ones must not shut the gate
+	spill        = 0.15 // predicted load over the average from which on a group's next server is taken
+	firstEject   = 2 * time.Second
+	patrolAfter  = 3 * time.Second        // without a report of a server with own connections
+	muteAfter    = 150 * time.Millisecond // a keeper's answer, with a probe of its own before it
+	maxMuted     = 2                      // lost questions until a request is placed without keepers
+	coldCommon   = 0.25                   // part of all cold servers' budgets that may go to any
+	coldKept     = 0.7                    // part of the cold budget that a keeper spends steadily
+	returnSpread = 3                      // more servers of its group, for a client that one sent away
+	groupMemory  = 40 * time.Second       // about as long as a connection lives: then its group may be gone
+	rateMemory   = 10 * time.Second       // arrivals: long against gaps between them, short against a day
 )
 
 // ask asks discovery again, early enough for Rules.AskWithin after some failures, nodes not all at once.
@@ -66,25 +68,6 @@
 	b.price()
 }
 
-// observe takes a load report: the predicted load is anchored there, and costs learn.
-func (b *Balancer) observe(s *server, report []float64) {
-	load, held, piled, late := readReport(b.set.Fields, report)
-	if math.IsNaN(load) {
-		return
-	}
-	share := float64(b.set.Nodes) * s.told // nodes assumed to use the server alike
-	if !math.IsNaN(held) {
-		share, b.tellsHeld = held*b.unit, true // told outright
-	}
-	s.num, s.den, s.n = s.num*0.9+load, s.den*0.9+share, s.n*0.9+1
-	k := s.kind
-	k.num, k.den, k.n = k.num*costKeep+load, k.den*costKeep+share, k.n*costKeep+1
-	if load += piled; !b.set.TellsDelay {
-		load = max(load, b.asLoad(late)) // where no notes come, reports alone tell of slow messages
-	}
-	b.learn(s, load)
-}
-
 // learn anchors the predicted load and takes it into the average.
 func (b *Balancer) learn(s *server, load float64) {
 	s.lent = fade(s.lent, b.now-s.reportAt, reportLag) // as its keeper: the report shows what was lent before
@@ -125,7 +108,7 @@
 	b.keeps = b.set.Limits.MayTell && b.set.Limits.MayProbe && b.set.Reports != NoReports &&
 		first*float64(len(b.silent)) > 1 && b.plan == nil &&
 		b.set.Tariffs.Peer*(questionBytes+answerBytes)/256 <= b.set.Tariffs.Probe
-	b.bases = 0
+	b.bases, b.coldRates = 0, 0
 	for _, s := range b.servers {
 		k := costPrior * b.unit * float64(b.set.Nodes)
 		n := max(1, s.kind.n/max(s.kind.servers, 1)) // reports of one server that were summed
@@ -143,6 +126,9 @@
 		}
 		if s.State == Ready {
 			b.bases += s.base
+			if b.warm(s) < 1 {
+				b.coldRates += b.coldRate(s)
+			}
 		}
 		sum += s.cost * s.told
 	}
@@ -151,19 +137,6 @@
 	}
 }
 
-// firstCost is the load of a mean connection before anything is learned: the tenants' shares, where told as
-// connections, together are about what all servers bear.
-func (b *Balancer) firstCost() float64 {
-	shares := 0.0
-	for _, t := range b.set.Tenants {
-		shares += max(0, t.Connections)
-	}
-	if n := float64(len(b.servers)); b.set.FirstCost == 0 && shares > 0 && finite(shares) && n > 0 {
-		return clamp(n/shares, firstCost/4, 0.5)
-	}
-	return b.first
-}
-
 // predict is told load x cost, anchored at the last report; that fades to the average: silence is no news.
 func (b *Balancer) predict(s *server) float64 {
 	if !b.anyKnown {
@@ -187,6 +160,9 @@
 
 // steer is the PID tick: average, integral, derivative; the proportional part is taken when drawing.
 func (b *Balancer) steer() {
+	if b.set.Reports == NoReports {
+		b.inferStanding()
+	}
 	b.price()
 	// The gate guards a fleet that is full as a whole, where set-ups and drops would feed each other.
 	// Probes go to servers that look well, so the share of own load on those just seen full counts as well.
@@ -221,10 +197,14 @@
 		if b.predict(s)+s.cost*load > b.spillAt() {
 			return floorShare
 		}
-		return 1 // nodes learned its size differently, and must choose alike
+		return b.registered(s) * b.warm(s) // by what all know: learned sizes differ, nodes must choose alike
 	}
 	diff := kP*relative(b.predict(s)+s.cost*load, avg) + s.trim
-	return s.base * b.warm(s) * clamp(1-gain*diff, floorShare, topShare)
+	w := s.base * b.warm(s) * clamp(1-gain*diff, floorShare, topShare)
+	if b.warm(s) < 1 && !b.keeps { // leave that the usual draws would let lapse is taken first
+		w *= clamp(1/(b.usualRate(s)*2*b.set.Rules.FallTime.Seconds()), 1, 1000)
+	}
+	return w
 }
 
 // spillAt is the predicted load up to which a group stays on its server.
@@ -243,27 +223,26 @@
 // coldCredit guards a cold server: this node's part of what all may send it, as leave for one mean
 // connection now and then, at a seeded phase. Leave that is not used lapses: saved up at many nodes, it
 // would come all at once.
-func (b *Balancer) coldCredit(s *server) bool {
-	warm := b.warm(s)
-	if warm == 1 {
+func (b *Balancer) coldCredit(r *request, s *server) bool {
+	if b.warm(s) == 1 {
 		return true
 	}
-	rules := b.set.Rules
-	// Connections a second that would fill it, this node's part: by the usual traffic, and by what fills it
-	// over its warm-up, as in a storm of retries the usual traffic says nothing of what a server can do.
-	fill := s.cost * b.unit * rules.WarmUp.Seconds() * float64(b.all)
-	usual := b.recent / rateMemory.Seconds() * s.base / b.bases // of this node, at an even spread
-	able := coldSafety * min(usual/max(b.avg, 0.5), 1/fill)
-	if b.keeps { // its keeper spends the budget for all
-		able = coldKept * float64(b.all) / fill
+	s.credit, s.creditAt = b.accrue(s.credit, s.creditAt, coldSafety*b.coldRate(s)), b.now
+	// A group wants few servers, and leave for one of them lapses before its next request comes: some more is
+	// given for all cold servers together.
+	b.coldLeave, b.coldLeaveAt = b.accrue(b.coldLeave, b.coldLeaveAt, coldCommon*b.coldRates), b.now
+	return s.credit >= 1 || r.bind != 0 && b.coldLeave >= 1
+}
+
+// keptCredit is the same for a server's keeper, which spends the budget for all, as leave for one at a time.
+func (b *Balancer) keptCredit(s *server) bool {
+	if b.warm(s) == 1 {
+		return true
 	}
-	rate := rules.FallMultiple * warm * able
+	rate := coldKept * float64(b.all) * b.coldBudget(s)
 	s.credit, s.creditAt = s.credit+rate*(b.now-s.creditAt).Seconds(), b.now
-	if b.keeps { // what comes in one FallTime stays under the budget, but for the first connection
-		s.credit = min(s.credit, max(1, (1/coldKept-1)*rate*rules.FallTime.Seconds()))
-	} else if s.credit > 1+2*rate*rules.FallTime.Seconds() {
-		s.credit = math.Mod(s.credit, 1)
-	}
+	// What comes in one FallTime stays under the budget, but for the first connection.
+	s.credit = min(s.credit, max(1, (1/coldKept-1)*rate*b.set.Rules.FallTime.Seconds()))
 	return s.credit >= 1
 }
 
@@ -273,22 +252,22 @@
 	s.strikes++
 }
 
-// asLoad is the load that a message's time tells: they slow down only near capacity. 0: not slow.
-func (b *Balancer) asLoad(took time.Duration) float64 {
-	if b.minAim == 0 || took <= b.minAim/3 {
-		return 0
-	}
-	return min(0.7+0.4*took.Seconds()/b.minAim.Seconds(), 1.5)
-}
-
 func (b *Balancer) delayed(e DelayNote) {
 	s := b.find(e.Server)
 	if s == nil || b.minAim == 0 || e.Took <= 0 {
 		return
 	}
-	if p := b.asLoad(e.Took); p > b.predict(s) {
+	s.messageTime = e.Took
+	p := b.asLoad(e.Took)
+	if p > b.predict(s) {
 		b.anchor(s, p)
 	}
+	if b.set.Reports == NoReports { // each node moves its part of the excess: a probe would not confirm it
+		if b.slowMessages = b.slowMessages || p > 0; e.Took > b.minAim {
+			b.move(s, (1-crowded/p)/2)
+		}
+		return
+	}
 	// Exception to "connections stay put": one whose messages all miss their aim earns nothing where it is.
 	// Some ask the server for a report first, and only the excess over what it can do is moved.
 	r, chance := b.reqs[e.ID], moveChance
@@ -320,7 +299,11 @@
 	if b.plan != nil {
 		return b.plan.Admit[r.Class]
 	}
-	return math.Pow(b.gate, b.meanWorth/b.worth(r))
+	admitted := math.Pow(b.gate, b.meanWorth/b.worth(r))
+	if b.set.Reports == NoReports {
+		admitted = min(admitted, b.throttle.admit(b.now))
+	}
+	return admitted
 }
 
 func (b *Balancer) arrive(q Request) {
@@ -338,6 +321,7 @@
 		if s := b.servers[b.rng.IntN(len(b.servers))]; s.State == Ready && b.rng.Float64() < peek {
 			b.probe(s)
 		}
+		b.throttle.add(b.now, 1, 0)
 		b.answer(r)
 		return
 	}
@@ -353,7 +337,7 @@
 		return false
 	}
 	return s.State == Ready && !slices.Contains(r.tried, s) && (r.zone == "" || s.Zone == r.zone) &&
-		(b.keeps && (r.rounds < maxMuted || b.warm(s) == 1) || !b.keeps && b.coldCredit(s))
+		(b.keeps && (r.rounds < maxMuted || b.warm(s) == 1) || !b.keeps && b.coldCredit(r, s))
 }
 
 // sample draws n more servers by weight. A group draws by a hash in place of chance, and without a bonus
@@ -370,7 +354,7 @@
 
 func (b *Balancer) chance(r *request, s *server) float64 {
 	if r.bind != 0 && !r.wide {
-		return (float64(mix(r.bind^s.hash)>>11) + 0.5) / (1 << 53)
+		return chanceOf(r.bind ^ s.hash)
 	}
 	return 1 - b.rng.Float64()
 }
@@ -403,7 +387,8 @@
 
 // place samples the table for a request, the draw being among these, and probes what is not fresh.
 func (b *Balancer) place(r *request) {
-	if s := b.find(r.Home); s != nil && b.now >= s.badUntil && b.eligible(r, s) { // resumes there
+	if s := b.find(r.Home); s != nil && b.now >= s.badUntil && b.eligible(r, s) &&
+		(!b.keeps || b.warm(s) == 1) { // resumes there; what a cold one bears its keeper alone knows
 		b.send(r, s)
 		return
 	}
@@ -414,6 +399,9 @@
 	n := int(clamp(math.Round(probeSpend/max(b.set.Tariffs.Probe, 1e-9)), 2, 4))
 	if r.bind != 0 { // its next servers only
 		n = b.spread(r)
+		if r.Returned && b.slowMessages { // from a server that is full, and which one it was is not told
+			n += min(b.unknown(r, n), 1) * returnSpread
+		}
 	}
 	r.wide = false
 	for had := len(r.picks); b.allot(r); r.shut = append(r.shut, r.zone) {
@@ -529,7 +517,7 @@
 			a.part = 1 - crowded/p
 			s.lent -= a.part * q.load
 		}
-	case p+s.cost*b.unit*q.load/warm <= limit && b.coldCredit(s):
+	case p+s.cost*b.unit*q.load/warm <= limit && b.keptCredit(s):
 		a.kind = yes
 		s.lent, s.credit = s.lent+q.load, s.credit-q.load
 		s.stands(q.group, b.now)
@@ -537,11 +525,6 @@
 	b.reply(q, a)
 }
 
-// knows reports whether a keeper can tell without asking its server.
-func (b *Balancer) knows(s *server) bool {
-	return s.known && b.now-s.reportAt < freshFor || b.now < s.badUntil
-}
-
 // lost goes on without an answer: the keeper may be gone, and after some no keeper is asked.
 func (b *Balancer) lost(q asked) {
 	b.silent[q.to] = b.now + firstEject
@@ -562,7 +545,7 @@
 	case r == nil:
 		b.move(q.s, a.part)
 	case b.reqs[r.ID] != r || r.on != nil:
-	case a.kind == yes && b.eligible(r, q.s): // it may have begun to drain meanwhile
+	case a.kind == yes && b.eligible(r, q.s) && b.granted(r, q.s): // not if it drains by now
 		b.send(r, q.s)
 	default:
 		if a.load > crowded {
@@ -584,7 +567,9 @@
 func (b *Balancer) dispatch(r *request) {
 	r.waiting = 0
 	b.waits = slices.DeleteFunc(b.waits, func(o *request) bool { return o == r })
-	picks := slices.DeleteFunc(slices.Clone(r.picks), func(s *server) bool { return !b.eligible(r, s) })
+	picks := slices.DeleteFunc(slices.Clone(r.picks), func(s *server) bool {
+		return !b.eligible(r, s) || !b.granted(r, s)
+	})
 	silent := func(s *server) bool { return s.probing || b.now < s.badUntil } // which is not low load
 	if heard := slices.DeleteFunc(slices.Clone(picks), silent); len(heard) > 0 {
 		picks = heard
@@ -627,7 +612,11 @@
 	b.bind(r, s)
 	b.rate, b.rateAt = fade(b.rate, b.now-b.rateAt, rateMemory)+r.load/b.unit, b.now
 	if b.warm(s) < 1 && !b.keeps {
-		s.credit -= r.load / b.unit
+		if s.credit >= 1 {
+			s.credit -= r.load / b.unit
+		} else {
+			b.coldLeave -= r.load / b.unit
+		}
 	}
 	b.out = append(b.out, Send{r.ID, s.ID, limit, r.mayBy})
 }
@@ -643,7 +632,10 @@
 	}
 	s, open := r.on, r.open
 	b.release(r)
-	if !open || b.set.Reports == NoReports { // there what is shed alone tells of a full one
+	if open && e.Outcome == Reset {
+		b.shed(s)
+	}
+	if !open || b.set.Reports == NoReports {
 		switch e.Outcome {
 		case TimedOut, ConnectFailed, Reset, Failed:
 			b.strike(s)
@@ -673,6 +665,9 @@
 	b.refused = append(b.refused, r.Class)
 	if r.on == nil && r.may == nil || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
 		after := time.Duration(0)
+		if b.set.Reports == NoReports && b.set.Limits.RetryAdvice { // spread, against waves
+			after = time.Duration((0.25 + 0.75*b.rng.Float64()) * float64(b.set.Limits.MaxRetryAdvice))
+		}
 		if b.plan != nil && r.attempts == 0 { // by then it may be another plan; spread, against waves
 			after = time.Duration((0.5 + b.rng.Float64()) * float64(b.plan.ComeAgain))
 		}
--- /dev/null
+++ b/choice/drawn_faults_test.go
@@ -0,0 +1,135 @@
+package choice_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+)
+
+// smallSettings are those of one node that may do all, with one safe class.
+func smallSettings(nodes int) choice.Settings {
+	f := coldFleet{nodes: nodes, reports: choice.ProbeReports, peers: true, rules: shortWarmUp, told: true}
+	s := f.settings()
+	s.Limits.RetryAdvice, s.Limits.MaxRetryAdvice = true, time.Second
+	return s
+}
+
+func smallFleet(zones int) choice.ServerList {
+	l := choice.ServerList{Kind: choice.ListWhole}
+	for i := range 6 {
+		l.Servers = append(l.Servers, choice.Server{ID: choice.ServerID(fmt.Sprint("h", i)), Zone: fmt.Sprint("z", i%zones), Size: 1})
+	}
+	return l
+}
+
+// TestAdviceStaysUnderTheMost has a plan's advice be the longest that clients heed: spread by half, it must not come out longer.
+func TestAdviceStaysUnderTheMost(t *testing.T) {
+	s := smallSettings(1)
+	b, err := choice.New(s, 1, simulationStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(simulationStart, []choice.Event{smallFleet(2), choice.ZonePlan{Grants: []choice.Grant{}, ComeAgain: s.Limits.MaxRetryAdvice}})
+	advised := 0
+	for i := range 100 {
+		for _, a := range b.Step(simulationStart, []choice.Event{choice.Request{ID: choice.RequestID(fmt.Sprint(i)), Tenant: -1, Left: time.Second}}) {
+			if a, ok := a.(choice.Refuse); ok && a.After > 0 {
+				if advised++; a.After > s.Limits.MaxRetryAdvice {
+					t.Fatalf("advice of %v; clients heed at most %v", a.After, s.Limits.MaxRetryAdvice)
+				}
+			}
+		}
+	}
+	if advised == 0 {
+		t.Error("no advice was given")
+	}
+}
+
+// TestWaitingRequestsGoByTheNewPlan has a plan come while a request waits for probes: it must not go to a zone without a grant.
+func TestWaitingRequestsGoByTheNewPlan(t *testing.T) {
+	waited := 0
+	for seed := range uint64(20) {
+		b, err := choice.New(smallSettings(1), seed, simulationStart)
+		if err != nil {
+			t.Fatal(err)
+		}
+		actions := b.Step(simulationStart, []choice.Event{smallFleet(2), choice.Request{ID: "r", Tenant: -1, Left: time.Second}})
+		var answers []choice.Event
+		for _, a := range actions {
+			if a, ok := a.(choice.Probe); ok {
+				answers = append(answers, choice.ProbeResult{Server: a.Server, Report: []float64{0.3, 0.3}})
+			}
+		}
+		if len(answers) > 0 {
+			waited++
+		}
+		later := b.Step(simulationStart+time.Millisecond, append([]choice.Event{
+			choice.ZonePlan{Grants: []choice.Grant{{Zone: "z0", Load: 100}}}}, answers...))
+		for _, a := range later {
+			if a, ok := a.(choice.Send); ok && a.Server != "h0" && a.Server != "h2" && a.Server != "h4" {
+				t.Fatalf("seed %d: sent to %s, outside the zone of the plan", seed, a.Server)
+			}
+		}
+	}
+	if waited == 0 {
+		t.Error("no request waited for probes")
+	}
+}
+
+// TestResumptionsKeepTheColdBudget has the clients of a host that restarted come again at once, each to resume there, where hosts
+// have keepers: the cold host must not get them all.
+func TestResumptionsKeepTheColdBudget(t *testing.T) {
+	b, err := choice.New(smallSettings(30), 1, simulationStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := smallFleet(1)
+	list.Servers[2].Started = simulationStart - 100*time.Millisecond
+	b.Step(simulationStart, []choice.Event{list})
+	sent := 0
+	for i := range 60 {
+		for _, a := range b.Step(simulationStart, []choice.Event{choice.Request{ID: choice.RequestID(fmt.Sprint(i)), Tenant: -1,
+			Left: time.Second, Home: "h2"}}) {
+			if a, ok := a.(choice.Send); ok && a.Server == "h2" {
+				sent++
+			}
+		}
+	}
+	if most := withSlack(bears(shortWarmUp, 1, shortWarmUp.FallTime)); float64(sent) > most {
+		t.Errorf("one of 30 nodes sends %d connections to a cold host at once; all together may send %.1f", sent, most)
+	}
+}
+
+// TestKeepersKeepTheColdBudgetUnderUnevenTraffic has keepers among 30 nodes of which a fifth gets four times the traffic.
+func TestKeepersKeepTheColdBudgetUnderUnevenTraffic(t *testing.T) {
+	var sum coldFigures
+	const seeds = 12
+	for seed := range uint64(seeds) {
+		f := coldFleet{name: fmt.Sprint("seed ", seed), nodes: 30, hosts: 24, reports: choice.ProbeReports, peers: true, rules: shortWarmUp,
+			skew: 4, told: true, burst: 4, seed: seed}
+		sum.add(f.play(t), seeds)
+	}
+	t.Logf("worst window %.2f of the limit, part of an even spread %.2f", sum.worst, sum.fairPart)
+	if sum.broken > 0 {
+		t.Errorf("%d windows over what a cold host bears, sent by nodes that knew of its start", sum.broken)
+	}
+}
+
+// TestColdHostsOfManyNodesDoNotStarve has 300 nodes without keepers: their cold hosts get a tenth of an even spread at least.
+func TestColdHostsOfManyNodesDoNotStarve(t *testing.T) {
+	for _, reports := range []choice.Channel{choice.NoReports, choice.ProbeReports} {
+		var sum coldFigures
+		const seeds = 4
+		for seed := range uint64(seeds) {
+			f := coldFleet{name: fmt.Sprint("seed ", seed), nodes: 300, hosts: 24, reports: reports, rules: longWarmUp, skew: 4,
+				told: reports == choice.NoReports, burst: 0, seed: seed}
+			sum.add(f.play(t), seeds)
+		}
+		t.Logf("reports %d: worst window %.2f of the limit, part of an even spread %.2f", reports, sum.worst, sum.fairPart)
+		if sum.broken > 0 || sum.fairPart < 0.1 {
+			t.Errorf("reports %d: cold hosts get %.2f of an even part, %d windows over the limit", reports, sum.fairPart, sum.broken)
+		}
+	}
+}
--- /dev/null
+++ b/choice/estimate_test.go
@@ -0,0 +1,246 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// silentSettings are those of a deployment whose hosts report nothing and whose nodes don't talk.
+func silentSettings(nodes int) Settings {
+	return Settings{Nodes: nodes, Grouped: true, Sizes: NominalSize, TellsDelay: true, Round: 4 * time.Millisecond,
+		Classes: []Class{
+			{Name: "watch", SetupAim: time.Second, Deadline: 5 * time.Second, MessageAim: 150 * time.Millisecond, Worth: 5},
+			{Name: "pay", SetupAim: time.Second, Deadline: 5 * time.Second, MessageAim: 250 * time.Millisecond, Worth: 15}},
+		Limits: Limits{Attempts: 4, MayProbe: true, RetryAdvice: true, MaxRetryAdvice: 2 * time.Second},
+		Rules:  Rules{ColdShare: 0.14, WarmUp: 20 * time.Second, FallMultiple: 2.5, FallTime: 1500 * time.Millisecond}}
+}
+
+// silentNode is one node of it, with a fleet of equal warm hosts.
+func silentNode(t *testing.T, nodes, hosts int) (*Balancer, time.Duration) {
+	t.Helper()
+	b, err := New(silentSettings(nodes), 1, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := ServerList{Kind: ListWhole}
+	for i := range hosts {
+		list.Servers = append(list.Servers, Server{ID: ServerID(fmt.Sprint("h", i)), Kind: "k", Size: 2})
+	}
+	b.Step(time.Hour, []Event{list})
+	return b, time.Hour
+}
+
+// connect places a request and has its connection stand; it returns the host, or "" where the request was refused.
+func connect(b *Balancer, now time.Duration, id RequestID, class int, group uint64, returned bool) ServerID {
+	for _, a := range b.Step(now, []Event{Request{ID: id, Class: class, Tenant: -1, Group: group, Left: 5 * time.Second, Returned: returned}}) {
+		if a, ok := a.(Send); ok {
+			b.Step(now, []Event{Established{ID: id, Server: a.Server, Took: 20 * time.Millisecond}})
+			return a.Server
+		}
+	}
+	return ""
+}
+
+// A connection must not count 1 until its host tells its load, and a small part of that afterwards: no limit would ever bind.
+func TestToldLoadsGiveTheUnit(t *testing.T) {
+	b, now := silentNode(t, 3, 8)
+	hosts := map[RequestID]ServerID{}
+	for i := range 20 {
+		id := RequestID(fmt.Sprint(i))
+		hosts[id] = connect(b, now, id, i%2, uint64(i+1), false)
+	}
+	before := 0.0
+	for _, s := range b.servers {
+		before += s.cost * s.told
+	}
+	for i := range 10 { // half of the connections tell their load: those of the second class are nine times as heavy
+		b.Step(now, []Event{LoadNote{ID: RequestID(fmt.Sprint(i)), Load: []float64{0.02, 0.18}[i%2]}})
+	}
+	told := 0.0
+	for _, s := range b.servers {
+		told += s.told
+	}
+	if told < 1 || told > 3 { // ten of 0.02 and ten of 0.18 are 2
+		t.Errorf("20 connections count %.2f in all, told and untold ones together", told)
+	}
+	if light, heavy := b.guessLoad(0), b.guessLoad(1); light < 0.019 || light > 0.021 || heavy < 0.179 || heavy > 0.181 {
+		t.Errorf("new connections are guessed at %.3f and %.3f", light, heavy)
+	}
+	b.price()
+	if b.unit < 0.05 || b.unit > 0.15 {
+		t.Errorf("the mean connection counts %.3f", b.unit)
+	}
+	if before <= 0 {
+		t.Error("nothing stood before")
+	}
+}
+
+// Slow messages have to raise a host's predicted load where nothing reports it, and connections to leave it.
+func TestSlowMessagesCountWhereNothingReports(t *testing.T) {
+	b, now := silentNode(t, 3, 8)
+	const group = 7
+	var home ServerID
+	for i := range 6 {
+		home = connect(b, now, RequestID(fmt.Sprint(i)), 0, group, false)
+	}
+	s, moved := b.find(home), 0
+	for i := range 5 {
+		now += time.Second
+		for _, a := range b.Step(now, []Event{DelayNote{ID: "0", Server: home, Took: 900 * time.Millisecond}, TimerFired{Token: "tick"}}) {
+			if a, ok := a.(Move); ok {
+				moved++
+				b.Step(now, []Event{AttemptEnded{ID: a.ID, Server: home, Outcome: Cancelled, Final: true}})
+			}
+		}
+		if i == 0 && b.predict(s) < crowded {
+			t.Errorf("a host whose messages take 900 ms is predicted at %.2f", b.predict(s))
+		}
+	}
+	if moved == 0 {
+		t.Error("nobody was moved off it")
+	}
+	if to := connect(b, now, "next", 0, group, false); to == home {
+		t.Error("the group's next connection went there all the same")
+	}
+	quiet := b.predict(s)
+	for range 20 { // it is over: once more when messages are quick again
+		now += time.Second
+		b.Step(now, []Event{DelayNote{ID: "0", Server: home, Took: 5 * time.Millisecond}, TimerFired{Token: "tick"}})
+	}
+	if b.predict(s) >= quiet || b.predict(s) > crowded {
+		t.Errorf("with quick messages again it is predicted at %.2f, %.2f before", b.predict(s), quiet)
+	}
+}
+
+// A set-up that takes long tells of an overload; one that is just as long as the others doesn't, however long they are.
+func TestSlowSetUpsCount(t *testing.T) {
+	for _, c := range []struct {
+		typical, last time.Duration
+		slow          bool
+	}{
+		{20 * time.Millisecond, 400 * time.Millisecond, true},
+		{20 * time.Millisecond, 60 * time.Millisecond, false},
+		{300 * time.Millisecond, 400 * time.Millisecond, false},
+	} {
+		b, now := silentNode(t, 3, 8)
+		s := b.servers[0]
+		for range 40 {
+			b.inferSetUp(b.servers[1], c.typical)
+		}
+		b.now = now
+		b.inferSetUp(s, c.last)
+		if slow := s.known && s.report > crowded-spill; slow != c.slow {
+			t.Errorf("after set-ups of %v one of %v: taken for slow is %v", c.typical, c.last, slow)
+		}
+	}
+}
+
+// What one node sees of a host of a large fleet is next to nothing: its estimate has to lean on the average, and on its own
+// connections where there are enough.
+func TestEstimateLeansOnTheAverage(t *testing.T) {
+	for _, c := range []struct {
+		nodes, own int
+		low, high  float64
+	}{
+		{300, 0, 0.3, 0.55}, {300, 1, 0.4, 0.75}, // 1 x 300 times the cost of one would be 3
+		{2, 0, 0.05, 0.45}, {2, 40, 0.6, 2},
+	} {
+		b, _ := silentNode(t, c.nodes, 8)
+		b.avg = 0.5
+		s := b.servers[0]
+		b.bear(s, float64(c.own)*b.unit)
+		if e := b.estimate(s); e < c.low || e > c.high {
+			t.Errorf("%d own connections at one of %d nodes: estimated at %.2f, wanted %.2f to %.2f", c.own, c.nodes, e, c.low, c.high)
+		}
+	}
+}
+
+// A group has to go to the same few hosts from each node, more of them large than small, and to none that is just starting
+// more often than its warm-up allows: all nodes know sizes and starts alike.
+func TestGroupsGoByRegisteredSize(t *testing.T) {
+	first := map[ServerID]int{}
+	for group := range uint64(600) {
+		seen := map[ServerID]bool{}
+		for node := range 3 {
+			set := silentSettings(3)
+			set.Node = node
+			b, err := New(set, uint64(node), time.Hour)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Step(time.Hour, []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "large", Size: 4}, {ID: "small", Size: 1}, {ID: "mid", Size: 2}}}})
+			seen[connect(b, time.Hour, "r", 0, group+1, false)] = true
+			if node == 0 {
+				for id := range seen {
+					first[id]++
+				}
+			}
+		}
+		if len(seen) != 1 {
+			t.Fatalf("three nodes send group %d to %v", group, seen)
+		}
+	}
+	if first["large"] < 300 || first["small"] > 130 || first["small"] == 0 {
+		t.Errorf("of 600 groups go to sizes 4, 2 and 1: %v", first)
+	}
+}
+
+// Connections that hosts shed at once, only to come again at the next node, must stay a bounded part of all; what is turned away
+// is told when to come again, spread.
+func TestShedConnectionsAreThrottled(t *testing.T) {
+	b, now := silentNode(t, 300, 90)
+	placed, refused, advice := 0, 0, map[time.Duration]bool{}
+	for i := range 300 { // a storm: each connection is dropped 200 ms after it came up
+		now += 10 * time.Millisecond
+		id := RequestID(fmt.Sprint(i))
+		for _, a := range b.Step(now, []Event{Request{ID: id, Tenant: -1, Group: uint64(1 + i%5), Left: 5 * time.Second, Returned: true}}) {
+			switch a := a.(type) {
+			case Send:
+				placed++
+				b.Step(now, []Event{Established{ID: id, Server: a.Server, Took: 20 * time.Millisecond}})
+				b.Step(now+200*time.Millisecond, []Event{AttemptEnded{ID: id, Server: a.Server, Outcome: Reset, Final: true}})
+			case Refuse:
+				refused++
+				if advice[a.After] = true; a.After <= 0 || a.After > 2*time.Second {
+					t.Fatalf("advice of %v where clients heed 2 s", a.After)
+				}
+			}
+		}
+	}
+	if placed > 60 || placed == 0 {
+		t.Errorf("%d of 300 connections were placed while hosts shed each of them", placed)
+	}
+	if len(advice) < refused/2 {
+		t.Errorf("%d refusals have %d different advices: they come back as waves", refused, len(advice))
+	}
+	now += time.Minute // hosts hold again: what comes is let in, at once and all of it
+	for i := range 50 {
+		now += 200 * time.Millisecond
+		b.Step(now, []Event{TimerFired{Token: "tick"}})
+		if connect(b, now, RequestID(fmt.Sprint("calm", i)), 0, uint64(1+i%5), false) == "" {
+			refused++
+			if i > 10 {
+				t.Errorf("request %d is refused in a calm minute", i)
+			}
+		}
+	}
+}
+
+// On a deployment that reports, none of this is in the way: no throttle, no advice of the module's own.
+func TestThrottleIsForSilentHostsOnly(t *testing.T) {
+	set := silentSettings(3)
+	set.Reports, set.Fields = ProbeReports, []Field{Load}
+	b, err := New(set, 1, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Step(time.Hour, []Event{ServerList{Kind: ListWhole, Servers: []Server{{ID: "a", Size: 1}}}})
+	for range 50 {
+		b.throttle.add(b.now, 1, 0)
+	}
+	r := &request{class: &b.set.Classes[0], load: b.unit}
+	if part := b.admitted(r); part < 1 {
+		t.Errorf("%.2f of all requests are let in", part)
+	}
+}
--- a/choice/evidence.go
+++ b/choice/evidence.go
@@ -128,7 +128,7 @@
 		for p.Admit = slices.Clone(p.Admit); len(p.Admit) < len(b.set.Classes); {
 			p.Admit = append(p.Admit, 1)
 		}
-		if p.ComeAgain = min(p.ComeAgain, b.set.Limits.MaxRetryAdvice); !b.set.Limits.RetryAdvice {
+		if p.ComeAgain = min(p.ComeAgain, b.set.Limits.MaxRetryAdvice*2/3); !b.set.Limits.RetryAdvice { // spread by half
 			p.ComeAgain = 0
 		}
 	}
--- a/choice/math.go
+++ b/choice/math.go
@@ -50,3 +50,6 @@
 	}
 	return picks
 }
+
+// chanceOf turns a hash into a number between 0 and 1, neither of them.
+func chanceOf(hash uint64) float64 { return (float64(mix(hash)>>11) + 0.5) / (1 << 53) }
--- a/choice/random_settings_test.go
+++ b/choice/random_settings_test.go
@@ -36,9 +36,9 @@
 	offSince   map[choice.ServerID]time.Duration // since when it was told that the host drains or is gone
 	lists      map[choice.ServerID]choice.ServerState
 	lostAt     time.Duration // since when it owes an ask for the list; 0: it owes none
+	planAt     time.Duration // what was decided in the step of its coming, before it, goes by the one before
 	zones      []string      // the plan's, nearest first; nil: no plan
 	planned    bool
-	planAt     time.Duration
 	before     map[choice.RequestID]requestState
 }
 
@@ -242,8 +242,7 @@
 	if since, off := k.offSince[a.Server]; off && j.w.now > since+rules.DrainGrace {
 		j.broken(n, "%+v: it was told at %v that the host drains or is gone", a, since-simulationStart)
 	}
-	came := r.deadline - r.Left // what waits for probes as a plan comes goes by what was in force
-	if k.planned && came > k.planAt && r.Home != a.Server && !slices.Contains(k.zones, h.Zone) {
+	if k.planned && j.w.now > k.planAt && r.Home != a.Server && !slices.Contains(k.zones, h.Zone) {
 		j.broken(n, "%+v leaves the zones of the plan %v for %s", a, k.zones, h.Zone)
 	}
 	if may := r.mayHaveRun(); may != nil {
@@ -394,9 +393,9 @@
 	}
 }
 
-// drawPlan draws a plan that names some zones. Spread by half, its advice comes up to the most that clients heed.
+// drawPlan draws a plan that names some zones, with advice up to the most that clients heed.
 func drawPlan(w *simulation, s choice.Settings) choice.ZonePlan {
-	plan := choice.ZonePlan{Grants: []choice.Grant{}, ComeAgain: w.upTo(s.Limits.MaxRetryAdvice * 2 / 3)}
+	plan := choice.ZonePlan{Grants: []choice.Grant{}, ComeAgain: w.upTo(s.Limits.MaxRetryAdvice)}
 	seen := map[string]bool{}
 	for _, h := range w.hosts {
 		if !seen[h.Zone] && w.often(0.6) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,7 +25,9 @@
 	num, den, n     float64 // learned: reported load over fleet's told load, and reports; decayed
 	cost, base      float64
 	errSum, prevErr float64
-	trim            float64 // the slow part of the PID, set each tick
+	trim            float64       // the slow part of the PID, set each tick
+	messageTime     time.Duration // the last that a message was told to take here
+	overloadedAt    time.Duration // when it was last seen overloaded; where nothing reports
 	strikes         int
 	badUntil        time.Duration
 	credit          float64 // what this node may still send while cold, in mean connections
@@ -70,49 +72,57 @@
 
 // Balancer decides for one node.
 type Balancer struct {
-	set       Settings
-	rng       *rand.Rand
-	now       time.Duration
-	out       []Action
-	servers   []*server         // by id
-	kinds     map[string]*costs // by kind of machine
-	kindList  []*costs          // the same, in the order first seen
-	reqs      map[RequestID]*request
-	waits     []*request // requests that hold for probes, oldest first
-	bases     float64    // sum of the bases of ready servers
-	avg       float64    // capacity-weighted mean of predicted load
-	sumLoad   float64    // of the reports, and of their bases, decayed over rateMemory
-	sumBase   float64
-	sumAt     time.Duration
-	anyKnown  bool
-	meanWorth float64 // of requests, for their load
-	held      []int   // open connections of this node by tenant
-	gate      float64 // part of all requests let through
-	unit      float64 // mean told load of a connection; 1 where none is told
-	hints     int
-	rate      float64 // decayed sum of arrived load, over rateMemory
-	rateAt    time.Duration
-	recent    float64 // rate, faded to now
-	asks      int     // failed asks for the list in a row
-	started   bool
-	groups    map[uint64]float64 // own told load by group
-	tellsHeld bool               // reports tell the connections held
-	minAim    time.Duration      // shortest wanted message time
-	keeps     bool               // servers have keepers
-	asked     map[uint16]asked   // questions out, by token
-	silent    []time.Duration    // by node: until when it is taken to be gone
-	lastToken int64
-	seen      []seenKey
-	seenAt    int
-	dropped   int
-	first     float64               // load of a mean connection before anything is learned
-	all       int                   // nodes that share the fleet; settings have those that share the hosts of a plan\'s zone
-	plan      *ZonePlan             // nil: there is none, and any zone will do
-	inClass   map[zoneClass]float64 // own told load by zone and class
-	zoneNews  map[string]*zoneCount
-	classNews []classCount
-	refused   []int // classes of the requests given up in this step
-	joined    bool  // connections of another process came: costs are to be set anew
+	set          Settings
+	rng          *rand.Rand
+	now          time.Duration
+	out          []Action
+	servers      []*server         // by id
+	kinds        map[string]*costs // by kind of machine
+	kindList     []*costs          // the same, in the order first seen
+	reqs         map[RequestID]*request
+	waits        []*request // requests that hold for probes, oldest first
+	bases        float64    // sum of the bases of ready servers
+	avg          float64    // capacity-weighted mean of predicted load
+	sumLoad      float64    // of the reports, and of their bases, decayed over rateMemory
+	sumBase      float64
+	sumAt        time.Duration
+	anyKnown     bool
+	meanWorth    float64 // of requests, for their load
+	held         []int   // open connections of this node by tenant
+	gate         float64 // part of all requests let through
+	unit         float64 // mean told load of a connection; 1 where none is told
+	hints        int
+	coldRates    float64 // what all cold servers bear of this node, in mean connections a second
+	coldLeave    float64 // leave to send to any cold server
+	coldLeaveAt  time.Duration
+	toldLoad     meanLoad   // of all connections that told their load
+	classLoads   []meanLoad // the same by class
+	typicalSetUp time.Duration
+	slowMessages bool // slow messages were told: where they never are, silence says nothing
+	throttle     throttle
+	rate         float64 // decayed sum of arrived load, over rateMemory
+	rateAt       time.Duration
+	recent       float64 // rate, faded to now
+	asks         int     // failed asks for the list in a row
+	started      bool
+	groups       map[uint64]float64 // own told load by group
+	tellsHeld    bool               // reports tell the connections held
+	minAim       time.Duration      // shortest wanted message time
+	keeps        bool               // servers have keepers
+	asked        map[uint16]asked   // questions out, by token
+	silent       []time.Duration    // by node: until when it is taken to be gone
+	lastToken    int64
+	seen         []seenKey
+	seenAt       int
+	dropped      int
+	first        float64               // load of a mean connection before anything is learned
+	all          int                   // nodes that share the fleet; settings have those that share the hosts of a plan\'s zone
+	plan         *ZonePlan             // nil: there is none, and any zone will do
+	inClass      map[zoneClass]float64 // own told load by zone and class
+	zoneNews     map[string]*zoneCount
+	classNews    []classCount
+	refused      []int // classes of the requests given up in this step
+	joined       bool  // connections of another process came: costs are to be set anew
 }
 
 // New makes the balancer of one node. It acts first on its first Step.
@@ -201,6 +211,7 @@
 	r := &request{Request: e.Request, load: b.loadOf(e.Request), bind: b.bindOf(e.Request), on: s, open: true, attempts: 1,
 		class: class, most: b.set.Limits.Attempts}
 	if e.Now > 0 && finite(e.Now) {
+		b.learnTold(e.Class, e.Now)
 		r.load = e.Now
 	}
 	b.reqs[e.ID] = r
@@ -248,7 +259,7 @@
 
 func (b *Balancer) loadOf(q Request) float64 {
 	if !(q.Load > 0) || !finite(q.Load) {
-		return b.unit
+		return b.guessLoad(q.Class)
 	}
 	if b.hints++; b.hints == 1 {
 		b.unit = q.Load
@@ -333,6 +344,7 @@
 // reload takes in the present load of an open connection.
 func (b *Balancer) reload(e LoadNote) {
 	if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Load >= 0 && finite(e.Load) {
+		b.learnTold(r.Class, e.Load)
 		b.bear(r.on, e.Load-r.load)
 		b.group(r, e.Load-r.load)
 		b.zoned(r, e.Load-r.load)
@@ -426,3 +438,32 @@
 	}
 	return sum / max(n, 1)
 }
+
+// registered is a server's size as all nodes know it; 1 where the list's size is none or moves with the load.
+func (b *Balancer) registered(s *server) float64 {
+	if b.set.Sizes == NominalSize {
+		return s.Size
+	}
+	return 1
+}
+
+// knows reports whether a keeper can tell without asking its server.
+func (b *Balancer) knows(s *server) bool {
+	return s.known && b.now-s.reportAt < freshFor || b.now < s.badUntil
+}
+
+// granted says whether the plan in force lets a request go to a server: another one may have come while it waited.
+func (b *Balancer) granted(r *request, s *server) bool {
+	return b.plan == nil || slices.ContainsFunc(b.plan.Grants, func(g Grant) bool {
+		return g.Zone == s.Zone && !slices.Contains(g.Except, r.Class)
+	})
+}
+
+// accrue adds leave that came since then, and lets it lapse.
+func (b *Balancer) accrue(leave float64, since time.Duration, rate float64) float64 {
+	leave += rate * (b.now - since).Seconds()
+	if leave > 1+2*rate*b.set.Rules.FallTime.Seconds() {
+		return math.Mod(leave, 1)
+	}
+	return leave
+}
--- a/choice/step.go
+++ b/choice/step.go
@@ -39,6 +39,7 @@
 			if r := b.reqs[e.ID]; r != nil && r.on != nil && e.Attempt == r.attempts-1 {
 				r.open, r.on.strikes = true, 0
 				b.countUp(r)
+				b.established(r, e.Took)
 			}
 		case AttemptEnded:
 			b.countOutcome(e)
