Module: one dropped connection turns nobody away; advice only where servers are there

Change: a first drop in ten seconds tells of a host that gets others only where there is no better one, the throttle lets one drop pass, advice needs a ready server and no attempt.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -665,7 +665,7 @@
 	b.refused = append(b.refused, r.Class)
 	if r.on == nil && r.may == nil || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
 		after := time.Duration(0)
-		if b.set.Reports == NoReports && b.set.Limits.RetryAdvice { // spread, against waves
+		if b.set.Reports == NoReports && b.set.Limits.RetryAdvice && r.attempts == 0 && b.bases > 0 {
 			after = time.Duration((0.25 + 0.75*b.rng.Float64()) * float64(b.set.Limits.MaxRetryAdvice))
 		}
 		if b.plan != nil && r.attempts == 0 { // by then it may be another plan; spread, against waves
--- a/choice/estimate.go
+++ b/choice/estimate.go
@@ -10,6 +10,7 @@
 
 const (
 	serverKeep    = 0.9 // of a server's own cost at each report
+	dropLoad      = 0.8 // load of a server that dropped one connection: it gets others only where there is no better one
 	shedLoad      = 1.3 // load of a server that sheds connections or makes set-ups slow
 	standingLoad  = 0.7 // most that is taken for a server of which nothing bad is seen: slower messages would show
 	mostInferred  = 1.5 // as for reports: how far over its capacity a server is makes no difference
@@ -208,8 +209,12 @@
 func (b *Balancer) shed(s *server) {
 	if b.set.Reports == NoReports {
 		b.throttle.add(b.now, 0, -1)
+		load := shedLoad
+		if b.now >= s.overloadedAt+rateMemory || s.overloadedAt == 0 {
+			load = dropLoad // a connection may break for other reasons: the next ones go elsewhere, if there is anywhere
+		}
 		s.overloadedAt = b.now
-		b.infer(s, shedLoad)
+		b.infer(s, load)
 	}
 }
 
--- a/choice/throttle.go
+++ b/choice/throttle.go
@@ -14,7 +14,7 @@
 const (
 	throttleMemory   = 10 * time.Second
 	throttleMultiple = 1.3 // requests let in for each one that lasts
-	throttleFree     = 0.5 // connections that may be shed before any request is turned away
+	throttleFree     = 1.5 // dropped connections that turn nobody away yet: one may break for other reasons
 )
 
 // add counts requests, and connections that came to stand; a negative count takes back one that did not last.
--- /dev/null
+++ b/choice/throttle_test.go
@@ -0,0 +1,39 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// One connection that breaks must not turn anybody away; many that do must, and be forgotten in time.
+func TestThrottle(t *testing.T) {
+	var th throttle
+	now := time.Hour
+	if p := th.admit(now); p != 1 {
+		t.Errorf("a new node lets in %.2f", p)
+	}
+	th.add(now, 1, 1)
+	th.add(now, 0, -1)
+	if p := th.admit(now); p != 1 {
+		t.Errorf("after one connection that broke %.2f are let in", p)
+	}
+	for range 20 {
+		th.add(now, 1, 1)
+		th.add(now, 0, -1)
+	}
+	if p := th.admit(now); p > 0.2 {
+		t.Errorf("while each connection is dropped %.2f are let in", p)
+	}
+	if p := th.admit(now + time.Minute); p != 1 {
+		t.Errorf("a minute later %.2f are let in", p)
+	}
+	for range 100 { // four in five last
+		th.add(now, 1, 1)
+	}
+	for range 20 {
+		th.add(now, 0, -1)
+	}
+	if p := th.admit(now); p < 0.8 {
+		t.Errorf("with most connections lasting %.2f are let in", p)
+	}
+}
