--- a/cmd/spurwinchctl/policy.go
+++ b/cmd/spurwinchctl/policy.go
@@ -119,20 +119,11 @@
 	add("diff A B", "Tell what differs between two policies, each a number or a file", cobra.ExactArgs(2), func(c *cobra.Command, args []string) error {
 		var docs [2]*policy.Document
 		for i, a := range args {
-			text, doc, err := policyFile(a)
-			if _, bad := strconv.ParseUint(a, 10, 64); bad == nil {
-				r, e := f.policyStatus(15 * time.Second)
-				if e != nil {
-					return e
-				}
-				if text, err = numbered(r, a); err == nil {
-					doc, err = config.ReadPolicy("policy "+a, text, 0)
-				}
-			}
+			document, err := f.policyDocument(a)
 			if err != nil {
 				return err
 			}
-			docs[i] = doc
+			docs[i] = document
 		}
 		for _, l := range policy.Diff(docs[0], docs[1]) {
 			fmt.Fprintln(c.OutOrStdout(), l)
@@ -142,6 +133,23 @@
 	return c
 }
 
+// policyDocument reads a policy that an argument names: by its number in the fleet, or else as a file.
+func (f *fleetCalls) policyDocument(argument string) (*policy.Document, error) {
+	if _, err := strconv.ParseUint(argument, 10, 64); err != nil {
+		_, document, err := policyFile(argument)
+		return document, err
+	}
+	status, err := f.policyStatus(15 * time.Second)
+	if err != nil {
+		return nil, err
+	}
+	text, err := numbered(status, argument)
+	if err != nil {
+		return nil, err
+	}
+	return config.ReadPolicy("policy "+argument, text, 0)
+}
+
 type proposal struct {
 	id, part       string
 	trial, timeout time.Duration
--- a/internal/agree/voter/voter_test.go
+++ b/internal/agree/voter/voter_test.go
@@ -38,7 +38,6 @@
 	v       *Voter
 	disk    []agree.Record
 	pending *agree.Record
-	whole   bool
 	due     int
 	stalled int
 	down    int
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -197,8 +197,7 @@
 // attempts at most and never two at once; nothing new to a draining host after its grace; nothing held at the end. The
 // counted are a process's figures.
 type counted struct {
-	classes map[string]*Counts
-	uncounted
+	classes  map[string]*Counts
 	Attempts uint64
 }
 
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -45,14 +45,6 @@
 
 func (w *World) back(zone string) { w.inZone(zone, func(h *host) { h.down, h.slow = "", 1 }) }
 
-func (w *World) nodesOf(zone string, fn func(n *node)) {
-	for _, n := range w.nodes {
-		if n.zone == zone {
-			fn(n)
-		}
-	}
-}
-
 func (w *World) voters() (all []*node) {
 	for _, i := range w.list.Voters() {
 		all = append(all, w.nodes[i])
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -154,7 +154,6 @@
 	held  map[*try]bool
 	down  string // "", "refuses", "silent", "fails" what it is sent, "mute" after it was sent something
 	slow  float64
-	since time.Duration
 }
 
 type node struct {
@@ -175,9 +174,8 @@
 	diskSlow time.Duration
 	busy     bool // a record is on its way to the disk
 	list     []edge.UpstreamHost
-	order    []int // of zones, for the static policy
-	old      bool  // of a version that doesn't know all keys
-	reached  bool  // by operators, though nothing comes or goes to other nodes
+	old      bool // of a version that doesn't know all keys
+	reached  bool // by operators, though nothing comes or goes to other nodes
 	came     float64
 	away     float64
 }
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -87,7 +87,6 @@
 	sent    int
 	told    map[string]uint64 // proposal to number
 	stopped map[string]float64
-	pending []Event
 	part    map[string]part // what each node may have now
 	granted map[string]float64
 	loans   map[string]map[string]float64 // by node and zone
--- a/internal/lab/faults/operators.go
+++ b/internal/lab/faults/operators.go
@@ -133,7 +133,7 @@
 	var out, said bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &said
 	began := time.Since(lab.begin).Seconds()
-	err = cmd.Run()
+	_ = cmd.Run() // how it ended is read from its exit code below
 	var answer struct {
 		Number uint64 `json:"number"`
 	}
--- a/internal/node/carry_test.go
+++ b/internal/node/carry_test.go
@@ -22,13 +22,12 @@
 
 // replaced is a node whose processes are all in this program, each on a loop of its own.
 type replaced struct {
-	t       testing.TB
-	env     map[string]string
-	file    string // the operator's
-	config  string
-	now     *process
-	next    *process
-	started int
+	t      testing.TB
+	env    map[string]string
+	file   string // the operator's
+	config string
+	now    *process
+	next   *process
 }
 
 // newReplaced sets a node up with both fronts, over one host of each.
--- a/internal/operate/logs/logs_test.go
+++ b/internal/operate/logs/logs_test.go
@@ -9,11 +9,11 @@
 
 // TestFlood checks that a flood of one event is cut to the rate, hides no other event, and that what was left out is told.
 func TestFlood(t *testing.T) {
+	t.Cleanup(zap.ReplaceGlobals(zap.L()))
 	var out strings.Builder
 	if err := Setup(&out, Options{Format: "json", Level: "info"}); err != nil {
 		t.Fatal(err)
 	}
-	defer zap.ReplaceGlobals(zap.NewNop())
 	for range 1000 { // may touch two of the sampler's windows
 		zap.L().Warn("client_sent_garbage", zap.Int("bytes", 7))
 	}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -107,13 +107,13 @@
 	prefix := ""
 	// resolve puts the number of the present entry behind each array table on the way.
 	resolve := func(keys []string, last bool) string {
-		path, plain := "", ""
-		for i, k := range keys {
+		path := ""
+		for i, key := range keys {
 			if path != "" {
-				path, plain = path+".", plain+"."
+				path += "."
 			}
-			path, plain = path+k, path+k
-			if n, ok := counts[plain]; ok && (last || i < len(keys)-1) {
+			path += key
+			if n, ok := counts[path]; ok && (last || i < len(keys)-1) {
 				path += "." + strconv.Itoa(n-1)
 			}
 		}
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -184,7 +184,6 @@
 	open      bool   // established
 	over      bool
 	headerDue bool // the client waits for a stream header
-	authDone  bool // the host said <success/>: the client starts its stream anew
 	bindID    string
 	top       token  // the present child of the root, as its start tag said
 	to        string // as the client named it
