lab/explore: world.go split by job, moves only

Cause: 875 lines of options, queue, nodes, hosts and clients in one file. Change: declarations moved as they stood: world (one run), options, queue, node, nodelog, host, client.

--- /dev/null
+++ b/internal/lab/explore/node.go
@@ -0,0 +1,290 @@
+package explore
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"spurwinch/choice"
+	"spurwinch/internal/agree"
+	"spurwinch/internal/agree/voter"
+	"spurwinch/internal/edge"
+	"spurwinch/internal/failover"
+	"spurwinch/internal/failover/agent"
+	"spurwinch/internal/lab/faults"
+)
+
+type node struct {
+	w        *World
+	i        int
+	name     string
+	zone     string
+	core     *edge.Core
+	agent    *agent.Agent
+	disk     []agree.Record
+	born     int // processes so far
+	up       bool
+	still    time.Duration // stopped until then
+	deaf     bool          // its link is bad: nothing comes or goes to other nodes
+	hard     bool          // it hears nobody, and is heard
+	badLine  bool          // its lines to hosts fail
+	diskBad  bool
+	diskSlow time.Duration
+	busy     bool // a record is on its way to the disk
+	list     []edge.UpstreamHost
+	old      bool // of a version that doesn't know all keys
+	reached  bool // by operators, though nothing comes or goes to other nodes
+	came     float64
+	away     float64
+}
+
+// NewVoter makes a voter.
+func NewVoter(self, n int, kept []agree.Record, rng *rand.Rand) (agent.Voter, error) {
+	return voter.New(self, n, kept, rng)
+}
+
+func rules() failover.Rules {
+	r := failover.Rules{Limit: 0.85, Life: 30 * time.Second, Hold: 4 * time.Second, Ramp: 0.2, Far: func(a, b string) float64 { return 1 }}
+	for _, c := range faults.Classes {
+		r.Classes = append(r.Classes, failover.Class{Name: c.Name, Worth: c.Worth, Stay: c.Stay})
+	}
+	return r
+}
+
+const labKey = "a key of the laboratory"
+
+// on runs fn at a node, unless its process is another one by then; while it is stopped it waits.
+func (n *node) on(at time.Duration, fn func()) *item {
+	born := n.born
+	var run func()
+	run = func() {
+		if !n.up || n.born != born {
+			return
+		}
+		if n.still > n.w.now {
+			n.w.at(n.still, run)
+			return
+		}
+		fn()
+		n.settle()
+	}
+	return n.w.at(at, run)
+}
+
+// settle carries out what a callback has led to.
+func (n *node) settle() {
+	if !n.up {
+		return
+	}
+	if n.core != nil {
+		n.core.Flush()
+	}
+	if n.agent != nil {
+		n.pump()
+	}
+}
+
+// Now and At make a node the core's clock.
+func (n *node) Now() time.Time { return begin.Add(n.w.now) }
+
+func (n *node) At(at time.Time, fn func()) (stop func()) {
+	off := false
+	n.on(max(at.Sub(begin), n.w.now), func() {
+		if !off {
+			fn()
+		}
+	})
+	return func() { off = true }
+}
+
+func (n *node) start(files string) error {
+	w := n.w
+	n.born++
+	n.up = true
+	if files == "lost" {
+		n.disk = nil
+	}
+	w.note(faults.Event{Kind: faults.KindStart, Node: n.name, Zone: n.zone, Detail: files})
+	if w.o.Light {
+		n.came, n.away = 0, 0
+		return n.join()
+	}
+	set, err := Settings(w.o.Nodes, n.i, n.zone)
+	if err != nil {
+		return err
+	}
+	n.core, err = edge.New(edge.Options{Clock: n, Settings: set.Settings, Seed: w.o.Seed*4099 + uint64(n.i)*7 + uint64(n.born), Prober: n,
+		Follow: func() {}})
+	if err != nil {
+		return err
+	}
+	n.list = nil
+	for _, h := range w.hosts {
+		n.list = append(n.list, edge.UpstreamHost{Server: choice.Server{ID: h.id, Zone: h.zone, Kind: "k", Size: 1}})
+	}
+	n.core.Start(n.list)
+	n.agent = nil
+	if w.o.Policy != Common {
+		if w.o.Policy == Static {
+			n.core.Plan(n.static())
+		}
+		n.core.Flush()
+		return nil
+	}
+	return n.join()
+}
+
+// join begins the node's part in the fleet.
+func (n *node) join() (err error) {
+	w := n.w
+	o := agent.Options{List: w.list, Self: n.i, Key: []byte(labKey), Rules: rules(), Classes: w.classes,
+		ComeAgain: time.Second, Kept: n.disk, Seed: w.o.Seed*31 + uint64(n.i)*1009 + uint64(n.born), Log: n.log, Voter: NewVoter}
+	if w.o.Light {
+		o.Policy = n.policyOptions()
+	}
+	if n.agent, err = agent.New(o, n.clock()); err != nil {
+		return err
+	}
+	if w.o.Light {
+		n.admits()
+	}
+	n.tick()
+	n.settle()
+	return nil
+}
+
+// clock is the node's own monotonic time.
+func (n *node) clock() time.Duration { return n.w.now + time.Duration(n.i)*time.Hour }
+
+func (n *node) tick() {
+	n.on(n.w.now+agree.Tick, func() {
+		n.agent.Tick(n.clock())
+		if n.agent.Wants(n.clock()) {
+			if n.core == nil {
+				n.agent.Tell(n.lightNews(), n.clock())
+			} else {
+				n.agent.Tell(n.core.News(), n.clock())
+			}
+		}
+		n.tick()
+	})
+}
+
+// static is the order of zones that a node goes by alone.
+func (n *node) static() choice.ZonePlan {
+	p := choice.ZonePlan{}
+	own := n.w.list.Region(n.zone)
+	for rank := range 3 {
+		for _, z := range n.w.zones {
+			r := 2
+			if z == n.zone {
+				r = 0
+			} else if n.w.list.Region(z) == own {
+				r = 1
+			}
+			if r == rank {
+				g := choice.Grant{Zone: z, Load: math.Inf(1)}
+				for c, k := range faults.Classes {
+					if k.Stay && r == 2 {
+						g.Except = append(g.Except, c)
+					}
+				}
+				p.Grants = append(p.Grants, g)
+			}
+		}
+	}
+	return p
+}
+
+func (n *node) pump() {
+	a := n.agent
+	for range 8 {
+		if p, changed := a.Use(); changed && n.core != nil {
+			n.core.Plan(p)
+			n.core.Flush()
+		}
+		n.save()
+		out := a.Out()
+		if len(out) == 0 {
+			return
+		}
+		for _, m := range out {
+			n.send(m)
+		}
+	}
+}
+
+// save has the disk take a while, and lets a crash come before or after.
+func (n *node) save() {
+	rec, whole, ok := n.agent.Save()
+	if !ok || n.busy {
+		return
+	}
+	n.w.saves++
+	born := n.born
+	n.busy = true
+	n.w.at(n.w.now+n.diskSlow+time.Duration(1+n.w.rng.IntN(8))*time.Millisecond, func() {
+		if n.born != born || !n.up {
+			return
+		}
+		n.busy = false
+		if n.diskBad {
+			n.w.at(n.w.now+200*time.Millisecond, func() {
+				if n.born == born && n.up {
+					n.save()
+				}
+			})
+			return
+		}
+		if whole {
+			n.disk = nil
+		}
+		n.disk = append(n.disk, rec)
+		n.on(n.w.now, func() { n.agent.Kept(n.clock()) })
+	})
+}
+
+func (n *node) send(m agent.Message) {
+	w, to := n.w, n.w.nodes[m.To]
+	w.sent++
+	w.bytes += uint64(len(m.Data))
+	if n.deaf || to.deaf || to.hard || w.cut[[2]string{n.zone, to.zone}] || w.rng.Float64() < w.loss {
+		return
+	}
+	way := func() time.Duration {
+		d := 200*time.Microsecond + time.Duration(w.rng.Float64()*float64(time.Millisecond))
+		if n.zone != to.zone {
+			d += 4 * time.Millisecond
+		}
+		if w.o.Messages > 0 && w.rng.Float64() < 0.1 {
+			d += time.Duration(w.rng.IntN(w.o.Messages)) * time.Millisecond
+		}
+		if !agent.OfVoters(m.Data) { // else the log stands still, and nothing of what is late matters
+			d += w.late/2 + time.Duration(w.rng.Float64()*float64(w.late)) // what is late overtakes
+		}
+		return d
+	}
+	deliver := func() { to.on(w.now+way(), func() { to.agent.Receive(m.Data, to.clock()) }) }
+	if to.up {
+		deliver()
+		if w.rng.Float64() < w.repeat {
+			deliver()
+		}
+	}
+}
+
+func (n *node) crash() {
+	if !n.up {
+		return
+	}
+	n.w.note(faults.Event{Kind: faults.KindCrash, Node: n.name, Zone: n.zone})
+	n.up, n.busy, n.still = false, false, 0
+	for _, h := range n.w.hosts {
+		for _, t := range h.inOrder() {
+			if t.c.node == n {
+				delete(h.held, t)
+				t.c.again()
+			}
+		}
+	}
+}
