failover: the planner's long functions taken apart, and named for what they do

Cause: Planner.grants had 220 lines, inUse, Step, measure, turn, make and differs 43 to 74; one wrote which part of the plan only in passing. Change: grants is a grantBuilder (targets, headroom, standby) and zoneGrants for each room; health, room, evidence, plans in use and the comparison of two plans are short functions each. How a grant is divided among a zone's nodes stood three times and stands once (Zone.nodeShare). differs gives a typed difference. Names: Hear is Observe, turn advanceState, ways paths, short constrained. Removed: zoneState.refused. Nothing ever raised it, so the clause that let refused load press for a plan never held. Whether it should is an open question, not decided here. The mutation "plans are made without a thought for those still in use" now takes out the one call that adds grants of known plans: it leaves the same out as before.

--- a/internal/failover/agent/leader.go
+++ b/internal/failover/agent/leader.go
@@ -32,7 +32,7 @@
 
 func (a *Agent) leaderHears(head int, s failover.Sum, stale bool, now time.Duration) {
 	if a.planner != nil {
-		a.planner.Hear(head, s, stale, now)
+		a.planner.Observe(head, s, stale, now)
 		for _, w := range s.Words {
 			if w.Policy != nil && w.Node >= 0 && w.Node < a.o.List.Len() && a.o.List.Node(w.Node).Zone == s.Zone {
 				a.hearPolicy(w.Node, *w.Policy)
--- a/internal/failover/explain.go
+++ b/internal/failover/explain.go
@@ -48,13 +48,13 @@
 		say("it is well again since %v; it comes back after %v, and %v after it last came back", (now - z.goodFrom).Round(time.Second), p.rules.Hold, turnHold)
 	}
 	say("room %.1f in told load, of which %.1f may be given now", z.room, z.usable(p.rules))
-	for _, o := range p.zones {
-		if w := p.ways[[2]string{o, zone}]; w != nil && now-w.at < freshFor && w.tried >= 1 {
-			say("from %s: %.0f tries of late, %.0f failed", o, w.tried, w.failed)
+	for _, from := range p.zones {
+		if s := p.paths[[2]string{from, zone}]; s != nil && now-s.at < freshFor && s.tried >= 1 {
+			say("from %s: %.0f tries of late, %.0f failed", from, s.tried, s.failed)
 		}
 	}
-	for c, k := range p.rules.Classes {
-		say("its clients want %.1f of class %s", z.want[c], k.Name)
+	for i, class := range p.rules.Classes {
+		say("its clients want %.1f of class %s", z.want[i], class.Name)
 	}
 	return lines
 }
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -152,7 +152,7 @@
 							s.Words = append(s.Words, Word{Node: i})
 						}
 					}
-					p.Hear(0, s, false, now)
+					p.Observe(0, s, false, now)
 				}
 			}
 			next := p.Step(now)
--- a/internal/failover/loan.go
+++ b/internal/failover/loan.go
@@ -213,13 +213,13 @@
 	}
 	for i, k := range p.known {
 		for _, l := range k.Plan.Lends { // by plans before this one, where they aren't known
-			if !p.follows(i) && k.Plan.Zones[l.Zone].Name == zone && !over(l.Lender, k.Number) && now-k.From <= p.rules.Life+time.Second+settles {
+			if !p.follows(i) && k.Plan.Zones[l.Zone].Name == zone && !over(l.Lender, k.Number) && now-k.From <= p.crossingsEnd()+settles {
 				out[l.Lender] = max(out[l.Lender], float64(l.Load))
 			}
 		}
 		at := k.Plan.zone(zone)
 		if at < 0 || k.Plan.Zones[at].Lender < 0 || k.Plan.Zones[at].Reserve <= 0 || over(k.Plan.Zones[at].Lender, k.Number+1) ||
-			i+1 < len(p.known) && now-p.known[i+1].From > p.rules.Life+time.Second+settles {
+			i+1 < len(p.known) && now-p.known[i+1].From > p.crossingsEnd()+settles {
 			continue
 		}
 		lender := k.Plan.Zones[at].Lender
--- a/internal/failover/observe.go
+++ b/internal/failover/observe.go
@@ -6,12 +6,27 @@
 	"time"
 )
 
-// Hear takes the evidence of a zone's nodes. stale says that it was long on its way: it shows who is there, and nothing of how zones are.
-func (p *Planner) Hear(head int, s Sum, stale bool, now time.Duration) {
+// Observe takes the evidence of a zone's nodes, as one of its heads sums it. stale says that it was long on its way: it shows who is there,
+// and nothing of how zones are.
+func (p *Planner) Observe(head int, s Sum, stale bool, now time.Duration) {
 	z := p.state[s.Zone]
 	if z == nil {
 		return
 	}
+	p.observeNodes(s, now)
+	if stale || head != z.head && now-z.at < freshFor/2 && len(s.Words) <= len(z.sum.Words) {
+		return // the zone's other head has told the same, or more
+	}
+	z.head = head
+	for _, r := range s.Rows {
+		p.observePath([2]string{s.Zone, r.Zone}, r, now)
+	}
+	p.updateWant(z, s, now)
+	z.sum, z.at = s, now
+}
+
+// observeNodes takes in whom a zone's nodes hear, and by which plans they go.
+func (p *Planner) observeNodes(s Sum, now time.Duration) {
 	for _, w := range s.Words {
 		if w.Node < 0 || w.Node >= p.list.Len() || p.list.Node(w.Node).Zone != s.Zone {
 			continue
@@ -19,45 +34,42 @@
 		p.cut.Word(w.Node, w.Silent, now)
 		p.confirm(w.Node, w.Plan, now)
 	}
-	if stale || head != z.head && now-z.at < freshFor/2 && len(s.Words) <= len(z.sum.Words) {
-		return // the zone's other head has told the same, or more
-	}
-	z.head = head
-	for _, r := range s.Rows {
-		w := p.ways[[2]string{s.Zone, r.Zone}]
-		if w == nil {
-			w = &way{at: now}
-			p.ways[[2]string{s.Zone, r.Zone}] = w
-		}
-		keep := math.Exp(-(now - w.at).Seconds())
-		w.tried, w.failed, w.at = w.tried*keep+float64(r.Attempts), w.failed*keep+float64(r.Failed), now
+}
+
+// observePath adds attempts to those on a path, which fade by a factor of e each second.
+func (p *Planner) observePath(path [2]string, r Row, now time.Duration) {
+	s := p.paths[path]
+	if s == nil {
+		s = &pathStats{at: now}
+		p.paths[path] = s
 	}
-	p.ask(z, s, now)
-	z.sum, z.at = s, now
+	keep := math.Exp(-(now - s.at).Seconds())
+	s.tried = s.tried*keep + float64(r.Attempts)
+	s.failed = s.failed*keep + float64(r.Failed)
+	s.at = now
 }
 
-// ask reckons what a zone's clients want: what stands, what stood before a failure, and more where some are refused.
-func (p *Planner) ask(z *zoneState, s Sum, now time.Duration) {
-	dt := now - z.lastWant
+// updateWant reckons what a zone's clients want: what stands, what stood before a failure, and more where some are refused.
+func (p *Planner) updateWant(z *zoneState, s Sum, now time.Duration) {
+	elapsed := now - z.lastWant
 	z.lastWant = now
-	for c, k := range p.rules.Classes {
-		i := slices.Index(s.Classes, k.Name)
-		if i < 0 {
+	for i, class := range p.rules.Classes {
+		told := slices.Index(s.Classes, class.Name)
+		if told < 0 {
 			continue
 		}
 		held := 0.0
 		for _, r := range s.Rows {
-			held += float64(r.Held[i])
+			held += float64(r.Held[told])
 		}
-		z.peak[c] = held + max(0, z.peak[c]-held)*math.Exp(-dt.Seconds()/peakMemory.Seconds())
-		w := held + max(0, z.want[c]-held)*math.Exp(-dt.Seconds()/wantMemory.Seconds())
+		z.peak[i] = decayTo(held, z.peak[i], elapsed, peakMemory)
 		// What is refused comes again and is counted again: it says that more is wanted, not how much.
-		w += float64(s.Refused[i])
-		z.want[c] = min(w, max(1.2*z.peak[c], 1.5*held+2))
+		want := decayTo(held, z.want[i], elapsed, wantMemory) + float64(s.Refused[told])
+		z.want[i] = min(want, max(1.2*z.peak[i], 1.5*held+2))
 	}
 }
 
-type way struct {
-	tried, failed float64
-	at            time.Duration
+// decayTo lets what a value has above a floor fade over time.
+func decayTo(floor, value float64, elapsed, memory time.Duration) float64 {
+	return floor + max(0, value-floor)*math.Exp(-elapsed.Seconds()/memory.Seconds())
 }
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -152,15 +152,19 @@
 	return 0
 }
 
-// share is what one node of a zone may have in another zone, or its own. One that is out of the common view counts with all that are
-// listed: it may be there after all, and must find something to serve by.
+// share is what one node of a zone may have in another zone, or its own.
 func (p *Plan) share(from, to int, lost bool) float64 {
-	z := p.Zones[from]
+	return p.Zones[from].nodeShare(p.grant(from, to), from == to, lost)
+}
+
+// nodeShare is one node's part of a grant to its zone. A node that is out of the common view counts with all that are listed, in its own zone:
+// it may be there after all, and must find something to serve by.
+func (z Zone) nodeShare(grant float64, ownZone, lost bool) float64 {
 	switch {
 	case !lost && z.Nodes > 0:
-		return p.grant(from, to) / float64(z.Nodes)
-	case from == to && z.Listed > 0:
-		return p.grant(from, to) / float64(z.Listed)
+		return grant / float64(z.Nodes)
+	case ownZone && z.Listed > 0:
+		return grant / float64(z.Listed)
 	}
 	return 0
 }
--- a/internal/failover/planhistory.go
+++ b/internal/failover/planhistory.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -38,25 +37,39 @@
 	}
 	p.known = append(p.known, Known{number, plan, now})
 	p.proposed = 0
-	least := number
-	for i := range p.list.Len() {
-		if at, lost := p.cut.LostSince(i); !lost || now-at < forgetLost {
-			least = min(least, p.confirmed[i])
-		}
-	}
-	// A plan that nobody can use any longer is of no more use here: all have said that they use a newer one, and crossings of those that
-	// can't be heard are over.
-	for len(p.known) > 1 && (p.known[1].Number <= least && now-p.known[1].From > p.rules.Life+time.Second+settles || len(p.known) > mostKnown) {
+	least := p.leastConfirmed(number, now)
+	for len(p.known) > 1 && (p.obsolete(p.known[1], least, now) || len(p.known) > mostKnown) {
 		p.known = p.known[1:]
 	}
 }
 
+// leastConfirmed is the oldest plan that any node may still go by, newest at most: the least of those that nodes have said to use.
+func (p *Planner) leastConfirmed(newest uint64, now time.Duration) uint64 {
+	least := newest
+	for node := range p.list.Len() {
+		if at, lost := p.cut.LostSince(node); !lost || now-at < forgetLost {
+			least = min(least, p.confirmed[node])
+		}
+	}
+	return least
+}
+
+// obsolete says whether nobody can use plans before this one any longer: all have said that they use it or a newer one, and crossings of those
+// that can't be heard are over.
+func (p *Planner) obsolete(next Known, least uint64, now time.Duration) bool {
+	return next.Number <= least && now-next.From > p.crossingsEnd()+settles
+}
+
+// crossingsEnd is how long after a newer plan came the crossings of the older one may go on: they end by each node's own clock.
+func (p *Planner) crossingsEnd() time.Duration { return p.rules.Life + time.Second }
+
 // mayCross says whether a zone's nodes may have connections in another one, by any plan known here.
 func (p *Planner) mayCross(from, to string) bool {
-	return slices.ContainsFunc(p.known, func(k Known) bool { return k.Plan.oldGrant(from, to) > 0 })
+	return slices.ContainsFunc(p.known, func(k Known) bool { return k.Plan.grantByName(from, to) > 0 })
 }
 
-func (p *Plan) oldGrant(from, to string) float64 {
+// grantByName is the grant from one zone to another; 0 where the plan doesn't know them.
+func (p *Plan) grantByName(from, to string) float64 {
 	a, b := p.zone(from), p.zone(to)
 	if a < 0 || b < 0 {
 		return 0
@@ -64,79 +77,78 @@
 	return p.grant(a, b)
 }
 
+// usage is the most that each node may have in each zone, by any plan that it may still go by.
+type usage struct {
+	place map[string]int // of zones in the rows
+	most  [][]float64    // by node and zone
+}
+
+// raise takes in what one plan lets a node have in a zone.
+func (u *usage) raise(node, zone int, load float64) {
+	u.most[node][zone] = max(u.most[node][zone], load)
+}
+
 // inUse is the most that each node may have from its zone in each zone, by its place, by any plan that it may still go by.
 func (p *Planner) inUse(now time.Duration) [][]float64 {
-	n := len(p.zones)
-	place := map[string]int{}
-	for i, z := range p.zones {
-		place[z] = i
+	use := &usage{place: map[string]int{}, most: make([][]float64, p.list.Len())}
+	for i, zone := range p.zones {
+		use.place[zone] = i
 	}
-	out := make([][]float64, p.list.Len())
-	for i := range out {
-		out[i] = make([]float64, n)
+	for node := range use.most {
+		use.most[node] = make([]float64, len(p.zones))
 	}
-	for i, k := range p.known {
-		over := time.Duration(math.MaxInt64)
-		if i+1 < len(p.known) {
-			over = p.known[i+1].From
-		}
-		// Crossings of a plan end by each node's own clock some time after a newer one has come.
-		crossed := now > over && now-over > p.rules.Life+time.Second
-		at := make([]int, len(k.Plan.Zones)) // its zones' places here
-		for z := range at {
-			at[z] = -1
-			if here, ok := place[k.Plan.Zones[z].Name]; ok {
-				at[z] = here
-			}
+	for i := range p.known {
+		p.addGrantsInUse(use, i, now)
+		if !p.follows(i) {
+			p.addUnknownInUse(use, p.known[i], now)
 		}
-		lost := map[int]bool{}
-		for _, node := range k.Plan.Lost {
-			lost[node] = true
+	}
+	return use.most
+}
+
+// addGrantsInUse adds the grants of a known plan to what is in use.
+func (p *Planner) addGrantsInUse(use *usage, i int, now time.Duration) {
+	known := p.known[i]
+	crossed := i+1 < len(p.known) && now-p.known[i+1].From > p.crossingsEnd()
+	lost := map[int]bool{}
+	for _, node := range known.Plan.Lost {
+		lost[node] = true
+	}
+	for _, g := range known.Plan.Grants {
+		from, ownZone := known.Plan.Zones[g.From], g.From == g.To
+		_, fromListed := use.place[from.Name]
+		to, toListed := use.place[known.Plan.Zones[g.To].Name]
+		if !fromListed || !toListed || !ownZone && crossed {
+			continue
 		}
-		for _, g := range k.Plan.Grants {
-			z := k.Plan.Zones[g.From]
-			if at[g.From] < 0 || at[g.To] < 0 || g.From != g.To && crossed {
-				continue
-			}
-			for _, node := range p.list.InZone(z.Name) {
-				if k.Number < p.confirmed[node] {
-					continue // it has said that it uses a newer one
-				}
-				share := 0.0
-				switch {
-				case !lost[node] && z.Nodes > 0:
-					share = float64(g.Load) / float64(z.Nodes)
-				case g.From == g.To && z.Listed > 0:
-					share = float64(g.Load) / float64(z.Listed)
-				}
-				out[node][at[g.To]] = max(out[node][at[g.To]], share)
+		for _, node := range p.list.InZone(from.Name) {
+			if known.Number < p.confirmed[node] {
+				continue // it has said that it uses a newer one
 			}
+			use.raise(node, to, from.nodeShare(float64(g.Load), ownZone, lost[node]))
 		}
 	}
-	// And by plans that this planner never knew: each plan tells what those before it had left in use.
-	for i, k := range p.known {
-		if p.follows(i) {
-			continue
-		}
-		crossed := now-k.From > p.rules.Life+time.Second
-		for from, z := range k.Plan.Zones[:min(len(k.Plan.Before), len(k.Plan.Zones))] {
-			for _, node := range p.list.InZone(z.Name) {
-				if p.confirmed[node] >= k.Number {
+}
+
+// addUnknownInUse adds what plans that this planner never knew had left in use: each plan tells that of those before it.
+func (p *Planner) addUnknownInUse(use *usage, known Known, now time.Duration) {
+	crossed := now-known.From > p.crossingsEnd()
+	for from, shares := range known.Plan.Before {
+		for _, node := range p.list.InZone(known.Plan.Zones[from].Name) {
+			if p.confirmed[node] >= known.Number {
+				continue
+			}
+			lostAt, lost := p.cut.LostSince(node)
+			forgotten := lost && now-lostAt >= forgetLost
+			for to, share := range shares {
+				place, listed := use.place[known.Plan.Zones[to].Name]
+				if ownZone := from == to; !listed || ownZone && forgotten || !ownZone && crossed {
 					continue
 				}
-				gone, forgotten := p.cut.LostSince(node)
-				forgotten = forgotten && now-gone >= forgetLost
-				for to, share := range k.Plan.Before[from] {
-					here, ok := place[k.Plan.Zones[to].Name]
-					if !ok || from != to && crossed || from == to && forgotten {
-						continue
-					}
-					out[node][here] = max(out[node][here], float64(share))
-				}
+				use.raise(node, place, float64(share))
 			}
 		}
 	}
-	return out
 }
 
 // follows says that the plan before a known one is known too.
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -28,88 +28,76 @@
 }
 
 const (
-	freshFor    = 3 * time.Second // evidence that is older says nothing of now
-	planEvery   = time.Second     // between two plans, and the first one's wait for evidence
-	calmEvery   = 5 * time.Second // the same, where nothing presses
-	decidedBy   = 3 * time.Second // a proposal that is not decided by then is made anew
-	turnHold    = 60 * time.Second
-	forgetLost  = time.Minute      // a node out of the view so long has no part kept for it but a lost one's
-	trial       = 0.05             // of a lost zone's room, for its own nodes: somebody must see when it is back
-	ownExtra    = 0.1              // of the room that nobody needs: the zone's own
-	standBy     = 0.85             // of the rest, that stands by for other zones; what is left is lent
-	lentOn      = 0.8              // of what guests need and have no grant for yet, that is lent on
-	doubtFor    = 20 * time.Second // after every zone looked lost: nodes leave hosts out for 16 s at most
-	failing     = 0.5              // of the attempts, or of the hosts: from here on a zone, or a way, is bad
-	leastTries  = 4                // attempts that say something of a way
-	uneven      = 2.5              // standard deviations of a node's part that it gets on top, where there is room
-	guestUneven = 1.5              // the same of a guest
-	wantMemory  = time.Minute      // what was asked for before a failure is still wanted
-	peakMemory  = 2 * time.Minute
+	freshFor      = 3 * time.Second // evidence that is older says nothing of now
+	stepEvery     = time.Second / 4 // between two calls of Step
+	planEvery     = time.Second     // between two plans, and the first one's wait for evidence
+	calmEvery     = 5 * time.Second // the same, where nothing presses
+	decidedBy     = 3 * time.Second // a proposal that is not decided by then is made anew
+	turnHold      = 60 * time.Second
+	forgetLost    = time.Minute      // a node out of the view so long has no part kept for it but a lost one's
+	trial         = 0.05             // of a lost zone's room, for its own nodes: somebody must see when it is back
+	ownExtra      = 0.1              // of the room that nobody needs: the zone's own
+	standBy       = 0.85             // of the rest, that stands by for other zones; what is left is lent
+	lentOn        = 0.8              // of what guests need and have no grant for yet, that is lent on
+	tightAt       = 0.8              // of a region's room: from here on room is kept for classes that must stay in the region
+	constrainedAt = 0.05             // of a zone's room: a plan that misses more of its targets is made anew soon
+	doubtFor      = 20 * time.Second // after every zone looked lost: nodes leave hosts out for 16 s at most
+	failing       = 0.5              // of the attempts, or of the hosts: from here on a zone, or a path, is bad
+	leastTries    = 4                // attempts that say something of a path
+	uneven        = 2.5              // standard deviations of a node's part that it gets on top, where there is room
+	guestUneven   = 1.5              // the same of a guest
+	wantMemory    = time.Minute      // what was asked for before a failure is still wanted
+	peakMemory    = 2 * time.Minute
+	longestReason = 400 // bytes of a plan's reason
 )
 
 // Planner makes plans, at the one that leads. What plans that it never knew may have granted, the next plan that it knows tells.
 type Planner struct {
-	list      *membership.List
-	rules     Rules
-	cut       *membership.Cut
-	zones     []string
-	state     map[string]*zoneState
-	ways      map[[2]string]*way
-	confirmed map[int]uint64
-	newer     [][]said // by node: when it went over to which plans
-	known     []Known
-	began     time.Duration
-	proposed  time.Duration // the newest proposal's time; 0: none is out
-	lastPlan  time.Duration
-	orders    Orders
-	doubt     time.Duration
-	suspect   bool // every zone looked lost of late: that is what is seen, and not the zones
-	short     bool // the newest plan gives less than it should, because of older ones in use
+	list        *membership.List
+	rules       Rules
+	cut         *membership.Cut
+	zones       []string
+	state       map[string]*zoneState
+	paths       map[[2]string]*pathStats // by the zone that tries and the zone that is tried
+	confirmed   map[int]uint64           // by node: the newest plan that it has said to use
+	newer       [][]said                 // by node: when it went over to which plans
+	known       []Known
+	began       time.Duration
+	proposed    time.Duration // the newest proposal's time; 0: none is out
+	lastPlan    time.Duration
+	orders      Orders
+	suspectTill time.Duration
+	suspect     bool // every zone looked lost of late: that is what is seen, and not the zones
+	constrained bool // the newest plan gives less than it should, because of older ones in use
 }
 
+// zoneState is what the planner knows of a zone.
 type zoneState struct {
 	state    State
-	since    time.Duration
+	since    time.Duration // in this state
 	goodFrom time.Duration // while lost: well since then; 0: not well
-	turns    int
+	turns    int           // how often it was lost soon after it came back
 	turned   time.Duration // when it last came back
 	ramp     float64       // room given back so far, while returning
 	room     float64       // smoothed, as told load
-	cost     float64
+	cost     float64       // hosts that a unit of told load takes, smoothed
 	sum      Sum
 	at       time.Duration // of the sum
 	head     int           // who sent it
 	want     []float64     // by class of the rules
-	peak     []float64
+	peak     []float64     // the same: the most that stood of late
 	lastWant time.Duration
-	refused  float64 // since the last plan
 }
 
 // NewPlanner begins to lead.
 func NewPlanner(l *membership.List, r Rules, k Knows, now time.Duration) *Planner {
-	var newest *Plan
-	if n := len(k.Plans); n > 0 {
-		newest = k.Plans[n-1].Plan
-	}
-	p := &Planner{list: l, rules: r, zones: l.Zones(), state: map[string]*zoneState{}, ways: map[[2]string]*way{},
+	p := &Planner{list: l, rules: r, zones: l.Zones(), state: map[string]*zoneState{}, paths: map[[2]string]*pathStats{},
 		confirmed: map[int]uint64{}, newer: make([][]said, l.Len()), began: now, lastPlan: now, known: slices.Clone(k.Plans)}
-	var lost []int
-	for _, z := range p.zones {
-		s := &zoneState{want: make([]float64, len(r.Classes)), peak: make([]float64, len(r.Classes)), since: now, lastWant: now}
-		if newest != nil {
-			if i := newest.zone(z); i >= 0 {
-				old := newest.Zones[i]
-				s.state, s.turns, s.room, s.turned = old.State, old.Turns, float64(old.Room), now
-				for c, k := range r.Classes {
-					if j := slices.Index(newest.Classes, k.Name); j >= 0 {
-						s.want[c] = float64(old.Want[j])
-						s.peak[c] = s.want[c]
-					}
-				}
-			}
-		}
-		p.state[z] = s
+	newest := p.newestPlan()
+	for _, zone := range p.zones {
+		p.state[zone] = newZoneState(zone, r.Classes, newest, now)
 	}
+	var lost []int
 	if newest != nil {
 		lost = newest.Lost
 	}
@@ -117,6 +105,31 @@
 	return p
 }
 
+// newZoneState begins where the newest plan, if there is one, left a zone.
+func newZoneState(zone string, classes []Class, newest *Plan, now time.Duration) *zoneState {
+	z := &zoneState{want: make([]float64, len(classes)), peak: make([]float64, len(classes)), since: now, lastWant: now}
+	if newest == nil || newest.zone(zone) < 0 {
+		return z
+	}
+	planned := newest.Zones[newest.zone(zone)]
+	z.state, z.turns, z.room, z.turned = planned.State, planned.Turns, float64(planned.Room), now
+	for i, class := range classes {
+		if j := slices.Index(newest.Classes, class.Name); j >= 0 {
+			z.want[i] = float64(planned.Want[j])
+			z.peak[i] = z.want[i]
+		}
+	}
+	return z
+}
+
+// newestPlan is the newest plan known; nil: there is none.
+func (p *Planner) newestPlan() *Plan {
+	if len(p.known) == 0 {
+		return nil
+	}
+	return p.known[len(p.known)-1].Plan
+}
+
 // Cut is the common view.
 func (p *Planner) Cut() *membership.Cut { return p.cut }
 
@@ -125,61 +138,86 @@
 
 // Step makes a plan where one is wanted; nil: the newest will do.
 func (p *Planner) Step(now time.Duration) *Plan {
-	viewChanged := p.cut.Step(now)
-	var whys []string
-	if viewChanged {
-		whys = append(whys, fmt.Sprintf("%d nodes are out of the view", len(p.cut.Lost())))
-	}
-	dt := time.Second / 4
-	all := true
-	for _, z := range p.zones {
-		bad, _ := p.judge(z, now)
-		all = all && (bad || p.state[z].state == Lost || p.state[z].state == Drained)
-	}
-	if all {
-		p.doubt = now + doubtFor
-	}
-	p.suspect = now < p.doubt
-	for _, z := range p.zones {
-		p.measure(z, now)
-		if why := p.turn(z, now); why != "" {
-			whys = append(whys, why)
-		}
-		if s := p.state[z]; s.state == Returning {
-			s.ramp = min(1, s.ramp+p.rules.Ramp*dt.Seconds())
-		}
-	}
-	refused := 0.0
-	for _, z := range p.zones {
-		refused += p.state[z].refused
-	}
-	pressing := len(whys) > 0
-	if now-p.began < planEvery || p.proposed > 0 && now-p.proposed < decidedBy || now-p.lastPlan < planEvery && !pressing {
+	reasons := p.observeChanges(now)
+	if !p.mayPlan(now, len(reasons) > 0) {
 		return nil
 	}
-	next := p.make(now)
-	if next == nil {
+	next := p.makePlan(now)
+	if next == nil || !p.worthProposing(next, now) {
 		return nil
 	}
 	if n := len(p.known); n > 0 {
-		change := differs(p.known[n-1].Plan, next)
-		if change == 0 || change == 1 && now-p.lastPlan < calmEvery && refused < 1 && !p.short {
-			return nil
+		next.Prev = p.known[n-1].Number
+	}
+	next.Why = reasonText(reasons)
+	p.proposed, p.lastPlan = now, now
+	return next
+}
+
+// observeChanges moves the view and the zones' states on, and gives the reasons that press for a new plan.
+func (p *Planner) observeChanges(now time.Duration) (reasons []string) {
+	if p.cut.Step(now) {
+		reasons = append(reasons, fmt.Sprintf("%d nodes are out of the view", len(p.cut.Lost())))
+	}
+	if p.allLookLost(now) {
+		p.suspectTill = now + doubtFor
+	}
+	p.suspect = now < p.suspectTill
+	for _, zone := range p.zones {
+		p.measure(zone, now)
+		if why := p.advanceState(zone, now); why != "" {
+			reasons = append(reasons, why)
+		}
+		if z := p.state[zone]; z.state == Returning {
+			z.ramp = min(1, z.ramp+p.rules.Ramp*stepEvery.Seconds())
 		}
 	}
-	if n := len(p.known); n > 0 {
-		next.Prev = p.known[n-1].Number
+	return reasons
+}
+
+// allLookLost says whether there is no zone left that looks well.
+func (p *Planner) allLookLost(now time.Duration) bool {
+	for _, zone := range p.zones {
+		if s := p.state[zone].state; s == Lost || s == Drained {
+			continue
+		}
+		if bad, _ := p.judge(zone, now); !bad {
+			return false
+		}
 	}
-	next.Why = strings.Join(whys, "; ")
-	if next.Why == "" {
-		next.Why = "demand and room"
+	return true
+}
+
+// mayPlan says whether it is time for a plan: pressing reasons don't wait.
+func (p *Planner) mayPlan(now time.Duration, pressing bool) bool {
+	switch {
+	case now-p.began < planEvery:
+		return false
+	case p.proposed > 0 && now-p.proposed < decidedBy:
+		return false
+	}
+	return pressing || now-p.lastPlan >= planEvery
+}
+
+// worthProposing says whether a plan differs enough from the newest one.
+func (p *Planner) worthProposing(next *Plan, now time.Duration) bool {
+	newest := p.newestPlan()
+	if newest == nil {
+		return true
 	}
-	if len(next.Why) > 400 {
-		next.Why = next.Why[:400]
+	switch compare(newest, next) {
+	case unchanged:
+		return false
+	case changed:
+		return p.constrained || now-p.lastPlan >= calmEvery
 	}
-	p.proposed, p.lastPlan = now, now
-	for _, z := range p.state {
-		z.refused = 0
+	return true
+}
+
+func reasonText(reasons []string) string {
+	if len(reasons) == 0 {
+		return "demand and room"
 	}
-	return next
+	text := strings.Join(reasons, "; ")
+	return text[:min(len(text), longestReason)]
 }
