--- a/internal/failover/agent/agent.go
+++ b/internal/failover/agent/agent.go
@@ -18,19 +18,22 @@
 )
 
 const (
-	lookEvery     = 100 * time.Millisecond // at what the module sees: what is refused now can be lent room for now
-	evidenceEvery = 500 * time.Millisecond
-	sumEvery      = 500 * time.Millisecond
-	planStep      = 250 * time.Millisecond
-	ackEvery      = 200 * time.Millisecond
-	heads         = 2               // of a zone, that a node tells
-	deafAfter     = 3 * time.Second // a head that has not answered so long is passed over
-	retryHead     = 5 * time.Second
-	staleAfter    = 3 * time.Second // evidence that may have been on its way so long says nothing of now
-	heardFor      = 2500 * time.Millisecond
-	processGone   = 2 * time.Second // a node's process that is not heard so long may have been followed by another
-	stoodStill    = time.Second
-	mostOut       = 4096 // messages that wait to be sent, which the node does after each callback; what comes on top is lost, as on the way
+	lookEvery          = 100 * time.Millisecond // at what the module sees: what is refused now can be lent room for now
+	evidenceEvery      = 500 * time.Millisecond
+	sumEvery           = 500 * time.Millisecond
+	planStep           = 250 * time.Millisecond
+	ackEvery           = 200 * time.Millisecond
+	aggregatorsPerZone = 2               // that a node sends its evidence
+	deafAfter          = 3 * time.Second // an aggregator that has not answered so long is passed over
+	retryAggregator    = 5 * time.Second
+	staleAfter         = 3 * time.Second // evidence that may have been on its way so long says nothing of now
+	heardFor           = 2500 * time.Millisecond
+	processGone        = 2 * time.Second // a node's process that is not heard so long may have been followed by another
+	stoodStill         = time.Second
+	mostSteps          = 64   // of the voter at one callback
+	mostAsked          = 32   // messages to a peer whose answers are awaited
+	mostAcks           = 4096 // sums that wait for a confirmation
+	mostOut            = 4096 // messages that wait to be sent, which the node does after each callback; what comes on top is lost, as on the way
 )
 
 // Options are what an agent stands on.
@@ -71,31 +74,31 @@
 
 // Agent is one node's part. Its methods belong to one goroutine; now is the node's own monotonic time.
 type Agent struct {
-	o       Options
-	list    uint32
-	zone    string
-	rng     *rand.Rand
-	process uint32
-	clock   uint64
-	peers   map[int]*peer
-	out     []Message
-	follow  *agree.Follower
-	dirty   bool // entries that the disk doesn't have yet
-	watch   *membership.Watch
+	options    Options
+	listDigest uint32
+	zone       string
+	rng        *rand.Rand
+	process    uint32
+	clock      uint64
+	peers      map[int]*peer
+	out        []Message
+	follower   *agree.Follower
+	unsaved    bool // entries that the disk doesn't have yet
+	watch      *membership.Watch
 
 	voter   Voter
 	planner *failover.Planner
 	saving  *saving
-	acks    []due // sums that wait for a confirmation, oldest first
+	acks    []pendingAck // sums that wait for a confirmation, oldest first
 	last    time.Duration
 	next    struct{ tick, beat, look, evidence, sum, plan, ack time.Duration }
-	seen    choice.News // since the last evidence
+	news    choice.News // since the last evidence
 
-	told    map[int]*told // evidence of this zone's nodes, as a head
-	lead    time.Duration // when the one that leads was surely there, by this node's clock
-	leadNow bool          // lead is known
-	ackPlan uint64        // its newest plan then
-	lease   time.Duration // crossings are allowed until then
+	reports     map[int]*report // evidence of this zone's nodes, as one that sums it
+	leaderSeen  time.Duration   // when the one that leads was surely there, by this node's clock
+	leaderKnown bool            // leaderSeen is known
+	leaderPlan  uint64          // its newest plan then
+	lease       time.Duration   // crossings are allowed until then
 
 	lender *failover.Lender
 	loans  map[string]*loaned // by zone
@@ -105,12 +108,12 @@
 
 	pol policyPart
 
-	mode    failover.Mode
-	plan    *failover.Plan
-	number  uint64
-	changed bool
-	knows   failover.Knows
-	Counts  Counts
+	mode        failover.Mode
+	plan        *failover.Plan
+	planNumber  uint64
+	changed     bool
+	planHistory failover.PlanHistory
+	Counts      Counts
 }
 
 // Counts are for operators.
@@ -124,12 +127,28 @@
 	if o.Log == nil {
 		o.Log = func(string, ...any) {}
 	}
-	a := &Agent{o: o, zone: o.List.Node(o.Self).Zone, rng: rand.New(rand.NewPCG(o.Seed, 9)), peers: map[int]*peer{}, told: map[int]*told{}, last: now,
-		lender: failover.NewLender(now), loans: map[string]*loaned{}, had: map[string]float64{}, saw: now}
-	a.list, a.process = digestOf(o.List), a.rng.Uint32()|1
+	rng := rand.New(rand.NewPCG(o.Seed, 9))
+	a := &Agent{options: o, zone: o.List.Node(o.Self).Zone, rng: rng, peers: map[int]*peer{}, reports: map[int]*report{}, last: now,
+		lender: failover.NewLender(now), loans: map[string]*loaned{}, had: map[string]float64{}, saw: now, changed: true}
+	a.listDigest, a.process = digestOf(o.List), rng.Uint32()|1
+	a.follower = restoreFollower(o.Kept)
+	a.watch = membership.NewWatch(o.List, o.Self, now)
+	if err := a.startVoter(); err != nil {
+		return nil, err
+	}
+	a.schedule(now)
+	a.pol.init()
+	a.adoptPolicy(a.follower.Newest(policy.Kind))
+	a.restorePlan(now)
+	a.updateMode(now)
+	return a, nil
+}
+
+// restoreFollower begins with the newest entries that the disk has.
+func restoreFollower(kept []agree.Record) *agree.Follower {
 	var log uint64
 	var entries []agree.Entry
-	for _, r := range o.Kept {
+	for _, r := range kept {
 		if len(r.Newest) > 0 {
 			entries = r.Newest
 		}
@@ -137,32 +156,49 @@
 			log = r.Log
 		}
 	}
-	a.follow = agree.Follow(log, entries)
-	a.watch = membership.NewWatch(o.List, o.Self, now)
-	if place := o.List.Voter(o.Self); place >= 0 {
-		if o.Voter == nil {
-			return nil, fmt.Errorf("%s is a voter, and this program does not vote", o.List.Node(o.Self).Name)
-		}
-		v, err := o.Voter(place, len(o.List.Voters()), o.Kept, a.rng)
-		if err != nil {
-			return nil, err
-		}
-		a.voter = v
+	return agree.Follow(log, entries)
+}
+
+// startVoter begins the node's vote, if it is a voter.
+func (a *Agent) startVoter() error {
+	o := a.options
+	place := o.List.Voter(o.Self)
+	if place < 0 {
+		return nil
+	}
+	if o.Voter == nil {
+		return fmt.Errorf("%s is a voter, and this program does not vote", o.List.Node(o.Self).Name)
 	}
+	v, err := o.Voter(place, len(o.List.Voters()), o.Kept, a.rng)
+	if err != nil {
+		return err
+	}
+	a.voter = v
+	return nil
+}
+
+// schedule draws when what is done again and again is done first: nodes that start at once are not to send at once.
+func (a *Agent) schedule(now time.Duration) {
 	spread := func(every time.Duration) time.Duration { return now + time.Duration(a.rng.Int64N(int64(every))) }
-	a.next.tick, a.next.beat, a.next.look, a.next.evidence = now, spread(membership.BeatEvery), spread(lookEvery), spread(evidenceEvery)
-	a.next.sum, a.next.plan, a.next.ack = spread(sumEvery), spread(planStep), now
-	a.changed = true
-	a.pol.init()
-	a.adoptPolicy(a.follow.Newest(policy.Kind))
-	if e := a.follow.Newest(failover.PlanKind); e.Number > 0 { // as the disk has it
-		if p, err := failover.DecodePlan(e.Data); err == nil {
-			a.plan, a.number = p, e.Number
-			a.knows.Add(e.Number, p, now)
-		}
+	a.next.tick = now
+	a.next.beat = spread(membership.BeatEvery)
+	a.next.look = spread(lookEvery)
+	a.next.evidence = spread(evidenceEvery)
+	a.next.sum = spread(sumEvery)
+	a.next.plan = spread(planStep)
+	a.next.ack = now
+}
+
+// restorePlan has the node go by the newest plan that its disk has.
+func (a *Agent) restorePlan(now time.Duration) {
+	e := a.follower.Newest(failover.PlanKind)
+	if e.Number == 0 {
+		return
+	}
+	if p, err := failover.DecodePlan(e.Data); err == nil {
+		a.plan, a.planNumber = p, e.Number
+		a.planHistory.Add(e.Number, p, now)
 	}
-	a.goBy(now)
-	return a, nil
 }
 
 // digestOf tells lists of nodes apart.
@@ -181,43 +217,48 @@
 		return choice.ZonePlan{}, false
 	}
 	a.changed = false
-	return failover.Use(a.mode, a.plan, a.o.Self, a.zone, a.o.Classes, a.o.ComeAgain, failover.Borrowed{Loans: a.lent(), Stay: a.stay}), true
+	return failover.Use(a.mode, a.plan, a.options.Self, a.zone, a.options.Classes, a.options.ComeAgain, failover.Borrowed{Loans: a.lent(), Stay: a.stay}), true
 }
 
 // Adapt takes in the module's classes after a change of settings.
-func (a *Agent) Adapt(classes []string) { a.o.Classes, a.changed = classes, true }
+func (a *Agent) Adapt(classes []string) { a.options.Classes, a.changed = classes, true }
 
 // Tick tells the time; it is called about each agree.Tick.
 func (a *Agent) Tick(now time.Duration) {
 	if now-a.last > stoodStill { // this process was stopped, or its machine: what it knew to be so may not be so any more
-		a.o.Log("fleet_stood_still", "for", (now - a.last).Round(time.Millisecond).String())
+		a.options.Log("fleet_stood_still", "for", (now - a.last).Round(time.Millisecond).String())
 		a.planner, a.acks = nil, nil
 	}
 	a.last = now
 	a.watch.Tick(now)
+	a.tickVoter(now)
+	if a.isDue(&a.next.beat, membership.BeatEvery, now) {
+		for _, w := range a.options.List.Watchers(a.options.Self) {
+			a.send(w, beat, nil, now)
+		}
+	}
+	if a.isDue(&a.next.sum, sumEvery, now) {
+		a.sendSum(now)
+	}
+	a.runLeader(now)
+	a.loansEnd(now)
+	a.updateMode(now)
+	a.advance(now)
+}
+
+// tickVoter gives the voter its ticks; those that were missed while the process stood still are not made up for.
+func (a *Agent) tickVoter(now time.Duration) {
 	for ; a.next.tick <= now; a.next.tick += agree.Tick {
-		if now-a.next.tick > stoodStill { // ticks that were missed are not made up for
+		if now-a.next.tick > stoodStill {
 			a.next.tick = now
 		}
 		if a.voter != nil {
 			a.voter.Tick()
 		}
 	}
-	if a.due(&a.next.beat, membership.BeatEvery, now) {
-		for _, w := range a.o.List.Watchers(a.o.Self) {
-			a.send(w, beat, nil, now)
-		}
-	}
-	if a.due(&a.next.sum, sumEvery, now) {
-		a.sendSum(now)
-	}
-	a.leadOn(now)
-	a.loansEnd(now)
-	a.goBy(now)
-	a.work(now)
 }
 
-func (a *Agent) due(at *time.Duration, every, now time.Duration) bool {
+func (a *Agent) isDue(at *time.Duration, every, now time.Duration) bool {
 	if now < *at {
 		return false
 	}
@@ -225,8 +266,8 @@
 	return true
 }
 
-// goBy settles which mode this node is in.
-func (a *Agent) goBy(now time.Duration) {
+// updateMode settles which mode this node is in.
+func (a *Agent) updateMode(now time.Duration) {
 	m := failover.Alone
 	switch {
 	case a.plan != nil && now < a.lease:
@@ -237,7 +278,7 @@
 	if m != a.mode || a.changed {
 		a.changed = true
 		if m != a.mode {
-			a.o.Log("fleet_mode", "mode", m.String(), "plan", a.number)
+			a.options.Log("fleet_mode", "mode", m.String(), "plan", a.planNumber)
 		}
 		a.mode = m
 	}
@@ -247,4 +288,4 @@
 func (a *Agent) Leads() bool { return a.planner != nil && a.voter != nil && a.voter.Leads() }
 
 // Mode is what this node goes by, and by which plan.
-func (a *Agent) Mode() (failover.Mode, uint64) { return a.mode, a.number }
+func (a *Agent) Mode() (failover.Mode, uint64) { return a.mode, a.planNumber }
--- a/internal/failover/agent/agent_test.go
+++ b/internal/failover/agent/agent_test.go
@@ -32,17 +32,17 @@
 		at    time.Duration
 		taken uint64
 	}{
-		{"a beat", seal(a.o.Key, a.list, ok, nil), 1, 1},
-		{"the same again", seal(a.o.Key, a.list, ok, nil), 2, 1},
-		{"of another key", seal([]byte("other"), a.list, header{kind: beat, from: 1, process: 5, clock: 11}, nil), 3, 1},
-		{"of another list", seal(a.o.Key, a.list+1, header{kind: beat, from: 1, process: 5, clock: 12}, nil), 4, 1},
-		{"for another node", seal(a.o.Key, a.list, header{kind: beat, from: 1, to: 2, process: 5, clock: 13}, nil), 5, 1},
-		{"from itself", seal(a.o.Key, a.list, header{kind: beat, process: 5, clock: 14}, nil), 6, 1},
-		{"from nobody", seal(a.o.Key, a.list, header{kind: beat, from: 9, process: 5, clock: 15}, nil), 7, 1},
-		{"cut off", seal(a.o.Key, a.list, ok, nil)[:20], 8, 1},
-		{"another process too soon", seal(a.o.Key, a.list, header{kind: beat, from: 1, process: 6, clock: 1}, nil), time.Second, 1},
-		{"and when the first one is silent", seal(a.o.Key, a.list, header{kind: beat, from: 1, process: 6, clock: 2}, nil), 4 * time.Second, 2},
-		{"what is late of the first", seal(a.o.Key, a.list, header{kind: beat, from: 1, process: 5, clock: 99}, nil), 4*time.Second + 1, 2},
+		{"a beat", seal(a.options.Key, a.listDigest, ok, nil), 1, 1},
+		{"the same again", seal(a.options.Key, a.listDigest, ok, nil), 2, 1},
+		{"of another key", seal([]byte("other"), a.listDigest, header{kind: beat, from: 1, process: 5, clock: 11}, nil), 3, 1},
+		{"of another list", seal(a.options.Key, a.listDigest+1, header{kind: beat, from: 1, process: 5, clock: 12}, nil), 4, 1},
+		{"for another node", seal(a.options.Key, a.listDigest, header{kind: beat, from: 1, to: 2, process: 5, clock: 13}, nil), 5, 1},
+		{"from itself", seal(a.options.Key, a.listDigest, header{kind: beat, process: 5, clock: 14}, nil), 6, 1},
+		{"from nobody", seal(a.options.Key, a.listDigest, header{kind: beat, from: 9, process: 5, clock: 15}, nil), 7, 1},
+		{"cut off", seal(a.options.Key, a.listDigest, ok, nil)[:20], 8, 1},
+		{"another process too soon", seal(a.options.Key, a.listDigest, header{kind: beat, from: 1, process: 6, clock: 1}, nil), time.Second, 1},
+		{"and when the first one is silent", seal(a.options.Key, a.listDigest, header{kind: beat, from: 1, process: 6, clock: 2}, nil), 4 * time.Second, 2},
+		{"what is late of the first", seal(a.options.Key, a.listDigest, header{kind: beat, from: 1, process: 5, clock: 99}, nil), 4*time.Second + 1, 2},
 	} {
 		a.Receive(c.p, c.at)
 		if a.Counts.Taken != c.taken {
@@ -56,14 +56,14 @@
 func TestLease(t *testing.T) {
 	a := alone(t)
 	p := &failover.Plan{Zones: []failover.Zone{{Name: "z", Nodes: 2, Listed: 2, Room: 5, Want: []float32{}}}, Admit: [][]int{{}}, Before: [][]float32{{0}}, Life: 10}
-	a.take(7, agree.Entry{Number: 3, Kind: failover.PlanKind, Data: p.Encode()}, 1, time.Second)
+	a.acceptEntry(7, agree.Entry{Number: 3, Kind: failover.PlanKind, Data: p.Encode()}, 1, time.Second)
 	if _, n := a.Mode(); n != 0 {
 		t.Errorf("goes by plan %d before its disk has it", n)
 	}
-	a.work(time.Second)
+	a.advance(time.Second)
 	a.Kept(time.Second)
 	mode := func(now time.Duration) failover.Mode {
-		a.goBy(now)
+		a.updateMode(now)
 		m, _ := a.Mode()
 		return m
 	}
@@ -72,7 +72,7 @@
 	}
 	tell := func(sent, now, age time.Duration, plan uint64) {
 		a.peer(1).asked = map[uint64]time.Duration{42: sent}
-		a.hearWord(header{from: 1}, encode(wordBody{Answer: 42, Age: int64(age / time.Microsecond), Plan: plan}), now)
+		a.handleWord(header{from: 1}, encode(wordBody{Answer: 42, Age: int64(age / time.Microsecond), Plan: plan}), now)
 	}
 	tell(2*time.Second, 5*time.Second, time.Second, 3) // sent at 2 s, the leader was there a second before that
 	for at, want := range map[time.Duration]failover.Mode{5 * time.Second: failover.Planned, 10900 * time.Millisecond: failover.Planned, 11100 * time.Millisecond: failover.Ground} {
@@ -86,7 +86,7 @@
 	}
 	tell(20*time.Second, 21*time.Second, -time.Microsecond, 3)
 	if m := mode(21 * time.Second); m != failover.Ground {
-		t.Errorf("on the word of a head that knows nothing: %v", m)
+		t.Errorf("on the word of an aggregator that knows nothing: %v", m)
 	}
 }
 
@@ -99,7 +99,7 @@
 	}
 	f.Fuzz(func(t *testing.T, k byte, from uint16, body []byte) {
 		a.clock++
-		p := seal(a.o.Key, a.list, header{kind: kind(k), from: int(from), to: 0, process: 5, clock: a.clock}, body)
+		p := seal(a.options.Key, a.listDigest, header{kind: kind(k), from: int(from), to: 0, process: 5, clock: a.clock}, body)
 		a.Receive(p, time.Duration(a.clock)*time.Second)
 		a.Tick(time.Duration(a.clock) * time.Second)
 		a.Answer(p, time.Duration(a.clock)*time.Second)
--- a/internal/failover/agent/ask.go
+++ b/internal/failover/agent/ask.go
@@ -105,8 +105,8 @@
 
 // Answer answers an operator's call that came by a stream; ok is false for anything else.
 func (a *Agent) Answer(p []byte, now time.Duration) (reply []byte, ok bool) {
-	h, body, err := open(a.o.Key, a.list, p)
-	if err != nil || h.kind != ask || h.from != Operator || h.to != a.o.Self {
+	h, body, err := open(a.options.Key, a.listDigest, p)
+	if err != nil || h.kind != ask || h.from != Operator || h.to != a.options.Self {
 		return nil, false
 	}
 	var c Call
@@ -114,32 +114,32 @@
 		return nil, false
 	}
 	r := a.reply(c, now)
-	a.work(now)
-	return seal(a.o.Key, a.list, header{kind: answer, from: a.o.Self, to: Operator, clock: h.clock}, encode(r)), true
+	a.advance(now)
+	return seal(a.options.Key, a.listDigest, header{kind: answer, from: a.options.Self, to: Operator, clock: h.clock}, encode(r)), true
 }
 
 func (a *Agent) reply(c Call, now time.Duration) Reply {
-	me := a.o.List.Node(a.o.Self)
-	r := Reply{Node: me.Name, Zone: me.Zone, Mode: a.mode.String(), Plan: a.number, Lease: max(0, (a.lease - now).Seconds()),
-		Log: fmt.Sprintf("%016x", a.follow.Log()), Voter: a.voter != nil, Leads: a.Leads(), Counts: a.Counts}
+	me := a.options.List.Node(a.options.Self)
+	r := Reply{Node: me.Name, Zone: me.Zone, Mode: a.mode.String(), Plan: a.planNumber, Lease: max(0, (a.lease - now).Seconds()),
+		Log: fmt.Sprintf("%016x", a.follower.Log()), Voter: a.voter != nil, Leads: a.Leads(), Counts: a.Counts}
 	if a.plan == nil || now >= a.lease {
 		r.Lease = 0
 	}
 	if a.voter != nil {
 		r.Term = a.voter.Term()
-		if l := a.voter.Leader(); l >= 0 && l < len(a.o.List.Voters()) {
-			r.Leader = a.o.List.Node(a.o.List.Voters()[l]).Name
+		if l := a.voter.Leader(); l >= 0 && l < len(a.options.List.Voters()) {
+			r.Leader = a.options.List.Node(a.options.List.Voters()[l]).Name
 		}
 	}
 	r.Loans, r.Lent = a.lent(), a.lender.Lent(now)
-	orders, _ := failover.DecodeOrders(a.follow.Newest(failover.OrdersKind).Data)
+	orders, _ := failover.DecodeOrders(a.follower.Newest(failover.OrdersKind).Data)
 	r.Drained = orders.Drained
 	switch c.Verb {
 	case "status", "plan":
 		a.replyPlan(&r)
 		if a.planner != nil {
-			for i := range a.o.List.Len() {
-				n := a.o.List.Node(i)
+			for i := range a.options.List.Len() {
+				n := a.options.List.Node(i)
 				seen := a.planner.Seen(i, now)
 				r.Nodes = append(r.Nodes, NodeReply{Name: n.Name, Zone: n.Zone, Live: seen.Live, Plan: seen.Plan, Ago: seen.Ago})
 			}
@@ -150,15 +150,15 @@
 			r.Error, r.Retry = "this node does not lead: evidence is with the one that does", true
 			break
 		}
-		if !slices.Contains(a.o.List.Zones(), c.Arg) {
-			r.Bad, r.Error = true, fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.o.List.Zones())
+		if !slices.Contains(a.options.List.Zones(), c.Arg) {
+			r.Bad, r.Error = true, fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.options.List.Zones())
 			break
 		}
 		r.Explain = a.planner.Explain(c.Arg, now)
 	case "drain", "undrain":
 		switch {
-		case !slices.Contains(a.o.List.Zones(), c.Arg):
-			r.Bad, r.Error = true, fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.o.List.Zones())
+		case !slices.Contains(a.options.List.Zones(), c.Arg):
+			r.Bad, r.Error = true, fmt.Sprintf("no zone %q: one of %v is wanted", c.Arg, a.options.List.Zones())
 		case !a.Leads():
 			r.Error, r.Retry = "this node does not lead", true
 		default:
@@ -167,7 +167,7 @@
 				orders.Drained = append(orders.Drained, c.Arg)
 				slices.SortFunc(orders.Drained, cmp.Compare[string])
 			}
-			if err := a.voter.Propose(agree.Proposal{ID: c.ID, Kind: failover.OrdersKind, Replaces: a.follow.Newest(failover.OrdersKind).Number,
+			if err := a.voter.Propose(agree.Proposal{ID: c.ID, Kind: failover.OrdersKind, Replaces: a.follower.Newest(failover.OrdersKind).Number,
 				Data: orders.Encode()}); err != nil {
 				r.Error, r.Retry = err.Error(), true
 			}
@@ -195,15 +195,15 @@
 	}
 	r.Why = p.Why
 	for _, i := range p.Lost {
-		if i >= 0 && i < a.o.List.Len() {
-			r.Lost = append(r.Lost, a.o.List.Node(i).Name)
+		if i >= 0 && i < a.options.List.Len() {
+			r.Lost = append(r.Lost, a.options.List.Node(i).Name)
 		}
 	}
 	for i, z := range p.Zones {
 		out := ZoneReply{Name: z.Name, Region: z.Region, State: z.State.String(), Nodes: z.Nodes, Listed: z.Listed, Room: float64(z.Room), Guests: float64(z.Guests),
 			Want: map[string]float64{}, Grants: map[string]float64{}, Admit: map[string]float64{}}
-		if z.Lender >= 0 && z.Lender < a.o.List.Len() {
-			out.Lender, out.Lends = a.o.List.Node(z.Lender).Name, float64(z.Reserve)
+		if z.Lender >= 0 && z.Lender < a.options.List.Len() {
+			out.Lender, out.Lends = a.options.List.Node(z.Lender).Name, float64(z.Reserve)
 		}
 		for c, name := range p.Classes {
 			out.Want[name], out.Admit[name] = float64(z.Want[c]), float64(p.Admit[i][c])/255
--- a/internal/failover/agent/entries.go
+++ b/internal/failover/agent/entries.go
@@ -9,11 +9,11 @@
 	"spurwinch/internal/failover"
 )
 
-// lacks asks another node for what it has and this one doesn't.
-func (a *Agent) lacks(from int, d agree.Digest, now time.Duration) {
-	kinds, err := a.follow.Lacks(d)
+// fetchMissing asks another node for what it has and this one doesn't.
+func (a *Agent) fetchMissing(from int, d agree.Digest, now time.Duration) {
+	kinds, err := a.follower.Lacks(d)
 	if err != nil {
-		a.o.Log("fleet_log_conflict", "from", a.o.List.Node(from).Name, "error", err.Error())
+		a.options.Log("fleet_log_conflict", "from", a.options.List.Node(from).Name, "error", err.Error())
 		return
 	}
 	if len(kinds) > 0 {
@@ -21,74 +21,98 @@
 	}
 }
 
-func (a *Agent) give(to int, k agree.Kind, now time.Duration) {
-	if e := a.follow.Newest(k); e.Number > 0 {
-		a.send(to, give, encode(giveBody{Log: a.follow.Log(), Entry: e}), now)
+func (a *Agent) sendEntry(to int, k agree.Kind, now time.Duration) {
+	if e := a.follower.Newest(k); e.Number > 0 {
+		a.send(to, give, encode(giveBody{Log: a.follower.Log(), Entry: e}), now)
 	}
 }
 
-// take takes an entry in and passes it on: a head to the nodes that tell it, the one that leads to the heads.
-func (a *Agent) take(log uint64, e agree.Entry, from int, now time.Duration) {
-	taken, err := a.follow.Take(log, e)
+// acceptEntry takes an entry in and passes it on: an aggregator to the nodes that send it evidence, the one that leads to the aggregators.
+func (a *Agent) acceptEntry(log uint64, e agree.Entry, from int, now time.Duration) {
+	taken, err := a.follower.Take(log, e)
 	if err != nil {
 		name := "its own log"
 		if from >= 0 {
-			name = a.o.List.Node(from).Name
+			name = a.options.List.Node(from).Name
 		}
-		a.o.Log("fleet_log_conflict", "from", name, "error", err.Error())
+		a.options.Log("fleet_log_conflict", "from", name, "error", err.Error())
 		return
 	}
 	if !taken {
 		return
 	}
-	a.dirty = true
+	a.unsaved = true
 	switch e.Kind {
 	case failover.PlanKind:
-		p, err := failover.DecodePlan(e.Data)
-		if err != nil {
-			a.o.Log("fleet_plan_unreadable", "number", e.Number, "error", err.Error())
+		if !a.acceptPlan(e, now) {
 			return
 		}
-		a.knows.Add(e.Number, p, now)
-		if a.planner != nil {
-			a.planner.Newest(e.Number, p, now)
-		}
 	case failover.OrdersKind:
-		if o, err := failover.DecodeOrders(e.Data); err == nil && a.planner != nil {
-			a.planner.Order(o)
-		}
-		a.o.Log("fleet_orders_taken", "number", e.Number)
+		a.acceptOrders(e)
 	}
 	body := encode(giveBody{Log: log, Entry: e})
-	for _, to := range a.below(now) {
+	for _, to := range a.subscribers(now) {
 		if to != from {
 			a.send(to, give, body, now)
 		}
 	}
-	a.goBy(now)
+	a.updateMode(now)
+}
+
+// acceptPlan keeps a plan in mind; the node goes by it when its disk has it. It says whether the plan can be read.
+func (a *Agent) acceptPlan(e agree.Entry, now time.Duration) bool {
+	p, err := failover.DecodePlan(e.Data)
+	if err != nil {
+		a.options.Log("fleet_plan_unreadable", "number", e.Number, "error", err.Error())
+		return false
+	}
+	a.planHistory.Add(e.Number, p, now)
+	if a.planner != nil {
+		a.planner.Newest(e.Number, p, now)
+	}
+	return true
+}
+
+// acceptOrders tells the planner what operators have ordered.
+func (a *Agent) acceptOrders(e agree.Entry) {
+	if o, err := failover.DecodeOrders(e.Data); err == nil && a.planner != nil {
+		a.planner.Order(o)
+	}
+	a.options.Log("fleet_orders_taken", "number", e.Number)
+}
+
+// handleFetch sends the entries that another node asks for.
+func (a *Agent) handleFetch(h header, body []byte, now time.Duration) {
+	var kinds []agree.Kind
+	if decoding.Unmarshal(body, &kinds) != nil {
+		return
+	}
+	for _, k := range kinds[:min(len(kinds), agree.MostKinds)] {
+		a.sendEntry(h.from, k, now)
+	}
 }
 
-// adopt has the node go by a plan that its disk has: after a crash it must not go by an older one than it told others of.
-func (a *Agent) adopt(kept []agree.Entry, now time.Duration) {
+// adoptPlans has the node go by a plan that its disk has: after a crash it must not go by an older one than it told others of.
+func (a *Agent) adoptPlans(kept []agree.Entry, now time.Duration) {
 	for _, e := range kept {
 		a.adoptPolicy(e)
-		if e.Kind != failover.PlanKind || e.Number <= a.number {
+		if e.Kind != failover.PlanKind || e.Number <= a.planNumber {
 			continue
 		}
 		p, err := failover.DecodePlan(e.Data)
 		if err != nil {
 			continue // told when it came
 		}
-		a.plan, a.number, a.changed = p, e.Number, true
-		a.o.Log("fleet_plan_taken", "number", e.Number, "digest", fmt.Sprintf("%016x", e.Digest()), "why", p.Why, "plan", e.Data)
+		a.plan, a.planNumber, a.changed = p, e.Number, true
+		a.options.Log("fleet_plan_taken", "number", e.Number, "digest", fmt.Sprintf("%016x", e.Digest()), "why", p.Why, "plan", e.Data)
 	}
-	a.goBy(now)
+	a.updateMode(now)
 }
 
-// below are the nodes that wait for this one's word: those that send it evidence, and for the one that leads the heads as well.
-func (a *Agent) below(now time.Duration) (all []int) {
-	for i, t := range a.told {
-		if i != a.o.Self && now-t.at <= heardFor {
+// subscribers are the nodes that wait for this one's word: those that send it evidence, and for the one that leads the aggregators as well.
+func (a *Agent) subscribers(now time.Duration) (all []int) {
+	for i, t := range a.reports {
+		if i != a.options.Self && now-t.at <= heardFor {
 			all = append(all, i)
 		}
 	}
--- a/internal/failover/agent/evidence.go
+++ b/internal/failover/agent/evidence.go
@@ -9,7 +9,7 @@
 	"spurwinch/internal/failover"
 )
 
-type told struct {
+type report struct {
 	sum   failover.Sum
 	at    time.Duration
 	fresh bool // not in a sum yet
@@ -21,173 +21,190 @@
 
 // Tell takes what the module saw since the last call.
 func (a *Agent) Tell(n choice.News, now time.Duration) {
-	a.due(&a.next.look, lookEvery, now)
-	a.seen = failover.Since(a.seen, n)
-	if a.due(&a.next.evidence, evidenceEvery, now) {
-		a.tell(a.seen, now)
-		a.seen = choice.News{}
+	a.isDue(&a.next.look, lookEvery, now)
+	a.news = failover.Since(a.news, n)
+	if a.isDue(&a.next.evidence, evidenceEvery, now) {
+		a.sendEvidence(a.news, now)
+		a.news = choice.News{}
 	}
 	a.borrow(n, now)
-	a.work(now)
+	a.advance(now)
 }
 
-// tell sends evidence to the heads of this zone.
-func (a *Agent) tell(n choice.News, now time.Duration) {
-	s := failover.Tell(a.zone, a.o.Classes, n, failover.Word{Node: a.o.Self, Plan: a.number, Silent: a.watch.Silent(now),
+// sendEvidence sends evidence to the nodes of this zone that sum it.
+func (a *Agent) sendEvidence(n choice.News, now time.Duration) {
+	s := failover.Tell(a.zone, a.options.Classes, n, failover.Word{Node: a.options.Self, Plan: a.planNumber, Silent: a.watch.Silent(now),
 		Policy: a.policyWord(now)})
 	body := s.Encode()
-	chosen := a.heads(now)
-	if len(chosen) < heads || slices.Contains(chosen, a.o.Self) {
-		a.hold(a.o.Self, s, false, now)
+	chosen := a.aggregators(now)
+	if len(chosen) < aggregatorsPerZone || slices.Contains(chosen, a.options.Self) {
+		a.storeReport(a.options.Self, s, false, now)
 	}
-	for _, h := range chosen {
-		if h == a.o.Self {
+	for _, to := range chosen {
+		if to == a.options.Self {
 			continue
 		}
-		p := a.peer(h)
-		at := a.send(h, evidence, body, now)
+		p := a.peer(to)
+		clock := a.send(to, evidence, body, now)
 		if p.sent == 0 {
 			p.sent = now
 		}
-		if p.asked == nil || len(p.asked) > 32 {
-			p.asked = map[uint64]time.Duration{}
-		}
-		p.asked[at] = now
+		p.expect(clock, now)
 	}
 }
 
-// heads are the nodes of this zone that sum its evidence now, as this node sees it: the first ones in an order that is the same for all,
+// aggregators are the nodes of this zone that sum its evidence now, as this node sees it: the first ones in an order that is the same for all,
 // of those that answer.
-func (a *Agent) heads(now time.Duration) (chosen []int) {
-	for _, h := range a.order() {
-		p := a.peer(h)
-		if h != a.o.Self {
-			if p.sent > 0 && now-p.sent > deafAfter && p.deaf == 0 {
-				p.deaf = now
-			}
-			if p.deaf > 0 {
-				if now-p.deaf < retryHead {
-					continue
-				}
-				p.deaf, p.sent = 0, 0 // it may be back: one more go
-			}
+func (a *Agent) aggregators(now time.Duration) (chosen []int) {
+	for _, node := range a.aggregatorOrder() {
+		if node != a.options.Self && a.peer(node).passedOver(now) {
+			continue
 		}
-		if chosen = append(chosen, h); len(chosen) == heads {
+		if chosen = append(chosen, node); len(chosen) == aggregatorsPerZone {
 			break
 		}
 	}
 	return chosen
 }
 
-func (a *Agent) order() []int {
-	all := slices.Clone(a.o.List.InZone(a.zone))
-	slices.SortFunc(all, func(x, y int) int { return cmp.Compare(a.o.List.Key(x, x), a.o.List.Key(y, y)) })
+// passedOver says whether a peer that is sent evidence has not answered for so long that another one is sent it. From time to time it is tried
+// again.
+func (p *peer) passedOver(now time.Duration) bool {
+	if p.sent > 0 && now-p.sent > deafAfter && p.deaf == 0 {
+		p.deaf = now
+	}
+	if p.deaf == 0 {
+		return false
+	}
+	if now-p.deaf < retryAggregator {
+		return true
+	}
+	p.deaf, p.sent = 0, 0
+	return false
+}
+
+func (a *Agent) aggregatorOrder() []int {
+	all := slices.Clone(a.options.List.InZone(a.zone))
+	slices.SortFunc(all, func(x, y int) int { return cmp.Compare(a.options.List.Key(x, x), a.options.List.Key(y, y)) })
 	return all
 }
 
-func (a *Agent) hold(node int, s failover.Sum, stale bool, now time.Duration) {
-	old := a.told[node]
-	if old != nil && old.fresh { // what is not in a sum yet goes into the next one
-		add := func(to, from []float32) {
-			for i := range min(len(to), len(from)) {
-				to[i] += from[i]
-			}
-		}
-		if slices.Equal(old.sum.Classes, s.Classes) {
-			add(s.Arrived, old.sum.Arrived)
-			add(s.Refused, old.sum.Refused)
-		}
-		for i, r := range s.Rows {
-			for _, q := range old.sum.Rows {
-				if q.Zone == r.Zone {
-					s.Rows[i].Attempts, s.Rows[i].Failed = r.Attempts+q.Attempts, r.Failed+q.Failed
-				}
+// storeReport keeps a node's evidence for the next sum. What was counted before and is in no sum yet is added to it.
+func (a *Agent) storeReport(node int, s failover.Sum, stale bool, now time.Duration) {
+	if old := a.reports[node]; old != nil && old.fresh {
+		addCounted(&s, old.sum)
+	}
+	a.reports[node] = &report{sum: s, at: now, fresh: true, stale: stale}
+}
+
+// addCounted adds what evidence counts since the last one: arrivals, refusals and attempts. What stands is as it was told last.
+func addCounted(s *failover.Sum, old failover.Sum) {
+	if slices.Equal(old.Classes, s.Classes) {
+		addEach(s.Arrived, old.Arrived)
+		addEach(s.Refused, old.Refused)
+	}
+	for i := range s.Rows {
+		row := &s.Rows[i]
+		for _, before := range old.Rows {
+			if before.Zone == row.Zone {
+				row.Attempts += before.Attempts
+				row.Failed += before.Failed
 			}
 		}
 	}
-	a.told[node] = &told{sum: s, at: now, fresh: true, stale: stale}
 }
 
-func (a *Agent) hearEvidence(h header, body []byte, stale bool, now time.Duration) {
+func addEach(to, from []float32) {
+	for i := range min(len(to), len(from)) {
+		to[i] += from[i]
+	}
+}
+
+// withoutCounted is evidence without what it counts, which a sum has already.
+func withoutCounted(s failover.Sum) failover.Sum {
+	s.Arrived, s.Refused = make([]float32, len(s.Classes)), make([]float32, len(s.Classes))
+	s.Rows = slices.Clone(s.Rows)
+	for i := range s.Rows {
+		s.Rows[i].Attempts, s.Rows[i].Failed = 0, 0
+	}
+	return s
+}
+
+func (a *Agent) handleEvidence(h header, body []byte, stale bool, now time.Duration) {
 	s, err := failover.DecodeSum(body)
 	if err != nil || s.Zone != a.zone || len(s.Words) != 1 || s.Words[0].Node != h.from {
 		a.Counts.Spoilt++
 		return
 	}
-	a.hold(h.from, s, stale, now)
-	w := wordBody{Answer: h.clock, Age: -1, Plan: a.ackPlan, Digest: a.follow.Digest(), Policy: a.pol.told}
-	if a.leadNow {
-		w.Age = int64((now - a.lead) / time.Microsecond)
+	a.storeReport(h.from, s, stale, now)
+	w := wordBody{Answer: h.clock, Age: -1, Plan: a.leaderPlan, Digest: a.follower.Digest(), Policy: a.pol.told}
+	if a.leaderKnown {
+		w.Age = int64((now - a.leaderSeen) / time.Microsecond)
 	}
 	a.send(h.from, word, encode(w), now)
 }
 
-func (a *Agent) hearWord(h header, body []byte, now time.Duration) {
+// handleWord takes the answer to evidence: when the one that leads was last there.
+func (a *Agent) handleWord(h header, body []byte, now time.Duration) {
 	var w wordBody
 	if decoding.Unmarshal(body, &w) != nil {
 		return
 	}
 	p := a.peer(h.from)
-	at, ok := p.asked[w.Answer]
+	sent, ok := p.answered(w.Answer)
 	if !ok {
-		return // of an evidence that was not sent, or answered before
+		return
 	}
-	delete(p.asked, w.Answer)
 	p.sent, p.deaf = 0, 0
 	if w.Age >= 0 {
-		// The one that leads was there when this evidence left, less the age that the head tells: the way back is on the safe side.
-		a.led(at-time.Duration(w.Age)*time.Microsecond, w.Plan, w.Policy)
+		// The one that leads was there when this evidence left, less the age that the answer tells: the way back is on the safe side.
+		a.extendLease(sent-time.Duration(w.Age)*time.Microsecond, w.Plan, w.Policy)
 	}
-	a.lacks(h.from, w.Digest, now)
+	a.fetchMissing(h.from, w.Digest, now)
 }
 
 // sendSum tells the voters what this node knows of its zone.
 func (a *Agent) sendSum(now time.Duration) {
-	var all failover.Sum
-	stale := true
-	for _, i := range a.o.List.InZone(a.zone) {
-		t := a.told[i]
-		if t == nil || now-t.at > heardFor {
-			delete(a.told, i)
-			continue
-		}
-		s := t.sum
-		if !t.fresh {
-			s.Arrived, s.Refused = make([]float32, len(s.Classes)), make([]float32, len(s.Classes))
-			s.Rows = slices.Clone(s.Rows)
-			for k := range s.Rows {
-				s.Rows[k].Attempts, s.Rows[k].Failed = 0, 0
-			}
-		}
-		if t.stale { // it shows who is there
-			s.Rows = nil
-		} else {
-			stale = false
-		}
-		t.fresh = false
-		if all.Zone == "" {
-			all.Zone = a.zone
-		}
-		all.Add(s)
-	}
-	if all.Zone == "" {
+	all, stale, ok := a.sumReports(now)
+	if !ok {
 		return
 	}
 	body := append([]byte{0}, all.Encode()...)
 	if stale {
 		body[0] = 1
 	}
-	for _, v := range a.o.List.Voters() {
-		if v == a.o.Self {
-			a.leaderHears(a.o.Self, all, stale, now)
-			a.acks = append(a.acks, due{to: v, at: micros(now)})
+	for _, voter := range a.options.List.Voters() {
+		if voter == a.options.Self {
+			a.observe(a.options.Self, all, stale, now)
+			a.acks = append(a.acks, pendingAck{to: voter, at: micros(now)})
+			continue
+		}
+		clock := a.send(voter, sum, body, now)
+		a.peer(voter).expect(clock, now)
+	}
+}
+
+// sumReports sums the evidence of this zone's nodes. stale says that all of it was long on its way, ok that there is any.
+func (a *Agent) sumReports(now time.Duration) (all failover.Sum, stale, ok bool) {
+	stale = true
+	for _, node := range a.options.List.InZone(a.zone) {
+		r := a.reports[node]
+		if r == nil || now-r.at > heardFor {
+			delete(a.reports, node)
 			continue
 		}
-		p := a.peer(v)
-		at := a.send(v, sum, body, now)
-		if p.asked == nil || len(p.asked) > 32 {
-			p.asked = map[uint64]time.Duration{}
+		s := r.sum
+		if !r.fresh {
+			s = withoutCounted(s)
 		}
-		p.asked[at] = now
+		if r.stale { // it shows who is there
+			s.Rows = nil
+		} else {
+			stale = false
+		}
+		r.fresh = false
+		all.Zone, ok = a.zone, true
+		all.Add(s)
 	}
+	return all, stale, ok
 }
--- a/internal/failover/agent/leader.go
+++ b/internal/failover/agent/leader.go
@@ -9,80 +9,101 @@
 	"spurwinch/internal/policy"
 )
 
-type due struct {
+type pendingAck struct {
 	call uint64
 	to   int
 	at   uint64
 }
 
-func (a *Agent) hearSum(h header, body []byte, stale bool, now time.Duration) {
+func (a *Agent) handleSum(h header, body []byte, stale bool, now time.Duration) {
 	if a.voter == nil || !a.voter.Leads() || len(body) < 1 {
 		return
 	}
 	s, err := failover.DecodeSum(body[1:])
-	if err != nil || a.o.List.Node(h.from).Zone != s.Zone {
+	if err != nil || a.options.List.Node(h.from).Zone != s.Zone {
 		a.Counts.Spoilt++
 		return
 	}
-	a.leaderHears(h.from, s, stale || body[0] == 1, now)
-	if len(a.acks) < 4096 {
-		a.acks = append(a.acks, due{to: h.from, at: h.clock})
+	a.observe(h.from, s, stale || body[0] == 1, now)
+	if len(a.acks) < mostAcks {
+		a.acks = append(a.acks, pendingAck{to: h.from, at: h.clock})
 	}
 }
 
-func (a *Agent) leaderHears(head int, s failover.Sum, stale bool, now time.Duration) {
+func (a *Agent) observe(aggregator int, s failover.Sum, stale bool, now time.Duration) {
 	if a.planner != nil {
-		a.planner.Observe(head, s, stale, now)
+		a.planner.Observe(aggregator, s, stale, now)
 		for _, w := range s.Words {
-			if w.Policy != nil && w.Node >= 0 && w.Node < a.o.List.Len() && a.o.List.Node(w.Node).Zone == s.Zone {
-				a.hearPolicy(w.Node, *w.Policy)
+			if w.Policy != nil && w.Node >= 0 && w.Node < a.options.List.Len() && a.options.List.Node(w.Node).Zone == s.Zone {
+				a.handlePolicy(w.Node, *w.Policy)
 			}
 		}
 	}
 }
 
-// leadOn is what the voter that leads does from time to time.
-func (a *Agent) leadOn(now time.Duration) {
+// runLeader is what the voter that leads does from time to time.
+func (a *Agent) runLeader(now time.Duration) {
 	if a.voter == nil {
 		return
 	}
 	if !a.voter.Leads() {
-		if a.planner != nil {
-			a.o.Log("fleet_leads_no_more", "term", a.voter.Term())
-		}
-		a.planner, a.acks = nil, nil
+		a.stepDown()
 		return
 	}
 	if a.planner == nil {
-		e := a.follow.Newest(failover.PlanKind)
-		a.planner = failover.NewPlanner(a.o.List, a.rules(), a.knows, now)
-		current, _ := a.newestPolicy()
-		a.pol.lead(a.o.Policy, current.Number)
-		if o, err := failover.DecodeOrders(a.follow.Newest(failover.OrdersKind).Data); err == nil {
-			a.planner.Order(o)
-		}
-		a.o.Log("fleet_leads", "term", a.voter.Term(), "plan", e.Number)
+		a.beginToLead(now)
 	}
-	if a.due(&a.next.ack, ackEvery, now) && len(a.acks) > 0 {
-		call := a.voter.Confirm()
-		for i := range a.acks {
-			if a.acks[i].call == 0 {
-				a.acks[i].call = call
-			}
-		}
+	if a.isDue(&a.next.ack, ackEvery, now) && len(a.acks) > 0 {
+		a.confirmAcks()
 	}
-	if a.due(&a.next.plan, planStep, now) {
+	if a.isDue(&a.next.plan, planStep, now) {
 		a.drivePolicy(now)
-		if p := a.planner.Step(now); p != nil {
-			err := a.voter.Propose(agree.Proposal{ID: fmt.Sprintf("plan-%08x-%d", a.process, micros(now)), Kind: failover.PlanKind,
-				Replaces: a.follow.Newest(failover.PlanKind).Number, Data: p.Encode()})
-			if err != nil {
-				a.o.Log("fleet_plan_not_proposed", "error", err.Error())
-			}
+		a.proposePlan(now)
+	}
+}
+
+// stepDown ends what a leader does.
+func (a *Agent) stepDown() {
+	if a.planner != nil {
+		a.options.Log("fleet_leads_no_more", "term", a.voter.Term())
+	}
+	a.planner, a.acks = nil, nil
+}
+
+// beginToLead begins to make plans.
+func (a *Agent) beginToLead(now time.Duration) {
+	a.planner = failover.NewPlanner(a.options.List, a.rules(), a.planHistory, now)
+	current, _ := a.newestPolicy()
+	a.pol.lead(a.options.Policy, current.Number)
+	if o, err := failover.DecodeOrders(a.follower.Newest(failover.OrdersKind).Data); err == nil {
+		a.planner.Order(o)
+	}
+	a.options.Log("fleet_leads", "term", a.voter.Term(), "plan", a.follower.Newest(failover.PlanKind).Number)
+}
+
+// confirmAcks has a majority confirm that this node leads; that answers all sums that came before.
+func (a *Agent) confirmAcks() {
+	call := a.voter.Confirm()
+	for i := range a.acks {
+		if a.acks[i].call == 0 {
+			a.acks[i].call = call
 		}
 	}
 }
 
+// proposePlan proposes a plan where one is wanted.
+func (a *Agent) proposePlan(now time.Duration) {
+	p := a.planner.Step(now)
+	if p == nil {
+		return
+	}
+	err := a.voter.Propose(agree.Proposal{ID: fmt.Sprintf("plan-%08x-%d", a.process, micros(now)), Kind: failover.PlanKind,
+		Replaces: a.follower.Newest(failover.PlanKind).Number, Data: p.Encode()})
+	if err != nil {
+		a.options.Log("fleet_plan_not_proposed", "error", err.Error())
+	}
+}
+
 // acknowledge answers the sums that came before a confirmed call.
 func (a *Agent) acknowledge(now time.Duration) {
 	n := 0
@@ -91,9 +112,9 @@
 			break
 		}
 		n++
-		d := a.follow.Digest()
-		if k.to == a.o.Self {
-			a.led(time.Duration(k.at)*time.Microsecond, a.follow.Newest(failover.PlanKind).Number, a.tellsPolicy())
+		d := a.follower.Digest()
+		if k.to == a.options.Self {
+			a.extendLease(time.Duration(k.at)*time.Microsecond, a.follower.Newest(failover.PlanKind).Number, a.tellsPolicy())
 			continue
 		}
 		a.send(k.to, ack, encode(ackBody{Answer: k.at, Digest: d, Policy: a.tellsPolicy()}), now)
@@ -101,32 +122,31 @@
 	a.acks = a.acks[n:]
 }
 
-func (a *Agent) hearAck(h header, body []byte, now time.Duration) {
+// handleAck takes the answer to a sum, of the voter that leads.
+func (a *Agent) handleAck(h header, body []byte, now time.Duration) {
 	var k ackBody
-	if a.o.List.Voter(h.from) < 0 || decoding.Unmarshal(body, &k) != nil {
+	if a.options.List.Voter(h.from) < 0 || decoding.Unmarshal(body, &k) != nil {
 		return
 	}
-	p := a.peer(h.from)
-	if at, ok := p.asked[k.Answer]; ok {
-		delete(p.asked, k.Answer)
+	if sent, ok := a.peer(h.from).answered(k.Answer); ok {
 		plan := uint64(0)
 		for _, d := range k.Digest.Kinds {
 			if d.Kind == failover.PlanKind {
 				plan = d.Number
 			}
 		}
-		a.led(at, plan, k.Policy)
+		a.extendLease(sent, plan, k.Policy)
 	}
-	a.lacks(h.from, k.Digest, now)
+	a.fetchMissing(h.from, k.Digest, now)
 }
 
-// led takes in that the one that leads was surely there at a time of this node's clock, with that newest plan and policy.
-func (a *Agent) led(at time.Duration, plan uint64, told policy.Told) {
-	if !a.leadNow || at > a.lead {
+// extendLease takes in that the one that leads was surely there at a time of this node's clock, with that newest plan and policy.
+func (a *Agent) extendLease(at time.Duration, plan uint64, told policy.Told) {
+	if !a.leaderKnown || at > a.leaderSeen {
 		a.pol.told = told
-		a.lead, a.leadNow, a.ackPlan = at, true, max(a.ackPlan, plan)
+		a.leaderSeen, a.leaderKnown, a.leaderPlan = at, true, max(a.leaderPlan, plan)
 	}
-	if a.plan != nil && a.ackPlan <= a.number {
-		a.lease = max(a.lease, a.lead+time.Duration(float64(a.plan.Life)*float64(time.Second)))
+	if a.plan != nil && a.leaderPlan <= a.planNumber {
+		a.lease = max(a.lease, a.leaderSeen+time.Duration(float64(a.plan.Life)*float64(time.Second)))
 	}
 }
--- a/internal/failover/agent/loans.go
+++ b/internal/failover/agent/loans.go
@@ -42,7 +42,7 @@
 	for z, l := range a.loans {
 		full[z] = l.heard && l.load < 0.95*l.asks || !l.heard && l.asks > 0 // who doesn't answer has nothing
 	}
-	asks := failover.Asks(a.mode, a.plan, a.o.Self, a.zone, n, dt, had, got, full)
+	asks := failover.Asks(a.mode, a.plan, a.options.Self, a.zone, n, dt, had, got, full)
 	for _, z := range slices.Sorted(maps.Keys(a.loans)) { // before anything is asked: a lender may lend at once what is told to be too much
 		if l := a.loans[z]; l.load > asks[z] {
 			a.setLoan(z, l, asks[z])
@@ -53,7 +53,7 @@
 	}
 	for _, z := range a.plan.Zones {
 		l, ask := a.loans[z.Name], asks[z.Name]
-		if z.Lender < 0 || z.Lender >= a.o.List.Len() || ask <= 0 && (l == nil || l.asks == 0) {
+		if z.Lender < 0 || z.Lender >= a.options.List.Len() || ask <= 0 && (l == nil || l.asks == 0) {
 			continue
 		}
 		if l == nil {
@@ -61,8 +61,8 @@
 			a.loans[z.Name] = l
 		}
 		l.asks, l.at, l.heard = ask, now, false
-		if z.Lender == a.o.Self {
-			a.takeLoan(z.Name, l, a.lend(a.o.Self, ask, now), now)
+		if z.Lender == a.options.Self {
+			a.takeLoan(z.Name, l, a.lend(a.options.Self, ask, now), now)
 			continue
 		}
 		l.asked = a.send(z.Lender, borrow, encode(borrowBody{Load: ask}), now)
@@ -72,7 +72,7 @@
 // stood keeps in mind what stood here of late, and what of it must find a place in the region.
 func (a *Agent) stood(n choice.News, dt time.Duration) (had float64) {
 	stay, refused, out := 0.0, 0.0, false
-	for c, name := range a.o.Classes {
+	for c, name := range a.options.Classes {
 		held, here := 0.0, 0.0
 		for _, z := range n.Zones {
 			if c < len(z.Held) {
@@ -111,14 +111,14 @@
 		return 0
 	}
 	for _, z := range a.plan.Zones {
-		if z.Name == a.zone && z.Lender == a.o.Self {
+		if z.Name == a.zone && z.Lender == a.options.Self {
 			return a.lender.Lend(node, asks, float64(z.Reserve), now)
 		}
 	}
 	return 0
 }
 
-func (a *Agent) hearBorrow(h header, body []byte, now time.Duration) {
+func (a *Agent) handleBorrow(h header, body []byte, now time.Duration) {
 	var b borrowBody
 	if decoding.Unmarshal(body, &b) != nil || !(b.Load >= 0 && b.Load < 1e9) {
 		a.Counts.Spoilt++
@@ -127,14 +127,14 @@
 	a.send(h.from, loan, encode(loanBody{Answer: h.clock, Load: a.lend(h.from, b.Load, now)}), now)
 }
 
-func (a *Agent) hearLoan(h header, body []byte, now time.Duration) {
+func (a *Agent) handleLoan(h header, body []byte, now time.Duration) {
 	var b loanBody
 	if decoding.Unmarshal(body, &b) != nil || !(b.Load >= 0 && b.Load < 1e9) {
 		a.Counts.Spoilt++
 		return
 	}
 	for z, l := range a.loans {
-		if l.asked == b.Answer && l.asked > 0 && a.o.List.Node(h.from).Zone == z {
+		if l.asked == b.Answer && l.asked > 0 && a.options.List.Node(h.from).Zone == z {
 			l.asked = 0
 			a.takeLoan(z, l, min(b.Load, l.asks), now)
 		}
@@ -152,7 +152,7 @@
 func (a *Agent) setLoan(zone string, l *loaned, load float64) {
 	if load != l.load {
 		l.load, a.changed = load, true
-		a.o.Log("fleet_loan", "zone", zone, "load", load)
+		a.options.Log("fleet_loan", "zone", zone, "load", load)
 	}
 }
 
--- a/internal/failover/agent/policy.go
+++ b/internal/failover/agent/policy.go
@@ -54,12 +54,12 @@
 // adoptPolicy takes in what the log has decided about the policy, once it is on this node's disk.
 func (a *Agent) adoptPolicy(e agree.Entry) {
 	p := &a.pol
-	if a.o.Policy == nil || e.Kind != policy.Kind || e.Number <= p.entry {
+	if a.options.Policy == nil || e.Kind != policy.Kind || e.Number <= p.entry {
 		return
 	}
 	s, err := policy.Decode(e.Data)
 	if err != nil {
-		a.o.Log("fleet_policy_unreadable", "number", e.Number, "error", err.Error())
+		a.options.Log("fleet_policy_unreadable", "number", e.Number, "error", err.Error())
 		return
 	}
 	before := p.state
@@ -67,7 +67,7 @@
 	p.verdict, p.why, p.doc = policy.None, "", nil
 	if c := s.Change; c != nil {
 		var err error
-		if p.doc, err = a.o.Policy.Read(c.Text); err != nil {
+		if p.doc, err = a.options.Policy.Read(c.Text); err != nil {
 			p.verdict, p.why = policy.No, err.Error()
 			if len(p.why) > 160 {
 				p.why = p.why[:160]
@@ -75,11 +75,11 @@
 		} else {
 			p.verdict = policy.Yes
 		}
-		a.o.Log("fleet_policy_change", "id", c.ID, "number", c.Number, "step", c.Step.String(), "digest", policy.Digest(c.Text), "verdict", verdictText(p))
+		a.options.Log("fleet_policy_change", "id", c.ID, "number", c.Number, "step", c.Step.String(), "digest", policy.Digest(c.Text), "verdict", verdictText(p))
 	}
 	if s.Number != before.Number {
 		text, _ := s.Text(s.Number)
-		a.o.Log("fleet_policy_decided", "number", s.Number, "digest", policy.Digest(text), "entry", e.Number)
+		a.options.Log("fleet_policy_decided", "number", s.Number, "digest", policy.Digest(text), "entry", e.Number)
 	}
 }
 
@@ -92,7 +92,7 @@
 
 // newestPolicy is the state as the log has it, at a voter.
 func (a *Agent) newestPolicy() (*policy.State, uint64) {
-	p, e := &a.pol, a.follow.Newest(policy.Kind)
+	p, e := &a.pol, a.follower.Newest(policy.Kind)
 	if e.Number != p.newest {
 		if s, err := policy.Decode(e.Data); err == nil {
 			p.newest, p.fresh = e.Number, s
@@ -103,42 +103,42 @@
 
 // committed logs what the log has decided, at a voter.
 func (a *Agent) committed() {
-	if a.o.Policy == nil {
+	if a.options.Policy == nil {
 		return
 	}
 	before := a.pol.fresh
 	s, entry := a.newestPolicy()
 	if s.Number != before.Number {
 		text, _ := s.Text(s.Number)
-		a.o.Log("fleet_policy_committed", "number", s.Number, "digest", policy.Digest(text), "entry", entry)
+		a.options.Log("fleet_policy_committed", "number", s.Number, "digest", policy.Digest(text), "entry", entry)
 	}
 	if n := len(s.Ended); n > 0 && before.Change != nil && s.Ended[n-1].ID == before.Change.ID {
 		x := s.Ended[n-1]
-		a.o.Log("fleet_policy_ended", "id", x.ID, "number", x.Number, "taken", x.Taken, "why", x.Why)
+		a.options.Log("fleet_policy_ended", "id", x.ID, "number", x.Number, "taken", x.Taken, "why", x.Why)
 	}
 	if c := s.Change; c != nil && c.Step == policy.Trying && (before.Change == nil || before.Change.Step != policy.Trying) {
-		a.o.Log("fleet_policy_trial", "id", c.ID, "number", c.Number)
+		a.options.Log("fleet_policy_trial", "id", c.ID, "number", c.Number)
 	}
 }
 
 func (a *Agent) tellsPolicy() policy.Told {
-	if a.o.Policy == nil {
+	if a.options.Policy == nil {
 		return policy.Told{}
 	}
 	s, entry := a.newestPolicy()
 	t := policy.Tells(entry, s)
-	t.Window = uint32(a.o.Policy.Rules.Window / time.Millisecond)
+	t.Window = uint32(a.options.Policy.Rules.Window / time.Millisecond)
 	return t
 }
 
 // Stands tells under which number this node may serve, and until when by its own clock. Without a policy on the log there is no such limit.
 func (a *Agent) Stands() (s policy.Standing, until time.Duration) {
 	p := &a.pol
-	s = policy.Stand(a.o.Self, a.zone, p.entry, p.state, p.told)
-	if !a.leadNow {
+	s = policy.Stand(a.options.Self, a.zone, p.entry, p.state, p.told)
+	if !a.leaderKnown {
 		return s, 0
 	}
-	return s, a.lead + a.o.Policy.Rules.Lease(p.told)
+	return s, a.leaderSeen + a.options.Policy.Rules.Lease(p.told)
 }
 
 // Refuses tells that this node can't go by the document of a number: it does not serve under it.
@@ -147,24 +147,24 @@
 // policyWord is what this node says of the policy.
 func (a *Agent) policyWord(now time.Duration) *policy.Word {
 	p := &a.pol
-	if a.o.Policy == nil {
+	if a.options.Policy == nil {
 		return nil
 	}
 	s, until := a.Stands()
 	w := &policy.Word{Entry: p.entry, Verdict: p.verdict, Why: p.why, Has: p.state.Number, Serves: s.Number,
 		May: s.Known && now < until && (s.Number == 0 || s.Number != p.refuses)}
-	if a.o.Policy.Counts != nil {
-		w.Arrived, w.Away = a.o.Policy.Counts()
+	if a.options.Policy.Counts != nil {
+		w.Arrived, w.Away = a.options.Policy.Counts()
 	}
 	return w
 }
 
-func (a *Agent) hearPolicy(node int, w policy.Word) {
+func (a *Agent) handlePolicy(node int, w policy.Word) {
 	if a.pol.driver == nil {
 		return
 	}
 	if old := a.pol.words[node]; w.Entry < old.Entry && w.Arrived >= old.Arrived {
-		return // what the other head told before
+		return // what the other aggregator told before
 	}
 	a.pol.words[node] = w
 	a.pol.driver.Hear(node, w)
@@ -173,8 +173,8 @@
 // members are all of the list, as the one that leads knows them.
 func (a *Agent) members() (all []policy.Member) {
 	cut := a.planner.Cut()
-	for i := range a.o.List.Len() {
-		n := a.o.List.Node(i)
+	for i := range a.options.List.Len() {
+		n := a.options.List.Node(i)
 		w, heard := a.pol.words[i]
 		all = append(all, policy.Member{Name: n.Name, Node: i, Zone: n.Zone, Live: cut.Live(i), Heard: heard, Word: w})
 	}
@@ -186,13 +186,13 @@
 // drivePolicy moves a change on, at the one that leads.
 func (a *Agent) drivePolicy(now time.Duration) {
 	p := &a.pol
-	if a.o.Policy == nil || p.driver == nil {
+	if a.options.Policy == nil || p.driver == nil {
 		return
 	}
 	s, entry := a.newestPolicy()
 	if s.Number != p.ruled { // plans are made by the rules in force
 		p.ruled = s.Number
-		a.planner = failover.NewPlanner(a.o.List, a.rules(), a.knows, now)
+		a.planner = failover.NewPlanner(a.options.List, a.rules(), a.planHistory, now)
 	}
 	if s.Change == nil || now-p.tried < stepAgain && p.tried > 0 {
 		return
@@ -214,14 +214,14 @@
 	}
 	p.tried = now
 	if err := a.voter.Propose(agree.Proposal{ID: fmt.Sprintf("policy-%d-%s", entry, what), Kind: policy.Kind, Replaces: entry, Data: next.Encode()}); err != nil {
-		a.o.Log("fleet_policy_not_proposed", "error", err.Error())
+		a.options.Log("fleet_policy_not_proposed", "error", err.Error())
 	}
 }
 
 // rules are the plans' rules: the policy's, where it has any.
 func (a *Agent) rules() failover.Rules {
-	r := a.o.Rules
-	if a.o.Policy == nil {
+	r := a.options.Rules
+	if a.options.Policy == nil {
 		return r
 	}
 	s, _ := a.newestPolicy()
@@ -229,7 +229,7 @@
 	if s.Number == 0 || !ok {
 		return r
 	}
-	d, err := a.o.Policy.Read(text)
+	d, err := a.options.Policy.Read(text)
 	if err != nil {
 		return r
 	}
@@ -293,7 +293,7 @@
 // fillPolicy tells the state as the log has it, and members as they were heard.
 func (a *Agent) fillPolicy(s *policy.State, entry uint64) *PolicyReply {
 	text, _ := s.Text(s.Number)
-	r := &PolicyReply{Number: s.Number, Ended: s.Ended, Docs: s.Docs, Entry: entry, Window: a.o.Policy.Rules.Window.Seconds(), Grounds: s.Grounds}
+	r := &PolicyReply{Number: s.Number, Ended: s.Ended, Docs: s.Docs, Entry: entry, Window: a.options.Policy.Rules.Window.Seconds(), Grounds: s.Grounds}
 	if s.Number > 0 {
 		r.Digest = policy.Digest(text)
 	}
@@ -318,7 +318,7 @@
 // after a majority has confirmed, since the call came, that this node leads.
 func (a *Agent) replyPolicy(c Call, r *Reply, now time.Duration) {
 	switch {
-	case a.o.Policy == nil:
+	case a.options.Policy == nil:
 		r.Bad, r.Error = true, "this fleet has no policy on its log: [policy] in the list of nodes has it"
 		return
 	case !a.Leads():
@@ -359,13 +359,13 @@
 	id := c.ID
 	switch c.Verb {
 	case "policy-propose":
-		if z := c.Part.Zone; z != "" && !slices.Contains(a.o.List.Zones(), z) {
-			r.Error = fmt.Sprintf("a part of zone %q: one of %v is wanted", z, a.o.List.Zones())
+		if z := c.Part.Zone; z != "" && !slices.Contains(a.options.List.Zones(), z) {
+			r.Error = fmt.Sprintf("a part of zone %q: one of %v is wanted", z, a.options.List.Zones())
 			return
 		}
-		doc, err := a.o.Policy.Read(c.Data)
+		doc, err := a.options.Policy.Read(c.Data)
 		if err != nil {
-			r.Error = a.o.List.Node(a.o.Self).Name + ": " + err.Error()
+			r.Error = a.options.List.Node(a.options.Self).Name + ": " + err.Error()
 			return
 		}
 		if next, err = s.Propose(c.ID, c.Base, c.Data, doc, c.Part); err != nil {
--- a/internal/failover/agent/wire.go
+++ b/internal/failover/agent/wire.go
@@ -39,9 +39,9 @@
 
 const (
 	beat     kind = iota + 1 // to those who watch the sender
-	evidence                 // of one node, to the heads of its zone
-	word                     // of a head, for evidence
-	sum                      // of a head, to the voters
+	evidence                 // of one node, to the aggregators of its zone
+	word                     // of an aggregator, for evidence
+	sum                      // of an aggregator, to the voters
 	ack                      // of the voter that leads, for a sum
 	fetch                    // asks for entries
 	give                     // an entry of the log
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -109,7 +109,7 @@
 		rules := Rules{Limit: 0.85, Life: 10 * time.Second, Hold: 4 * time.Second, Ramp: 0.2, Far: func(a, b string) float64 { return 1 },
 			Classes: []Class{{"c", 1, false}}}
 		now := time.Minute
-		p := NewPlanner(l, rules, Knows{}, now)
+		p := NewPlanner(l, rules, PlanHistory{}, now)
 		using := make([]int, nodes) // places in plans
 		type former struct {
 			plan int
@@ -166,7 +166,7 @@
 			plans, from = append(plans, next), append(from, now)
 			p.Newest(uint64(len(plans)), next, now)
 			if rapid.IntRange(0, 9).Draw(t, "another planner") == 0 {
-				p = NewPlanner(l, rules, Knows{Plans: []Known{{uint64(len(plans)), next, now}}}, now)
+				p = NewPlanner(l, rules, PlanHistory{Plans: []Known{{uint64(len(plans)), next, now}}}, now)
 			}
 			// Each node goes by the worst plan for the zone that it may still have.
 			for z := range zones {
--- a/internal/failover/observe.go
+++ b/internal/failover/observe.go
@@ -6,18 +6,18 @@
 	"time"
 )
 
-// Observe takes the evidence of a zone's nodes, as one of its heads sums it. stale says that it was long on its way: it shows who is there,
+// Observe takes the evidence of a zone's nodes, as one of its aggregators sums it. stale says that it was long on its way: it shows who is there,
 // and nothing of how zones are.
-func (p *Planner) Observe(head int, s Sum, stale bool, now time.Duration) {
+func (p *Planner) Observe(aggregator int, s Sum, stale bool, now time.Duration) {
 	z := p.state[s.Zone]
 	if z == nil {
 		return
 	}
 	p.observeNodes(s, now)
-	if stale || head != z.head && now-z.at < freshFor/2 && len(s.Words) <= len(z.sum.Words) {
-		return // the zone's other head has told the same, or more
+	if stale || aggregator != z.aggregator && now-z.at < freshFor/2 && len(s.Words) <= len(z.sum.Words) {
+		return // the zone's other aggregator has told the same, or more
 	}
-	z.head = head
+	z.aggregator = aggregator
 	for _, r := range s.Rows {
 		p.observePath([2]string{s.Zone, r.Zone}, r, now)
 	}
--- a/internal/failover/planhistory.go
+++ b/internal/failover/planhistory.go
@@ -14,19 +14,19 @@
 
 const mostKnown = 128
 
-// Knows is what a node has seen of plans: one that comes to lead must reckon with all that may be in use.
-type Knows struct {
+// PlanHistory is what a node has seen of plans: one that comes to lead must reckon with all that may be in use.
+type PlanHistory struct {
 	Plans []Known // oldest first
 }
 
 // Add takes a plan in, and forgets those that were followed by another one so long ago that nobody crosses zones by them.
-func (k *Knows) Add(number uint64, p *Plan, now time.Duration) {
-	if n := len(k.Plans); n > 0 && k.Plans[n-1].Number >= number {
+func (h *PlanHistory) Add(number uint64, p *Plan, now time.Duration) {
+	if n := len(h.Plans); n > 0 && h.Plans[n-1].Number >= number {
 		return
 	}
-	k.Plans = append(k.Plans, Known{number, p, now})
-	for len(k.Plans) > 1 && now-k.Plans[1].From > 2*forgetLost || len(k.Plans) > mostKnown {
-		k.Plans = k.Plans[1:]
+	h.Plans = append(h.Plans, Known{number, p, now})
+	for len(h.Plans) > 1 && now-h.Plans[1].From > 2*forgetLost || len(h.Plans) > mostKnown {
+		h.Plans = h.Plans[1:]
 	}
 }
 
--- a/internal/failover/planner.go
+++ b/internal/failover/planner.go
@@ -73,24 +73,24 @@
 
 // zoneState is what the planner knows of a zone.
 type zoneState struct {
-	state    State
-	since    time.Duration // in this state
-	goodFrom time.Duration // while lost: well since then; 0: not well
-	turns    int           // how often it was lost soon after it came back
-	turned   time.Duration // when it last came back
-	ramp     float64       // room given back so far, while returning
-	room     float64       // smoothed, as told load
-	cost     float64       // hosts that a unit of told load takes, smoothed
-	sum      Sum
-	at       time.Duration // of the sum
-	head     int           // who sent it
-	want     []float64     // by class of the rules
-	peak     []float64     // the same: the most that stood of late
-	lastWant time.Duration
+	state      State
+	since      time.Duration // in this state
+	goodFrom   time.Duration // while lost: well since then; 0: not well
+	turns      int           // how often it was lost soon after it came back
+	turned     time.Duration // when it last came back
+	ramp       float64       // room given back so far, while returning
+	room       float64       // smoothed, as told load
+	cost       float64       // hosts that a unit of told load takes, smoothed
+	sum        Sum
+	at         time.Duration // of the sum
+	aggregator int           // who sent it
+	want       []float64     // by class of the rules
+	peak       []float64     // the same: the most that stood of late
+	lastWant   time.Duration
 }
 
 // NewPlanner begins to lead.
-func NewPlanner(l *membership.List, r Rules, k Knows, now time.Duration) *Planner {
+func NewPlanner(l *membership.List, r Rules, k PlanHistory, now time.Duration) *Planner {
 	p := &Planner{list: l, rules: r, zones: l.Zones(), state: map[string]*zoneState{}, paths: map[[2]string]*pathStats{},
 		confirmed: map[int]uint64{}, newer: make([][]said, l.Len()), began: now, lastPlan: now, known: slices.Clone(k.Plans)}
 	newest := p.newestPlan()
--- a/internal/lab/mutations/mutations_test.go
+++ b/internal/lab/mutations/mutations_test.go
@@ -1,7 +1,9 @@
 package mutations
 
 import (
+	"encoding/json"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -42,3 +44,50 @@
 		}
 	}
 }
+
+// TestMutationsBuild holds that the package of each listed mutation builds with it: one that doesn't would break no rule when it is played.
+func TestMutationsBuild(t *testing.T) {
+	all, err := All()
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := filepath.Abs(filepath.Join("..", "..", ".."))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range all {
+		t.Run(m.What, func(t *testing.T) { buildMutant(t, source, m) })
+	}
+}
+
+// buildMutant builds the package of a mutation, with the mutated file laid over the source.
+func buildMutant(t *testing.T, source string, m Mutation) {
+	original, root := filepath.Join(source, m.File), t.TempDir()
+	mutated := filepath.Join(root, m.File)
+	text, err := os.ReadFile(original)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.MkdirAll(filepath.Dir(mutated), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(mutated, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Apply(root); err != nil {
+		t.Fatal(err)
+	}
+	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {original: mutated}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	overlayFile := filepath.Join(root, "overlay.json")
+	if err := os.WriteFile(overlayFile, overlay, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	build := exec.Command("go", "build", "-overlay", overlayFile, "./"+filepath.Dir(m.File))
+	build.Dir = source
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Errorf("it doesn't build: %v\n%s", err, out)
+	}
+}
