standin: one list of servers in discovery's form for all stand-ins

Cause: internal/standin and lab/faults each had the entry's type, the list's encoding and the answer to a watch. Change: standin.ListEntry, EncodeList and ServeList (list.go) serve both. The parser of internal/platform/cluster keeps a type of its own: it tells a missing weight from 0.

--- a/internal/lab/faults/standins.go
+++ b/internal/lab/faults/standins.go
@@ -149,31 +149,17 @@
 	calls   atomic.Int64
 }
 
-type listEntry struct {
-	ID      string  `json:"id"`
-	Addr    string  `json:"addr"`
-	Zone    string  `json:"zone"`
-	Kind    string  `json:"kind"`
-	Cell    int     `json:"cell"`
-	State   string  `json:"state"`
-	Weight  float64 `json:"weight"`
-	Started int64   `json:"started_ms"`
-}
-
-func (l *list) entries(n *proc) []byte {
+// entries is the list with the hosts' addresses as a node sees them.
+func (l *list) entries(n *proc) json.RawMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := []listEntry{}
+	var all []standin.ListEntry
 	for i, h := range l.lab.hosts {
 		h.mu.Lock()
-		all = append(all, listEntry{ID: h.id, Addr: n.hosts[i], Zone: h.zone, Kind: "k", State: h.state, Weight: 1})
+		all = append(all, standin.ListEntry{ID: h.id, Addr: n.hosts[i], Zone: h.zone, Kind: "k", State: h.state, Weight: 1})
 		h.mu.Unlock()
 	}
-	raw, err := json.Marshal(map[string]any{"version": l.version, "full": true, "servers": all})
-	if err != nil {
-		panic(err) // names and numbers only
-	}
-	return raw
+	return standin.EncodeList(l.version, all)
 }
 
 // door answers a node's calls.
@@ -183,10 +169,6 @@
 		l.calls.Add(1)
 		news, version := l.news, l.version
 		l.mu.Unlock()
-		if !standin.Watch(r, version, news, l.lab.done) {
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.Write(l.entries(n))
+		standin.ServeList(w, r, version, news, l.lab.done, func() json.RawMessage { return l.entries(n) })
 	})
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -113,64 +112,26 @@
 }
 
 func (f *Fleet) entries(centre int) json.RawMessage {
-	type entry struct {
-		ID      string  `json:"id"`
-		Addr    string  `json:"addr"`
-		Zone    string  `json:"zone"`
-		Kind    string  `json:"kind"`
-		Cell    int     `json:"cell"`
-		State   string  `json:"state"`
-		Weight  float64 `json:"weight"`
-		Started int64   `json:"started_ms"`
-	}
-	all := []entry{}
+	var all []ListEntry
 	for _, h := range f.Hosts {
 		if f.states[h.ID] == "DELETED" {
 			continue
 		}
-		e := entry{ID: h.ID, Addr: h.listen[centre].Addr().String(), Zone: f.Conf.Centres[h.Centre].Name, Kind: h.Kind.Name, State: f.states[h.ID], Weight: 1}
+		e := ListEntry{ID: h.ID, Addr: h.listen[centre].Addr().String(), Zone: f.Conf.Centres[h.Centre].Name, Kind: h.Kind.Name, State: f.states[h.ID], Weight: 1}
 		if h.cold {
 			e.Started = f.Start.UnixMilli()
 		}
 		all = append(all, e)
 	}
-	raw, err := json.Marshal(map[string]any{"version": f.version, "full": true, "servers": all})
-	if err != nil {
-		panic(err) // names and numbers only
-	}
-	return raw
+	return EncodeList(f.version, all)
 }
 
-// Watch waits, as a call to the list asks it to, for something newer than the version that it names; ok is false where nobody is to be
-// answered any more.
-func Watch(r *http.Request, version int64, news, stop <-chan struct{}) (ok bool) {
-	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
-	ms, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
-	if !r.URL.Query().Has("after") || after < version {
-		return true
-	}
-	t := time.NewTimer(time.Duration(min(ms, 60000)) * time.Millisecond)
-	defer t.Stop()
-	select {
-	case <-news:
-	case <-t.C:
-	case <-stop:
-		return false
-	case <-r.Context().Done():
-		return false
-	}
-	return true
-}
-
-// list answers GET /v1/servers, at once or, as a watch, when there is news.
+// list answers GET /v1/servers.
 func (f *Fleet) list(w http.ResponseWriter, r *http.Request, centre int) {
 	f.mu.Lock()
 	news, version := f.news, f.version
 	f.mu.Unlock()
-	if Watch(r, version, news, f.stop) {
-		w.Header().Set("Content-Type", "application/json")
-		w.Write(f.Entries(centre))
-	}
+	ServeList(w, r, version, news, f.stop, func() json.RawMessage { return f.Entries(centre) })
 }
 
 // Close ends all stand-ins.
