lab: an agent's log becomes events in one place; long functions of lab/faults taken apart

Change: faults.EventFromLog over typed LogFields serves both. Faults are an injection with a method each, the timetable is a type, a process knows how to restart, stall and resume, the fleet's files are written by a function each; a node's entry in a list of nodes stood twice. Not changed: what only one side did stays there (a process's spoilt files and conflicts; "taken" of a decided proposal in simulated time).

--- a/internal/lab/faults/build.go
+++ b/internal/lab/faults/build.go
@@ -15,12 +15,42 @@
 	"golang.org/x/sys/unix"
 )
 
+// build makes the fleet's hosts, nodes and links, and starts all processes.
 func (lab *Lab) build(ctx context.Context) error {
-	var lim unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &lim) == nil && lim.Cur < lim.Max {
-		lim.Cur = lim.Max
-		unix.Setrlimit(unix.RLIMIT_NOFILE, &lim)
+	raiseDescriptorLimit()
+	if err := lab.makeHosts(); err != nil {
+		return err
+	}
+	if err := lab.makeNodes(); err != nil {
+		return err
+	}
+	for _, n := range lab.nodes {
+		if err := n.link(); err != nil {
+			return err
+		}
+		if err := n.write(); err != nil {
+			return err
+		}
 	}
+	if lab.s.Fleet.Policy {
+		if err := lab.operatorsFiles(); err != nil {
+			return err
+		}
+	}
+	return lab.startAll(ctx)
+}
+
+// raiseDescriptorLimit has the laboratory open as many files as it is allowed to.
+func raiseDescriptorLimit() {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil && limit.Cur < limit.Max {
+		limit.Cur = limit.Max
+		unix.Setrlimit(unix.RLIMIT_NOFILE, &limit)
+	}
+}
+
+// makeHosts makes the zones with their hosts.
+func (lab *Lab) makeHosts() error {
 	f := lab.s.Fleet
 	for z := range f.Zones {
 		name := fmt.Sprintf("z%d", z)
@@ -37,9 +67,14 @@
 			lab.relay.Place(h.id, "hosts:"+name)
 		}
 	}
+	return nil
+}
+
+// makeNodes makes the nodes with their addresses and directories. The first ones vote.
+func (lab *Lab) makeNodes() error {
+	f := lab.s.Fleet
 	for i := range lab.o.Nodes {
-		ip := net.IPv4(127, byte(1+i/200), byte(i%200), 1)
-		addr, err := freeAddr(ip)
+		addr, err := freeAddr(net.IPv4(127, byte(1+i/200), byte(i%200), 1))
 		if err != nil {
 			return err
 		}
@@ -50,44 +85,40 @@
 		}
 		lab.relay.Place(n.name, "zone:"+n.zone)
 		lab.nodes = append(lab.nodes, n)
-		v := 0.0
+		votes := 0.0
 		if n.voter {
-			v = 1
+			votes = 1
 		}
-		lab.note(Event{Kind: KindNode, Node: n.name, Zone: n.zone, Value: v})
+		lab.note(Event{Kind: KindNode, Node: n.name, Zone: n.zone, Value: votes})
 	}
-	for _, n := range lab.nodes {
-		for _, m := range lab.nodes {
-			at := m.fleet
-			if m != n && !lab.o.Alone {
-				var err error
-				if at, err = lab.relay.Link(n.name, m.name, m.fleet, true); err != nil {
-					return err
-				}
-			}
-			n.links = append(n.links, at)
-		}
-		for _, h := range lab.hosts {
-			at, err := lab.relay.Link(n.name, h.id, h.addr, false)
-			if err != nil {
+	return nil
+}
+
+// link makes the node's links through the relay: to the other nodes, to the hosts, and of its clients to it.
+func (n *proc) link() (err error) {
+	lab := n.lab
+	for _, other := range lab.nodes {
+		at := other.fleet
+		if other != n && !lab.o.Alone {
+			if at, err = lab.relay.Link(n.name, other.name, other.fleet, true); err != nil {
 				return err
 			}
-			n.hosts = append(n.hosts, at)
-		}
-		var err error
-		if n.front, err = lab.relay.Link("clients:"+n.zone, n.name, "127.0.0.1:1", false); err != nil {
-			return err
-		}
-		if err := n.write(); err != nil {
-			return err
 		}
+		n.links = append(n.links, at)
 	}
-	if lab.s.Fleet.Policy {
-		if err := lab.operatorsFiles(); err != nil {
+	for _, h := range lab.hosts {
+		at, err := lab.relay.Link(n.name, h.id, h.addr, false)
+		if err != nil {
 			return err
 		}
+		n.hosts = append(n.hosts, at)
 	}
-	// All at once, as after a power cut; each tells its address when it listens.
+	n.front, err = lab.relay.Link("clients:"+n.zone, n.name, "127.0.0.1:1", false)
+	return err
+}
+
+// startAll starts all processes at once, as after a power cut; each tells its address when it listens.
+func (lab *Lab) startAll(ctx context.Context) error {
 	for _, n := range lab.nodes {
 		if err := n.start("new"); err != nil {
 			return err
@@ -139,35 +170,55 @@
 
 // write writes a node's files.
 func (n *proc) write() error {
+	discovery, err := n.serveList()
+	if err != nil {
+		return err
+	}
+	config, err := n.configuration(discovery)
+	if err != nil {
+		return err
+	}
+	for name, text := range map[string][]byte{"config.json": config, "nodes.toml": []byte(n.nodesFile()), "operator.toml": []byte(n.operatorFile()),
+		"key": n.lab.key} {
+		if err := os.WriteFile(filepath.Join(n.dir, name), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveList serves the list of hosts to a node, and gives the address where the node finds it.
+func (n *proc) serveList() (address string, err error) {
 	lab := n.lab
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return "", err
 	}
-	srv := &http.Server{Handler: lab.list.door(n), ReadHeaderTimeout: 5 * time.Second}
-	go srv.Serve(l)
+	server := &http.Server{Handler: lab.list.door(n), ReadHeaderTimeout: 5 * time.Second}
+	go server.Serve(l)
 	lab.wait.Add(1)
 	go func() {
 		defer lab.wait.Done()
 		<-lab.done
-		srv.Close()
+		server.Close()
 	}()
-	at, err := lab.relay.Link(n.name, "list", l.Addr().String(), false)
-	if err != nil {
-		return err
-	}
-	conf, err := json.Marshal(map[string]any{"name": n.name, "listen": "127.0.0.1:0", "discovery": at, "seed": fmt.Sprintf("%x", lab.o.Seed+uint64(n.i)*977),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": n.sockets()}, "known": json.RawMessage(lab.list.entries(n)),
+	return lab.relay.Link(n.name, "list", l.Addr().String(), false)
+}
+
+// configuration is the platform's configuration of a node.
+func (n *proc) configuration(discovery string) ([]byte, error) {
+	lab := n.lab
+	return json.Marshal(map[string]any{"name": n.name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": fmt.Sprintf("%x", lab.o.Seed+uint64(n.i)*977),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": n.sockets()}, "known": lab.list.entries(n),
 		"settings": SettingsJSON(lab.o.Nodes, n.i, n.zone)})
-	if err != nil {
-		return err
-	}
+}
+
+// nodesFile is the fleet's list of nodes, with their addresses as this node sees them.
+func (n *proc) nodesFile() string {
+	lab := n.lab
 	var text strings.Builder
-	for j, m := range lab.nodes {
-		fmt.Fprintf(&text, "[[node]]\nname = %q\naddr = %q\nzone = %q\nregion = %q\n", m.name, n.links[j], m.zone, lab.region[m.zone])
-		if m.voter {
-			text.WriteString("voter = true\n")
-		}
+	for i, other := range lab.nodes {
+		lab.writeNode(&text, other, n.links[i])
 	}
 	text.WriteString("[plan]\nstay = [")
 	for _, c := range Classes {
@@ -179,15 +230,23 @@
 	if lab.s.Fleet.Policy {
 		text.WriteString("[policy]\nwindow = \"5s\"\nanswer = \"8s\"\n")
 	}
-	op := fmt.Sprintf("[fleet]\nself = %q\nlisten = %q\nnodes = %q\nkey_file = %q\ndir = %q\n", n.name, n.fleet, filepath.Join(n.dir, "nodes.toml"),
-		filepath.Join(n.dir, "key"), filepath.Join(n.dir, "files"))
-	if lab.s.Fleet.Older > 0 && n.i >= lab.o.Nodes-lab.s.Fleet.Older {
-		op += "policy_level = 1\n"
+	return text.String()
+}
+
+// writeNode writes a node's entry in a list of nodes.
+func (lab *Lab) writeNode(text *strings.Builder, n *proc, address string) {
+	fmt.Fprintf(text, "[[node]]\nname = %q\naddr = %q\nzone = %q\nregion = %q\n", n.name, address, n.zone, lab.region[n.zone])
+	if n.voter {
+		text.WriteString("voter = true\n")
 	}
-	for name, b := range map[string][]byte{"config.json": conf, "nodes.toml": []byte(text.String()), "operator.toml": []byte(op), "key": lab.key} {
-		if err := os.WriteFile(filepath.Join(n.dir, name), b, 0o600); err != nil {
-			return err
-		}
+}
+
+// operatorFile is the operator's file of a node. The last nodes may know older policies only.
+func (n *proc) operatorFile() string {
+	text := fmt.Sprintf("[fleet]\nself = %q\nlisten = %q\nnodes = %q\nkey_file = %q\ndir = %q\n", n.name, n.fleet, filepath.Join(n.dir, "nodes.toml"),
+		filepath.Join(n.dir, "key"), filepath.Join(n.dir, "files"))
+	if older := n.lab.s.Fleet.Older; older > 0 && n.i >= n.lab.o.Nodes-older {
+		text += "policy_level = 1\n"
 	}
-	return nil
+	return text
 }
--- a/internal/lab/faults/injection.go
+++ b/internal/lab/faults/injection.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"spurwinch/internal/config"
@@ -84,119 +83,31 @@
 	return best
 }
 
+// injection is one fault on its way into the fleet.
+type injection struct {
+	*Lab
+	step    Step
+	what    string                            // as the history tells it
+	touched []string                          // nodes that this fault touches, and no others; none: anybody
+	add     func(time.Duration, func() error) // to the timetable
+	now     time.Duration
+}
+
 // do puts one fault.
 func (lab *Lab) do(x Step, add func(time.Duration, func() error), now time.Duration) error {
-	what := x.Do
-	var touched []string // nodes that this fault touches, and no others; none: anybody
-	later := func(fn func() error) {
-		if x.For > 0 {
-			add(now+time.Duration(x.For), fn)
-		}
-	}
-	zone := func(down string, slow float64) {
-		for _, h := range lab.hosts {
-			if h.zone == x.Zone {
-				h.set(down, slow)
-			}
-		}
-	}
+	in := &injection{Lab: lab, step: x, what: x.Do, add: add, now: now}
+	var err error
 	switch x.Do {
 	case "lose":
-		what = "zone " + x.How
-		if x.How == "slow" {
-			zone("", 3)
-		} else {
-			zone(x.How, 1)
-		}
-		later(func() error {
-			lab.note(Event{Kind: KindFault, Detail: "zone back", Zone: x.Zone})
-			zone("", 1)
-			return nil
-		})
+		in.loseZone()
 	case "back":
-		zone("", 1)
+		in.setHosts("", 1)
 	case "kill":
-		all, err := lab.chosen(x.Node)
-		if err != nil {
-			return err
-		}
-		for _, n := range all {
-			touched = append(touched, n.name)
-			n.kill()
-			later(func() error {
-				n.mu.Lock()
-				up := n.cmd != nil
-				n.mu.Unlock()
-				if up {
-					return nil
-				}
-				files := x.Files
-				if files == "" {
-					files = "kept"
-				}
-				if err := n.start(files); err != nil {
-					return err
-				}
-				lab.wait.Add(1)
-				go func() {
-					defer lab.wait.Done()
-					select {
-					case at := <-n.addr:
-						lab.relay.moveFront(n, at)
-					case <-lab.done:
-					}
-				}()
-				return nil
-			})
-		}
+		err = in.killNodes()
 	case "stall":
-		all, err := lab.chosen(x.Node)
-		if err != nil {
-			return err
-		}
-		for _, n := range all {
-			if !n.signal(syscall.SIGSTOP) {
-				continue
-			}
-			touched = append(touched, n.name)
-			n.mu.Lock()
-			n.still = true
-			n.mu.Unlock()
-			later(func() error {
-				n.mu.Lock()
-				n.still, n.since = false, time.Now()
-				n.mu.Unlock()
-				n.signal(syscall.SIGCONT)
-				return nil
-			})
-		}
+		err = in.stallNodes()
 	case "cut", "links":
-		if x.Node != "" { // of one node, by what it is
-			all, err := lab.chosen(x.Node)
-			if err != nil {
-				return err
-			}
-			touched = append(touched, all[0].name)
-			if x.From == "node" {
-				x.From = all[0].name
-			}
-			if x.To == "node" {
-				x.To = all[0].name
-			}
-		}
-		f := Fault{Cut: x.Do == "cut", Drop: x.Drop, Delay: time.Duration(x.Delay), Spread: time.Duration(x.Spread), Repeat: x.Repeat}
-		lab.relay.Set(x.From, x.To, f)
-		if x.Both {
-			lab.relay.Set(x.To, x.From, f)
-		}
-		later(func() error {
-			lab.note(Event{Kind: KindFault, Detail: "links well"})
-			lab.relay.Set(x.From, x.To, Fault{})
-			if x.Both {
-				lab.relay.Set(x.To, x.From, Fault{})
-			}
-			return nil
-		})
+		err = in.setLinks()
 	case "heal":
 		lab.relay.Heal()
 		for _, h := range lab.hosts {
@@ -206,20 +117,120 @@
 		lab.operate(x)
 		return nil
 	case "drain", "undrain":
-		if err := lab.order(x.Do, x.Zone); err != nil {
-			return err
+		err = lab.order(x.Do, x.Zone)
+	}
+	if err != nil {
+		return err
+	}
+	in.record()
+	return nil
+}
+
+// record tells the fault, once for each node that it touches.
+func (in *injection) record() {
+	raw, _ := json.Marshal(in.step)
+	if len(in.touched) == 0 {
+		in.touched = []string{""}
+	}
+	for _, name := range in.touched {
+		in.note(Event{Kind: KindFault, Detail: in.what, Zone: in.step.Zone, Node: name, Digest: string(raw)})
+	}
+}
+
+// later takes the fault back when its time is over, if it has one.
+func (in *injection) later(undo func() error) {
+	if in.step.For > 0 {
+		in.add(in.now+time.Duration(in.step.For), undo)
+	}
+}
+
+// setHosts has the hosts of the step's zone fail in a way, or be slow by a factor.
+func (in *injection) setHosts(down string, slow float64) {
+	for _, h := range in.hosts {
+		if h.zone == in.step.Zone {
+			h.set(down, slow)
 		}
 	}
-	raw, _ := json.Marshal(x)
-	if len(touched) == 0 {
-		touched = []string{""}
+}
+
+func (in *injection) loseZone() {
+	in.what = "zone " + in.step.How
+	if in.step.How == "slow" {
+		in.setHosts("", slowFactor)
+	} else {
+		in.setHosts(in.step.How, 1)
+	}
+	in.later(func() error {
+		in.note(Event{Kind: KindFault, Detail: "zone back", Zone: in.step.Zone})
+		in.setHosts("", 1)
+		return nil
+	})
+}
+
+func (in *injection) killNodes() error {
+	all, err := in.chosen(in.step.Node)
+	if err != nil {
+		return err
+	}
+	for _, n := range all {
+		in.touched = append(in.touched, n.name)
+		n.kill()
+		in.later(func() error { return n.restart(in.step.Files) })
+	}
+	return nil
+}
+
+func (in *injection) stallNodes() error {
+	all, err := in.chosen(in.step.Node)
+	if err != nil {
+		return err
+	}
+	for _, n := range all {
+		if !n.stall() {
+			continue
+		}
+		in.touched = append(in.touched, n.name)
+		in.later(func() error {
+			n.resume()
+			return nil
+		})
 	}
-	for _, name := range touched {
-		lab.note(Event{Kind: KindFault, Detail: what, Zone: x.Zone, Node: name, Digest: string(raw)})
+	return nil
+}
+
+// setLinks cuts or spoils links. Those of one node are named by what it is.
+func (in *injection) setLinks() error {
+	x := &in.step
+	if x.Node != "" {
+		all, err := in.chosen(x.Node)
+		if err != nil {
+			return err
+		}
+		in.touched = append(in.touched, all[0].name)
+		if x.From == "node" {
+			x.From = all[0].name
+		}
+		if x.To == "node" {
+			x.To = all[0].name
+		}
 	}
+	in.putOnLinks(Fault{Cut: x.Do == "cut", Drop: x.Drop, Delay: time.Duration(x.Delay), Spread: time.Duration(x.Spread), Repeat: x.Repeat})
+	in.later(func() error {
+		in.note(Event{Kind: KindFault, Detail: "links well"})
+		in.putOnLinks(Fault{})
+		return nil
+	})
 	return nil
 }
 
+// putOnLinks sets a fault on the step's links, both ways if it says so.
+func (in *injection) putOnLinks(f Fault) {
+	in.relay.Set(in.step.From, in.step.To, f)
+	if in.step.Both {
+		in.relay.Set(in.step.To, in.step.From, f)
+	}
+}
+
 // order calls the one that leads, as spurwinchctl does.
 func (lab *Lab) order(verb, zone string) error {
 	n := lab.leader()
--- a/internal/lab/faults/lab.go
+++ b/internal/lab/faults/lab.go
@@ -25,11 +25,13 @@
 
 const (
 	// MostNodes bounds the processes of one run.
-	MostNodes = 240
-	startTime = 30 * time.Second
-	readyWait = 12 * time.Second // for a first plan
-	labTick   = 50 * time.Millisecond
-	mostEvent = 4 << 20
+	MostNodes   = 240
+	startTime   = 30 * time.Second
+	readyWait   = 12 * time.Second // for a first plan
+	labTick     = 50 * time.Millisecond
+	mostEvent   = 4 << 20
+	longestLine = 4 << 20 // of a process's log
+	slowFactor  = 3       // of a slow zone's hosts
 )
 
 // Lab is one run.
--- a/internal/lab/faults/operators.go
+++ b/internal/lab/faults/operators.go
@@ -86,11 +86,8 @@
 // operatorsFiles writes the operators' list of nodes and key: their calls go to the nodes themselves.
 func (lab *Lab) operatorsFiles() error {
 	var text strings.Builder
-	for _, m := range lab.nodes {
-		fmt.Fprintf(&text, "[[node]]\nname = %q\naddr = %q\nzone = %q\nregion = %q\n", m.name, m.fleet, m.zone, lab.region[m.zone])
-		if m.voter {
-			text.WriteString("voter = true\n")
-		}
+	for _, n := range lab.nodes {
+		lab.writeNode(&text, n, n.fleet)
 	}
 	nodes, key := lab.operatorsPaths()
 	return errors.Join(os.WriteFile(nodes, []byte(text.String()), 0o600), os.WriteFile(key, lab.key, 0o600))
--- a/internal/lab/faults/processlog.go
+++ b/internal/lab/faults/processlog.go
@@ -7,67 +7,69 @@
 	"strings"
 )
 
-// line makes events of what a process logs.
-func (n *proc) line(b []byte) {
-	var l struct {
-		Event, Address, Digest, Mode, ID, Error, Plan string
-		Protocol                                      string
-		Time                                          string
-		Number, Term                                  uint64
-		Taken                                         bool
-	}
-	var raw map[string]json.RawMessage
-	if json.Unmarshal(b, &raw) != nil {
+// jsonFields are the fields of a JSON line of a process's log.
+type jsonFields map[string]json.RawMessage
+
+func (f jsonFields) raw(name string) string { return strings.TrimSpace(string(f[name])) }
+
+// Text, Number, Float, Bool and Bytes make it LogFields.
+func (f jsonFields) Text(name string) (text string) {
+	json.Unmarshal(f[name], &text)
+	return text
+}
+
+func (f jsonFields) Number(name string) uint64 {
+	n, _ := strconv.ParseUint(f.raw(name), 10, 64)
+	return n
+}
+
+func (f jsonFields) Float(name string) float64 {
+	v, _ := strconv.ParseFloat(f.raw(name), 64)
+	return v
+}
+
+func (f jsonFields) Bool(name string) bool { return f.raw(name) == "true" }
+
+func (f jsonFields) Bytes(name string) []byte {
+	data, _ := base64.StdEncoding.DecodeString(f.Text(name))
+	return data
+}
+
+// readLogLine makes events of a line that the process logs.
+func (n *proc) readLogLine(line []byte) {
+	var fields jsonFields
+	if json.Unmarshal(line, &fields) != nil {
 		return
 	}
-	text := func(k string) string { var s string; json.Unmarshal(raw[k], &s); return s }
-	num := func(k string) uint64 { v, _ := strconv.ParseUint(strings.TrimSpace(string(raw[k])), 10, 64); return v }
-	l.Event = text("event")
-	e := Event{Node: n.name, Zone: n.zone}
-	switch l.Event {
-	case "listening":
-		if text("protocol") == "platform" {
-			select {
-			case n.addr <- text("address"):
-			default:
-			}
-		}
-		return
-	case "fleet_plan_taken":
-		e.Kind, e.Number, e.Digest = KindPlan, num("number"), text("digest")
-		e.Plan, _ = base64.StdEncoding.DecodeString(text("plan"))
-	case "fleet_mode":
-		e.Kind, e.Mode, e.Number = KindMode, text("mode"), num("plan")
-	case "fleet_loan":
-		e.Kind, e.To = KindLoan, text("zone")
-		e.Value, _ = strconv.ParseFloat(strings.TrimSpace(string(raw["load"])), 64)
-	case "fleet_policy_committed", "fleet_policy_decided":
-		e.Kind, e.Number, e.Digest, e.Detail = KindPolicy, num("number"), text("digest"), strings.TrimPrefix(l.Event, "fleet_policy_")
-	case "fleet_policy_change":
-		e.Kind, e.ID, e.Number, e.Result = KindVerdict, text("id"), num("number"), "yes"
-		if strings.HasPrefix(text("verdict"), "no") {
-			e.Result = "no"
+	event := fields.Text("event")
+	e, ok := EventFromLog(event, fields)
+	if !ok {
+		switch event {
+		case "listening":
+			n.listens(fields)
+			return
+		case "fleet_admitted":
+			n.admitted(fields.Text("requests"), int64(fields.Number("now")))
+			return
+		case "fleet_files_spoilt":
+			e = Event{Kind: KindCount, Detail: "files spoilt", Value: 1}
+		case "fleet_log_conflict", "fleet_voter_broken":
+			e = Event{Kind: KindCount, Detail: event, Value: 1}
+		default:
+			return
 		}
-	case "fleet_policy_trial":
-		e.Kind, e.ID, e.Number = KindTrial, text("id"), num("number")
-	case "fleet_policy_ended":
-		e.Kind, e.ID, e.Number, e.Result, e.Detail = KindEnded, text("id"), num("number"), "given up", text("why")
-		if strings.TrimSpace(string(raw["taken"])) == "true" {
-			e.Result = "taken"
-		}
-	case "fleet_admitted":
-		n.admitted(text("requests"), int64(num("now")))
+	}
+	e.Node, e.Zone = n.name, n.zone
+	n.lab.note(e)
+}
+
+// listens passes on where the process listens for the platform's clients.
+func (n *proc) listens(fields jsonFields) {
+	if fields.Text("protocol") != "platform" {
 		return
-	case "fleet_leads":
-		e.Kind, e.Number = KindLeads, num("term")
-	case "fleet_decided":
-		e.Kind, e.ID, e.Number = KindDecided, text("id"), num("number")
-	case "fleet_files_spoilt":
-		e.Kind, e.Detail, e.Value = KindCount, "files spoilt", 1
-	case "fleet_log_conflict", "fleet_voter_broken":
-		e.Kind, e.Detail, e.Value = KindCount, l.Event, 1
+	}
+	select {
+	case n.addr <- fields.Text("address"):
 	default:
-		return
 	}
-	n.lab.note(e)
 }
--- a/internal/lab/faults/timetable.go
+++ b/internal/lab/faults/timetable.go
@@ -11,7 +11,24 @@
 func (lab *Lab) play(ctx context.Context) error {
 	lab.wait.Add(1)
 	go lab.pulse()
-	// Clients come once there is a plan, or when none comes in time.
+	if err := lab.awaitPlan(ctx); err != nil {
+		return err
+	}
+	lab.running.Store(true)
+	length := time.Duration(lab.s.Length.Length)
+	lab.note(Event{Kind: KindBegin, Detail: lab.s.Name, Value: length.Seconds()})
+	t := &timetable{start: time.Now(), length: length}
+	lab.startClients()
+	lab.schedule(t)
+	if err := t.run(ctx); err != nil {
+		return err
+	}
+	lab.counts()
+	return nil
+}
+
+// awaitPlan waits until all nodes have a plan, or none comes in time: clients come then.
+func (lab *Lab) awaitPlan(ctx context.Context) error {
 	for wait := time.Now().Add(readyWait); !lab.o.Alone && time.Now().Before(wait) && !lab.planned(); {
 		select {
 		case <-ctx.Done():
@@ -19,61 +36,89 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
-	lab.running.Store(true)
-	length := time.Duration(lab.s.Length.Length)
-	lab.note(Event{Kind: KindBegin, Detail: lab.s.Name, Value: length.Seconds()})
-	start := time.Now()
-	for i, z := range lab.zones {
+	return nil
+}
+
+// startClients has clients come to each zone.
+func (lab *Lab) startClients() {
+	for i, zone := range lab.zones {
 		rng := rand.New(rand.NewPCG(lab.o.Seed, uint64(100+i)))
 		lab.wait.Add(1)
 		go func() {
 			defer lab.wait.Done()
-			lab.arrivals(z, rng)
+			lab.arrivals(zone, rng)
 		}()
 	}
-	type due struct {
-		at time.Duration
-		fn func() error
-	}
-	var steps []due
-	add := func(at time.Duration, fn func() error) { steps = append(steps, due{at, fn}) }
-	for _, st := range lab.s.Steps {
-		if st.Do == "draw" {
-			for range max(1, st.Times) {
-				x := lab.drawn(time.Duration(st.At), length)
-				add(time.Duration(x.At), func() error { return lab.do(x, add, time.Since(start)) })
-			}
+}
+
+// schedule puts the scenario's faults into the timetable, those that are drawn as well.
+func (lab *Lab) schedule(t *timetable) {
+	for _, step := range lab.s.Steps {
+		if step.Do != "draw" {
+			lab.scheduleStep(t, step)
 			continue
 		}
-		add(time.Duration(st.At), func() error { return lab.do(st, add, time.Since(start)) })
+		for range max(1, step.Times) {
+			lab.scheduleStep(t, lab.drawn(time.Duration(step.At), t.length))
+		}
 	}
-	end := time.NewTimer(length)
+}
+
+func (lab *Lab) scheduleStep(t *timetable, step Step) {
+	t.add(time.Duration(step.At), func() error { return lab.do(step, t.add, time.Since(t.start)) })
+}
+
+// timetable is what is done when, from the start of a run.
+type timetable struct {
+	start   time.Time
+	length  time.Duration
+	entries []timetableEntry
+}
+
+type timetableEntry struct {
+	at time.Duration
+	do func() error // nil: it was done
+}
+
+// add has something done at a time.
+func (t *timetable) add(at time.Duration, do func() error) {
+	t.entries = append(t.entries, timetableEntry{at, do})
+}
+
+// next is the place of the first entry that is not done yet; -1: there is none.
+func (t *timetable) next() int {
+	next := -1
+	for i, e := range t.entries {
+		if e.do != nil && (next < 0 || e.at < t.entries[next].at) {
+			next = i
+		}
+	}
+	return next
+}
+
+// run does all entries at their times until the run's length is over.
+func (t *timetable) run(ctx context.Context) error {
+	end := time.NewTimer(t.length)
 	defer end.Stop()
 	for {
-		next := -1
-		for i := range steps {
-			if steps[i].fn != nil && (next < 0 || steps[i].at < steps[next].at) {
-				next = i
-			}
-		}
-		wake := length
+		next, wake := t.next(), t.length
 		if next >= 0 {
-			wake = min(wake, steps[next].at)
+			wake = min(wake, t.entries[next].at)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-end.C:
-			lab.counts()
 			return nil
-		case <-time.After(max(0, time.Until(start.Add(wake)))):
-			if next >= 0 && time.Since(start) >= steps[next].at {
-				fn := steps[next].fn
-				steps[next].fn = nil
-				if err := fn(); err != nil {
-					return err
-				}
-			}
+		case <-time.After(max(0, time.Until(t.start.Add(wake)))):
+		}
+		if next < 0 || time.Since(t.start) < t.entries[next].at {
+			continue
+		}
+		do := t.entries[next].do
+		t.entries[next].do = nil
+		if err := do(); err != nil {
+			return err
 		}
 	}
 }
