lab/explore: long functions taken apart, a zone's isolation once

Cause: New, start, come, Attempt, save and send had 28 to 65 lines; two scenarios each wrote out how a zone is cut off from all others. Change: short functions (makeZones, startCore, latency, arrive, establish and others), World.isolate for both scenarios; what a disk does later is node.later. drawn is seededReader. Types have doc comments.

--- a/internal/lab/explore/client.go
+++ b/internal/lab/explore/client.go
@@ -24,6 +24,7 @@
 	over  bool
 }
 
+// try is an attempt of a client's request at a host.
 type try struct {
 	c    *client
 	a    *edge.Attempt
@@ -31,17 +32,19 @@
 	off  bool
 }
 
+// arrivals has clients come to a zone at random, at the rate that the wanted use asks for.
 func (w *World) arrivals(zone string) {
 	rate := w.o.Use * float64(w.o.Hosts*w.o.Bears) / w.o.Life.Seconds()
 	w.at(w.now+time.Duration(w.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		c := w.newClient(zone)
-		if w.now > 3*time.Second {
+		if w.now > firstClients {
 			c.come()
 		}
 		w.arrivals(zone)
 	})
 }
 
+// newClient draws a client: its class and how long it wants its connection.
 func (w *World) newClient(zone string) *client {
 	life := time.Duration(w.rng.ExpFloat64() * float64(w.o.Life))
 	c := &client{w: w, zone: zone, until: w.now + min(life, 4*w.o.Life)}
@@ -55,44 +58,58 @@
 // come brings the client through the front: to a node of its zone that is up, else to any.
 func (c *client) come() {
 	w := c.w
-	var near, any []*node
-	for _, n := range w.nodes {
-		if n.up {
-			any = append(any, n)
-			if n.zone == c.zone {
-				near = append(near, n)
-			}
-		}
-	}
-	if len(near) == 0 {
-		near = any
-	}
-	if len(near) == 0 || w.now >= c.until {
+	nodes := w.nodesFor(c.zone)
+	if len(nodes) == 0 || w.now >= c.until {
 		return
 	}
 	// Another one from here on: what a stopped node still has of the one before is that one's.
-	c = &client{w: w, zone: c.zone, class: c.class, until: c.until, tries: c.tries, node: near[w.rng.IntN(len(near))]}
+	c = &client{w: w, zone: c.zone, class: c.class, until: c.until, tries: c.tries, node: nodes[w.rng.IntN(len(nodes))]}
 	w.ids++
 	c.id, c.came = fmt.Sprintf("q%d", w.ids), w.now
 	patience := w.settings.Classes[c.class].Deadline
-	n, id := c.node, c.id
-	n.on(w.now, func() {
-		if c.over {
-			return // it went before its line was read
+	c.node.on(w.now, func() { c.open(patience) })
+	w.at(w.now+patience+100*time.Millisecond, c.giveUp)
+}
+
+// nodesFor are the nodes that the front brings a zone's clients to.
+func (w *World) nodesFor(zone string) []*node {
+	var near, all []*node
+	for _, n := range w.nodes {
+		if !n.up {
+			continue
 		}
-		c.r = n.core.Open(edge.Spec{ID: choice.RequestID(id), Class: c.class, Tenant: -1, Deadline: begin.Add(w.now + patience)}, c)
-	})
-	w.at(w.now+patience+100*time.Millisecond, func() {
-		if !c.over {
-			c.answer("none", nil)
-			if c.r != nil {
-				n.on(w.now, c.r.Gone)
-			}
-			c.later(0)
+		all = append(all, n)
+		if n.zone == zone {
+			near = append(near, n)
 		}
-	})
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
 }
 
+// open opens the client's request at its node, unless it went before its line was read.
+func (c *client) open(patience time.Duration) {
+	if c.over {
+		return
+	}
+	c.r = c.node.core.Open(edge.Spec{ID: choice.RequestID(c.id), Class: c.class, Tenant: -1, Deadline: begin.Add(c.w.now + patience)}, c)
+}
+
+// giveUp ends the client's wait, if it has no answer yet.
+func (c *client) giveUp() {
+	if c.over {
+		return
+	}
+	c.answer("none", nil)
+	if c.r != nil {
+		c.node.on(c.w.now, c.r.Gone)
+	}
+	c.later(0)
+}
+
+// answer notes the one answer that the client gets.
 func (c *client) answer(result string, h *host) {
 	if c.over {
 		return
@@ -143,6 +160,7 @@
 	c.again()
 }
 
+// Attempt tries a host for the client.
 func (c *client) Attempt(a *edge.Attempt) edge.UpstreamRequest {
 	w, n := c.w, c.node
 	h := w.byID[a.Host.ID]
@@ -150,37 +168,48 @@
 	w.note(faults.Event{Kind: faults.KindTry, ID: c.id, Node: n.name, Zone: n.zone, To: string(h.id)})
 	a.Begin()
 	a.Written()
-	if h.down == "silent" || n.badLine || w.cutHosts[[2]string{n.zone, h.zone}] {
+	if n.cutFrom(h) {
 		n.on(a.ConnectBy().Sub(begin), func() { t.end(choice.ConnectFailed) })
 		return t
 	}
-	n.on(w.now+n.way(h), func() {
-		switch {
-		case t.off:
-		case h.down == "silent", h.down == "mute":
-		case h.down == "fails":
-			t.end(choice.Failed)
-		case h.down != "":
-			t.end(choice.ConnectFailed)
-		case len(h.held) >= h.bears*6/5:
-			t.end(choice.Full)
-		default:
-			h.held[t] = true
-			c.on = t
-			a.Established()
-			w.note(faults.Event{Kind: faults.KindTried, ID: c.id, To: string(h.id)})
-			c.answer("up", h)
-			w.at(max(c.until, w.now+100*time.Millisecond), func() {
-				if h.held[t] {
-					delete(h.held, t)
-					n.on(w.now, c.r.Gone)
-				}
-			})
+	n.on(w.now+n.way(h), t.arrive)
+	return t
+}
+
+// arrive has the host answer the attempt, in the way in which it fails, or does not.
+func (t *try) arrive() {
+	h := t.host
+	switch {
+	case t.off:
+	case h.down == "silent", h.down == "mute":
+	case h.down == "fails":
+		t.end(choice.Failed)
+	case h.down != "":
+		t.end(choice.ConnectFailed)
+	case len(h.held) >= h.bears*6/5:
+		t.end(choice.Full)
+	default:
+		t.establish()
+	}
+}
+
+// establish has the host hold the client's connection until the client wants it no longer.
+func (t *try) establish() {
+	c, h, w := t.c, t.host, t.c.w
+	h.held[t] = true
+	c.on = t
+	t.a.Established()
+	w.note(faults.Event{Kind: faults.KindTried, ID: c.id, To: string(h.id)})
+	c.answer("up", h)
+	w.at(max(c.until, w.now+100*time.Millisecond), func() {
+		if h.held[t] {
+			delete(h.held, t)
+			c.node.on(w.now, c.r.Gone)
 		}
 	})
-	return t
 }
 
+// end ends the attempt without a connection.
 func (t *try) end(o choice.Outcome) {
 	if !t.off {
 		t.off = true
--- a/internal/lab/explore/host.go
+++ b/internal/lab/explore/host.go
@@ -10,6 +10,7 @@
 	"spurwinch/internal/lab/faults"
 )
 
+// host is a host of the platform: it bears so many connections, and may fail.
 type host struct {
 	id    choice.ServerID
 	zone  string
@@ -19,6 +20,7 @@
 	slow  float64
 }
 
+// load is the part of what the host bears that it holds, as it reports it.
 func (h *host) load() float64 { return float64(len(h.held)) / float64(h.bears) * h.slow }
 
 // inOrder is what a host holds, the same each time: a map's order would draw other chances.
@@ -46,6 +48,7 @@
 	}
 }
 
+// way draws how long a node's line to a host takes.
 func (n *node) way(h *host) time.Duration {
 	d := time.Millisecond + time.Duration(n.w.rng.IntN(1000))*time.Microsecond
 	if h.zone != n.zone {
@@ -54,6 +57,11 @@
 	return d
 }
 
+// cutFrom says whether nothing comes back from a host to the node.
+func (n *node) cutFrom(h *host) bool {
+	return h.down == "silent" || n.badLine || n.w.cutHosts[[2]string{n.zone, h.zone}]
+}
+
 // Probe asks a host for its report.
 func (n *node) Probe(h edge.UpstreamHost, by time.Time, done func(choice.Outcome, []float64)) {
 	w, t := n.w, n.w.byID[h.ID]
@@ -65,7 +73,7 @@
 		}
 	}
 	n.on(by.Sub(begin), func() { end(choice.TimedOut, nil) })
-	if t.down == "silent" || n.badLine || w.cutHosts[[2]string{n.zone, t.zone}] {
+	if n.cutFrom(t) {
 		return
 	}
 	n.on(w.now+n.way(t), func() {
--- a/internal/lab/explore/node.go
+++ b/internal/lab/explore/node.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"spurwinch/choice"
@@ -14,6 +15,7 @@
 	"spurwinch/internal/lab/faults"
 )
 
+// node is one node: its core with the module, its agent and its disk.
 type node struct {
 	w        *World
 	i        int
@@ -43,6 +45,7 @@
 	return voter.New(self, n, kept, rng)
 }
 
+// rules are the plans' rules of the simulated fleet.
 func rules() failover.Rules {
 	r := failover.Rules{Limit: 0.85, Life: 30 * time.Second, Hold: 4 * time.Second, Ramp: 0.2, Far: func(a, b string) float64 { return 1 }}
 	for _, c := range faults.Classes {
@@ -97,6 +100,7 @@
 	return func() { off = true }
 }
 
+// start starts a process of the node, with its files as they are to be.
 func (n *node) start(files string) error {
 	w := n.w
 	n.born++
@@ -109,11 +113,28 @@
 		n.came, n.away = 0, 0
 		return n.join()
 	}
-	set, err := Settings(w.o.Nodes, n.i, n.zone)
+	if err := n.startCore(); err != nil {
+		return err
+	}
+	n.agent = nil
+	if w.o.Policy == Common {
+		return n.join()
+	}
+	if w.o.Policy == Static {
+		n.core.Plan(n.staticPlan())
+	}
+	n.core.Flush()
+	return nil
+}
+
+// startCore makes the node's core, which knows all hosts.
+func (n *node) startCore() error {
+	w := n.w
+	told, err := Settings(w.o.Nodes, n.i, n.zone)
 	if err != nil {
 		return err
 	}
-	n.core, err = edge.New(edge.Options{Clock: n, Settings: set.Settings, Seed: w.o.Seed*4099 + uint64(n.i)*7 + uint64(n.born), Prober: n,
+	n.core, err = edge.New(edge.Options{Clock: n, Settings: told.Settings, Seed: w.o.Seed*4099 + uint64(n.i)*7 + uint64(n.born), Prober: n,
 		Follow: func() {}})
 	if err != nil {
 		return err
@@ -123,15 +144,7 @@
 		n.list = append(n.list, edge.UpstreamHost{Server: choice.Server{ID: h.id, Zone: h.zone, Kind: "k", Size: 1}})
 	}
 	n.core.Start(n.list)
-	n.agent = nil
-	if w.o.Policy != Common {
-		if w.o.Policy == Static {
-			n.core.Plan(n.static())
-		}
-		n.core.Flush()
-		return nil
-	}
-	return n.join()
+	return nil
 }
 
 // join begins the node's part in the fleet.
@@ -156,55 +169,60 @@
 // clock is the node's own monotonic time.
 func (n *node) clock() time.Duration { return n.w.now + time.Duration(n.i)*time.Hour }
 
+// tick has the agent hear the time again and again.
 func (n *node) tick() {
 	n.on(n.w.now+agree.Tick, func() {
 		n.agent.Tick(n.clock())
 		if n.agent.Wants(n.clock()) {
-			if n.core == nil {
-				n.agent.Tell(n.lightNews(), n.clock())
-			} else {
-				n.agent.Tell(n.core.News(), n.clock())
-			}
+			n.agent.Tell(n.moduleNews(), n.clock())
 		}
 		n.tick()
 	})
 }
 
-// static is the order of zones that a node goes by alone.
-func (n *node) static() choice.ZonePlan {
-	p := choice.ZonePlan{}
-	own := n.w.list.Region(n.zone)
-	for rank := range 3 {
-		for _, z := range n.w.zones {
-			r := 2
-			if z == n.zone {
-				r = 0
-			} else if n.w.list.Region(z) == own {
-				r = 1
-			}
-			if r == rank {
-				g := choice.Grant{Zone: z, Load: math.Inf(1)}
-				for c, k := range faults.Classes {
-					if k.Stay && r == 2 {
-						g.Except = append(g.Except, c)
-					}
-				}
-				p.Grants = append(p.Grants, g)
-			}
+// moduleNews is what the node's module saw since the last call.
+func (n *node) moduleNews() choice.News {
+	if n.core == nil {
+		return n.lightNews()
+	}
+	return n.core.News()
+}
+
+// staticPlan is the order of zones that a node goes by alone: its own, those of its region, the others. Classes that must stay in their region
+// don't go to the others.
+func (n *node) staticPlan() choice.ZonePlan {
+	var staying []int
+	for class, rule := range faults.Classes {
+		if rule.Stay {
+			staying = append(staying, class)
 		}
 	}
-	return p
+	var own, near, far []choice.Grant
+	for _, zone := range n.w.zones {
+		grant := choice.Grant{Zone: zone, Load: math.Inf(1)}
+		switch {
+		case zone == n.zone:
+			own = append(own, grant)
+		case n.w.list.Region(zone) == n.w.list.Region(n.zone):
+			near = append(near, grant)
+		default:
+			grant.Except = staying
+			far = append(far, grant)
+		}
+	}
+	return choice.ZonePlan{Grants: slices.Concat(own, near, far)}
 }
 
+// pump passes on what the agent has for the core, the disk and other nodes, until it has nothing more.
 func (n *node) pump() {
-	a := n.agent
-	for range 8 {
-		if p, changed := a.Use(); changed && n.core != nil {
+	const rounds = 8
+	for range rounds {
+		if p, changed := n.agent.Use(); changed && n.core != nil {
 			n.core.Plan(p)
 			n.core.Flush()
 		}
 		n.save()
-		out := a.Out()
+		out := n.agent.Out()
 		if len(out) == 0 {
 			return
 		}
@@ -221,19 +239,11 @@
 		return
 	}
 	n.w.saves++
-	born := n.born
 	n.busy = true
-	n.w.at(n.w.now+n.diskSlow+time.Duration(1+n.w.rng.IntN(8))*time.Millisecond, func() {
-		if n.born != born || !n.up {
-			return
-		}
+	n.later(n.diskSlow+time.Duration(1+n.w.rng.IntN(8))*time.Millisecond, func() {
 		n.busy = false
 		if n.diskBad {
-			n.w.at(n.w.now+200*time.Millisecond, func() {
-				if n.born == born && n.up {
-					n.save()
-				}
-			})
+			n.later(200*time.Millisecond, n.save)
 			return
 		}
 		if whole {
@@ -244,35 +254,49 @@
 	})
 }
 
+// later runs fn after a time, unless the node's process is another one by then. Other than on, it doesn't wait for a stopped node: disks and
+// links work on.
+func (n *node) later(after time.Duration, fn func()) {
+	born := n.born
+	n.w.at(n.w.now+after, func() {
+		if n.born == born && n.up {
+			fn()
+		}
+	})
+}
+
+// send has a message arrive at another node, once, twice or never.
 func (n *node) send(m agent.Message) {
 	w, to := n.w, n.w.nodes[m.To]
 	w.sent++
 	w.bytes += uint64(len(m.Data))
-	if n.deaf || to.deaf || to.hard || w.cut[[2]string{n.zone, to.zone}] || w.rng.Float64() < w.loss {
+	if n.deaf || to.deaf || to.hard || w.cut[[2]string{n.zone, to.zone}] || w.rng.Float64() < w.loss || !to.up {
 		return
 	}
-	way := func() time.Duration {
-		d := 200*time.Microsecond + time.Duration(w.rng.Float64()*float64(time.Millisecond))
-		if n.zone != to.zone {
-			d += 4 * time.Millisecond
-		}
-		if w.o.Messages > 0 && w.rng.Float64() < 0.1 {
-			d += time.Duration(w.rng.IntN(w.o.Messages)) * time.Millisecond
-		}
-		if !agent.OfVoters(m.Data) { // else the log stands still, and nothing of what is late matters
-			d += w.late/2 + time.Duration(w.rng.Float64()*float64(w.late)) // what is late overtakes
-		}
-		return d
-	}
-	deliver := func() { to.on(w.now+way(), func() { to.agent.Receive(m.Data, to.clock()) }) }
-	if to.up {
+	deliver := func() { to.on(w.now+n.latency(to, m), func() { to.agent.Receive(m.Data, to.clock()) }) }
+	deliver()
+	if w.rng.Float64() < w.repeat {
 		deliver()
-		if w.rng.Float64() < w.repeat {
-			deliver()
-		}
 	}
 }
 
+// latency draws how long a message is on its way.
+func (n *node) latency(to *node, m agent.Message) time.Duration {
+	w := n.w
+	d := 200*time.Microsecond + time.Duration(w.rng.Float64()*float64(time.Millisecond))
+	if n.zone != to.zone {
+		d += 4 * time.Millisecond
+	}
+	if w.o.Messages > 0 && w.rng.Float64() < 0.1 {
+		d += time.Duration(w.rng.IntN(w.o.Messages)) * time.Millisecond
+	}
+	if !agent.OfVoters(m.Data) { // else the log stands still, and nothing of what is late matters
+		d += w.late/2 + time.Duration(w.rng.Float64()*float64(w.late)) // what is late overtakes
+	}
+	return d
+}
+
+// crash ends the node's process. Its clients come again.
 func (n *node) crash() {
 	if !n.up {
 		return
--- a/internal/lab/explore/queue.go
+++ b/internal/lab/explore/queue.go
@@ -5,6 +5,7 @@
 	"time"
 )
 
+// item is something that happens at a time.
 type item struct {
 	at  time.Duration
 	seq uint64
@@ -13,6 +14,7 @@
 	pos int
 }
 
+// queue is a heap of items, the next one first; those of one time in the order in which they were put.
 type queue []*item
 
 func (q queue) Len() int { return len(q) }
@@ -34,6 +36,7 @@
 	return it
 }
 
+// at has something happen at a time, or now where that is over.
 func (w *World) at(d time.Duration, fn func()) *item {
 	w.seq++
 	it := &item{at: max(w.now, d), seq: w.seq, fn: fn}
@@ -41,6 +44,7 @@
 	return it
 }
 
+// every has something happen again and again.
 func (w *World) every(d time.Duration, fn func()) {
 	w.at(w.now+d, func() { fn(); w.every(d, fn) })
 }
--- a/internal/lab/explore/scenario.go
+++ b/internal/lab/explore/scenario.go
@@ -73,6 +73,16 @@
 	})
 }
 
+// isolate cuts a zone's nodes off from those of all other zones.
+func (w *World) isolate(zone string) {
+	for _, other := range w.zones {
+		if other != zone {
+			w.split(zone, other, true, true)
+		}
+	}
+}
+
+// split cuts, or joins, the nodes of two zones, one way or both.
 func (w *World) split(a, b string, both, on bool) {
 	w.cut[[2]string{a, b}] = on
 	if both {
@@ -125,13 +135,7 @@
 		})
 	}, map[string]int{"crash": 3}, nil},
 	{"split", "a zone's nodes are cut off from all others, and their hosts fail", func(w *World) {
-		w.fault(12*sec, "split", func() {
-			for _, z := range w.zones {
-				if z != "z1" {
-					w.split("z1", z, true, true)
-				}
-			}
-		})
+		w.fault(12*sec, "split", func() { w.isolate("z1") })
 		w.fault(16*sec, "zone lost", func() { w.lose("z0", "refuses") })
 		w.fault(28*sec, "healed", func() { clear(w.cut) })
 	}, map[string]int{"plans": 2}, nil},
@@ -181,13 +185,7 @@
 		w.fault(12*sec, "zone lost", func() { w.lose("z1", "refuses") })
 	}, map[string]int{"leads": 1, "zone lost": 1}, nil},
 	{"long-split", "a zone's nodes are cut off from all others for longer than crossings last", func(w *World) {
-		w.fault(12*sec, "split", func() {
-			for _, z := range w.zones {
-				if z != "z1" {
-					w.split("z1", z, true, true)
-				}
-			}
-		})
+		w.fault(12*sec, "split", func() { w.isolate("z1") })
 		w.fault(16*sec, "zone lost", func() { w.lose("z0", "refuses") })
 		w.fault(62*sec, "healed", func() { clear(w.cut) })
 	}, map[string]int{"plans": 2}, func(o *Options) { o.Length = max(o.Length, 75*sec) }},
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -16,6 +16,9 @@
 	"spurwinch/internal/wire"
 )
 
+// firstClients is when the first clients come: there are plans by then.
+const firstClients = 3 * time.Second
+
 var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // World is one run.
@@ -50,9 +53,10 @@
 	crashy   float64       // part of the steps of policies at which the node is killed
 }
 
-type drawn struct{ *rand.Rand }
+// seededReader makes a source drawn by seed a reader of random bytes.
+type seededReader struct{ *rand.Rand }
 
-func (d drawn) Read(p []byte) (int, error) {
+func (d seededReader) Read(p []byte) (int, error) {
 	for i := range p {
 		p[i] = byte(d.Uint64())
 	}
@@ -64,9 +68,32 @@
 	o = o.Usual()
 	w := &World{o: o, rng: rand.New(rand.NewPCG(o.Seed, 77)), byID: map[choice.ServerID]*host{}, cut: map[[2]string]bool{},
 		cutHosts: map[[2]string]bool{}, loss: o.Loss, served: map[string][2]int{}}
-	crypto.Reader = drawn{rand.New(rand.NewPCG(o.Seed, 78))}
-	var nodes []membership.Node
-	region := map[string]string{}
+	crypto.Reader = seededReader{rand.New(rand.NewPCG(o.Seed, 78))}
+	region := w.makeZones()
+	if err := w.readSettings(); err != nil {
+		return nil, err
+	}
+	if err := w.makeNodes(region); err != nil {
+		return nil, err
+	}
+	for _, n := range w.nodes {
+		if err := n.start("new"); err != nil {
+			return nil, err
+		}
+	}
+	if o.Light {
+		w.opPause = 700 * time.Millisecond
+		w.operators(3)
+		return w, nil
+	}
+	w.startClients()
+	w.every(500*time.Millisecond, w.sample)
+	return w, nil
+}
+
+// makeZones makes the zones with their hosts, and gives the zones' regions.
+func (w *World) makeZones() map[string]string {
+	o, region := w.o, map[string]string{}
 	for z := range o.Zones {
 		name := fmt.Sprintf("z%d", z)
 		w.zones = append(w.zones, name)
@@ -78,51 +105,52 @@
 			w.byID[h.id] = h
 		}
 	}
-	for i := range o.Nodes {
-		z := w.zones[i%o.Zones]
-		// Voters stand in different zones.
-		nodes = append(nodes, membership.Node{Name: fmt.Sprintf("n%04d", i), Zone: z, Region: region[z], Voter: i < o.Voters})
-	}
-	var err error
-	if w.list, err = membership.NewList(nodes); err != nil {
-		return nil, err
-	}
-	s, err := Settings(o.Nodes, 0, w.zones[0])
+	return region
+}
+
+// readSettings reads the settings that all nodes are told alike.
+func (w *World) readSettings() error {
+	s, err := Settings(w.o.Nodes, 0, w.zones[0])
 	if err != nil {
-		return nil, err
+		return err
 	}
 	w.settings = s.Settings
-	for _, c := range s.Classes {
-		w.classes = append(w.classes, c.Name)
+	for _, class := range s.Classes {
+		w.classes = append(w.classes, class.Name)
 	}
-	for i := range w.list.Len() {
-		n := &node{w: w, i: i, name: w.list.Node(i).Name, zone: w.list.Node(i).Zone}
-		v := 0.0
-		if w.list.Node(i).Voter {
-			v = 1
-		}
-		w.note(faults.Event{Kind: faults.KindNode, Node: n.name, Zone: n.zone, Value: v})
-		w.nodes = append(w.nodes, n)
+	return nil
+}
+
+// makeNodes makes the list of nodes and the nodes. Zones take turns, so voters, the first ones, stand in different zones.
+func (w *World) makeNodes(region map[string]string) (err error) {
+	var members []membership.Node
+	for i := range w.o.Nodes {
+		zone := w.zones[i%w.o.Zones]
+		members = append(members, membership.Node{Name: fmt.Sprintf("n%04d", i), Zone: zone, Region: region[zone], Voter: i < w.o.Voters})
 	}
-	for _, n := range w.nodes {
-		if err := n.start("new"); err != nil {
-			return nil, err
-		}
+	if w.list, err = membership.NewList(members); err != nil {
+		return err
 	}
-	if o.Light {
-		w.opPause = 700 * time.Millisecond
-		w.operators(3)
-		return w, nil
+	for i := range w.list.Len() {
+		member := w.list.Node(i)
+		votes := 0.0
+		if member.Voter {
+			votes = 1
+		}
+		w.note(faults.Event{Kind: faults.KindNode, Node: member.Name, Zone: member.Zone, Value: votes})
+		w.nodes = append(w.nodes, &node{w: w, i: i, name: member.Name, zone: member.Zone})
 	}
-	for _, z := range w.zones {
-		w.arrivals(z)
-		// Who would stand there already comes over the first seconds.
-		for range int(o.Use * float64(o.Hosts*o.Bears)) {
-			w.at(3*time.Second+time.Duration(w.rng.Float64()*float64(4*time.Second)), func() { w.newClient(z).come() })
+	return nil
+}
+
+// startClients has clients come to each zone. Who would stand there already comes over some seconds after the first plans.
+func (w *World) startClients() {
+	for _, zone := range w.zones {
+		w.arrivals(zone)
+		for range int(w.o.Use * float64(w.o.Hosts*w.o.Bears)) {
+			w.at(firstClients+time.Duration(w.rng.Float64()*float64(4*time.Second)), func() { w.newClient(zone).come() })
 		}
 	}
-	w.every(500*time.Millisecond, w.sample)
-	return w, nil
 }
 
 // Settings are what a node of the laboratory is told.
