load: a capture's names are found in the fleet by short functions

Cause: Sessions looked up classes and editions by two hand-written loops of one shape. Change: classesOf and editionsOf, each over slices.IndexFunc; they differ in what a missing name means. Measured: tests of load pass.

--- a/internal/load/capture.go
+++ b/internal/load/capture.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -168,34 +169,42 @@
 // again is how long after its last sign a client that comes with the same key still is in the same session.
 const again = 15 * time.Second
 
-// Sessions puts a client's tries, returns and connections together to what it wanted, in a fleet's terms. Connections that
-// still stood at the end go on for as long as their class's life says, by chance. What a share left out is made up for by
-// copies.
-func (c *Captured) Sessions(f *fleet.Fleet, seed uint64) (*Load, error) {
-	classes := make([]int, len(c.Classes))
+// classesOf gives the place in a fleet of each class of a capture.
+func classesOf(c *Captured, f *fleet.Fleet) ([]int, error) {
+	places := make([]int, len(c.Classes))
 	for i, name := range c.Classes {
-		classes[i] = -1
-		for j, k := range f.Classes {
-			if k.Name == name {
-				classes[i] = j
-			}
-		}
-		if classes[i] < 0 {
+		places[i] = slices.IndexFunc(f.Classes, func(class fleet.Class) bool { return class.Name == name })
+		if places[i] < 0 {
 			return nil, fmt.Errorf("the capture holds class %q, the fleet file has none of this name: add a [[class]]; it has %s", name, classNames(f))
 		}
 	}
-	editions := make([]int, len(c.Tenants))
+	return places, nil
+}
+
+// editionsOf gives the place in a fleet of each edition of a capture; -1 where the fleet has no editions.
+func editionsOf(c *Captured, f *fleet.Fleet) ([]int, error) {
+	places := make([]int, len(c.Tenants))
 	for i, name := range c.Tenants {
-		editions[i] = -1
-		for j, e := range f.Editions {
-			if e.Name == name {
-				editions[i] = j
-			}
-		}
-		if editions[i] < 0 && len(f.Editions) > 0 {
+		places[i] = slices.IndexFunc(f.Editions, func(edition fleet.Edition) bool { return edition.Name == name })
+		if places[i] < 0 && len(f.Editions) > 0 {
 			return nil, fmt.Errorf("the capture holds edition %q, the fleet file has none of this name: add an [[edition]]", name)
 		}
 	}
+	return places, nil
+}
+
+// Sessions puts a client's tries, returns and connections together to what it wanted, in a fleet's terms. Connections that
+// still stood at the end go on for as long as their class's life says, by chance. What a share left out is made up for by
+// copies.
+func (c *Captured) Sessions(f *fleet.Fleet, seed uint64) (*Load, error) {
+	classes, err := classesOf(c, f)
+	if err != nil {
+		return nil, err
+	}
+	editions, err := editionsOf(c, f)
+	if err != nil {
+		return nil, err
+	}
 	// Told loads are in the hosts' own unit: they count in relation to the mean of their class.
 	told, count := make([]float64, len(f.Classes)), make([]float64, len(f.Classes))
 	for _, q := range c.Placed {
