--- a/internal/failover/loan.go
+++ b/internal/failover/loan.go
@@ -82,89 +82,112 @@
 // Asks is what a node of a zone wants to borrow, by zone, after what its module saw in a time of dt. had is the most that stood at the node of
 // late, got what it has been lent, and full the zones whose lenders gave less than was asked.
 func Asks(m Mode, p *Plan, node int, zone string, n choice.News, dt time.Duration, had float64, got map[string]float64, full map[string]bool) map[string]float64 {
-	out := map[string]float64{}
-	own := -1
-	if p != nil {
-		own = p.zone(zone)
-	}
-	if own < 0 || m == Alone || dt <= 0 {
-		return out
-	}
-	held, arrived, refused := 0.0, 0.0, 0.0
-	bad := map[string]bool{}
-	for _, z := range n.Zones {
-		bad[z.Zone] = Fails(z)
-		for _, v := range z.Held {
-			held += v
-		}
-	}
-	for _, c := range n.Classes {
-		arrived, refused = arrived+c.Arrived, refused+c.Refused
+	asks := map[string]float64{}
+	if p == nil || p.zone(zone) < 0 || m == Alone || dt <= 0 {
+		return asks
 	}
+	seen := summarize(n, zone)
 	// What it may have without loans, in zones whose hosts answer.
-	may, near, here := 0.0, 0.0, 0.0
+	may, near := 0.0, 0.0
 	for _, g := range Use(m, p, node, zone, p.Classes, 0, Borrowed{}).Grants {
-		if !bad[g.Zone] {
+		if !seen.bad[g.Zone] {
 			may += g.Load
 		}
 		if g.Zone == zone {
 			near += g.Load
 		}
 	}
-	for _, z := range n.Zones {
-		if z.Zone == zone {
-			for _, v := range z.Held {
-				here += v
-			}
+	if ask := askOwnZone(p.Zones[p.zone(zone)], seen, near); ask > 0 {
+		asks[zone] = ask
+		may += ask
+	}
+	want := seen.held + seen.expected(zone, may, had, dt) - may
+	if math.IsNaN(want) {
+		return asks
+	}
+	for _, zones := range p.ranks(p.zone(zone)) {
+		if want < leastAsk {
+			break
 		}
+		want = p.askZones(asks, zones, want, seen.bad, got, full)
 	}
-	// Its own zone's room before any other's: one that has held what others of its zone should, while they were away, finds its part full
-	// although the zone has room.
-	if z := p.Zones[own]; !bad[zone] && z.Lender >= 0 && z.Reserve > 0 && here > nearly*near {
-		if ask := min(here+math.Sqrt(here)-near, float64(z.Reserve)); ask >= leastAsk {
-			out[zone] = ask
-			may += ask
+	return asks
+}
+
+// moduleView is what a node's module saw, summed up for borrowing.
+type moduleView struct {
+	held, arrived, refused float64         // told load, in all zones and of all classes
+	heldNear               float64         // in the node's own zone
+	bad                    map[string]bool // zones whose hosts fail
+}
+
+func summarize(n choice.News, zone string) moduleView {
+	v := moduleView{bad: map[string]bool{}}
+	for _, z := range n.Zones {
+		v.bad[z.Zone] = Fails(z)
+		for _, load := range z.Held {
+			v.held += load
+			if z.Zone == zone {
+				v.heldNear += load
+			}
 		}
 	}
-	soon := 0.0
-	if refused > 0 || held > nearly*may { // what comes within a second, and some for chance: what is asked for at need comes too late for it
-		soon = min(arrived/dt.Seconds(), had/2) + math.Sqrt(held)
+	for _, c := range n.Classes {
+		v.arrived += c.Arrived
+		v.refused += c.Refused
 	}
-	if refused > 0 && bad[zone] { // its own zone failed: those who stood there come back at once
-		soon = max(soon, had-held)
+	return v
+}
+
+// expected is the load that comes soon beyond what stands: what comes within a second, and some for chance, since what is asked for at need comes
+// too late for it. may is what the node may have, had the most that stood at it of late.
+func (v moduleView) expected(zone string, may, had float64, dt time.Duration) (soon float64) {
+	if v.refused > 0 || v.held > nearly*may {
+		soon = min(v.arrived/dt.Seconds(), had/2) + math.Sqrt(v.held)
 	}
-	want := held + soon - may
-	if math.IsNaN(want) || want < leastAsk {
-		return out
+	if v.refused > 0 && v.bad[zone] { // its own zone failed: those who stood there come back at once
+		soon = max(soon, had-v.held)
 	}
-	for _, rank := range p.ranks(own) {
-		sum := 0.0
-		for _, t := range rank {
-			if z := p.Zones[t]; z.Lender >= 0 && z.Reserve > 0 && !bad[z.Name] {
-				sum += float64(z.Reserve)
-			}
-		}
-		left := want
-		for _, t := range rank {
-			z := p.Zones[t]
-			if z.Lender < 0 || z.Reserve <= 0 || bad[z.Name] {
-				continue
-			}
-			ask := want * float64(z.Reserve) / sum
-			out[z.Name] += ask
-			if full[z.Name] {
-				left -= min(ask, got[z.Name])
-			} else {
-				left -= ask
-			}
+	return soon
+}
+
+// askOwnZone is what a node asks its own zone's lender for, before any other's: one that has held what others of its zone should, while they were
+// away, finds its part full although the zone has room. near is what it may have there.
+func askOwnZone(own Zone, v moduleView, near float64) float64 {
+	if !v.bad[own.Name] && own.lends() && v.heldNear > nearly*near {
+		if ask := min(v.heldNear+math.Sqrt(v.heldNear)-near, float64(own.Reserve)); ask >= leastAsk {
+			return ask
 		}
-		if want = left; want < leastAsk {
-			break
+	}
+	return 0
+}
+
+// askZones adds to what is asked of zones that are equally near, each by its reserve, and gives what is still wanted of others: lenders that
+// gave less than they were asked for will not give more.
+func (p *Plan) askZones(asks map[string]float64, zones []int, want float64, bad map[string]bool, got map[string]float64,
+	full map[string]bool) (left float64) {
+	lenders := slices.DeleteFunc(slices.Clone(zones), func(i int) bool { return !p.Zones[i].lends() || bad[p.Zones[i].Name] })
+	sum := 0.0
+	for _, i := range lenders {
+		sum += float64(p.Zones[i].Reserve)
+	}
+	left = want
+	for _, i := range lenders {
+		zone := p.Zones[i]
+		ask := want * float64(zone.Reserve) / sum
+		asks[zone.Name] += ask
+		if full[zone.Name] {
+			left -= min(ask, got[zone.Name])
+		} else {
+			left -= ask
 		}
 	}
-	return out
+	return left
 }
 
+// lends says whether somebody lends a reserve of the zone's room.
+func (z Zone) lends() bool { return z.Lender >= 0 && z.Reserve > 0 }
+
 // Fails says that a node finds half of a zone's hosts out of use, or none.
 func Fails(z choice.ZoneNews) bool { return float64(z.Out) >= badZone*float64(z.Ready) }
 
--- a/internal/failover/plan.go
+++ b/internal/failover/plan.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
-	"time"
 
-	"spurwinch/choice"
 	"spurwinch/internal/agree"
 )
 
@@ -199,90 +197,6 @@
 	return out
 }
 
-// Borrowed is what a node has been lent, and what it keeps of its part in its region.
-type Borrowed struct {
-	Loans map[string]float64 // by zone
-	Stay  float64            // told load of classes that must not go further, which find no place in the own zone
-}
-
-// Use is what a node's module is told. classes are the node's own, by their index there; comeAgain is the advice for what is refused;
-// b is what it has been lent, and keeps for those who can't go far.
-func Use(m Mode, p *Plan, node int, zone string, classes []string, comeAgain time.Duration, b Borrowed) choice.ZonePlan {
-	if m == Alone || p == nil || p.zone(zone) < 0 {
-		return choice.ZonePlan{Grants: []choice.Grant{{Zone: zone, Load: math.Inf(1)}}}
-	}
-	own := p.zone(zone)
-	lost := slices.Contains(p.Lost, node)
-	// Clients come to a zone's nodes by chance, and a node may have more than its even part: all nodes together have it only when more is
-	// wanted than was reckoned. Then the hosts' own reports, without which no module places anything, keep the last part of their room;
-	// a guest leaves more of that to the zone's own.
-	near := p.share(own, own, lost)
-	if p.Zones[own].State != Lost {
-		near += uneven * math.Sqrt(near+1)
-		if z := p.Zones[own]; z.Guests == 0 && z.Nodes > 0 { // nobody else needs its room now: it may grow without a plan
-			near = max(near, float64(z.Room)/float64(z.Nodes))
-		}
-	}
-	near += b.Loans[zone]
-	out := choice.ZonePlan{ComeAgain: comeAgain}
-	for _, z := range p.Zones {
-		out.Nodes += z.Nodes
-	}
-	if m == Ground { // with what is still lent to it: a loan has its own end
-		out.Grants = []choice.Grant{{Zone: zone, Load: near}}
-	}
-	var stay, move []int // the node's classes, by what they may do
-	for i, c := range classes {
-		if k := slices.Index(p.Classes, c); k >= 0 && p.Stay[k] {
-			stay = append(stay, i)
-		} else {
-			move = append(move, i)
-		}
-	}
-	may := func(to int) float64 {
-		s := p.share(own, to, lost)
-		switch {
-		case to == own:
-			return near
-		case m == Ground:
-			return b.Loans[p.Zones[to].Name]
-		}
-		return s + guestUneven*math.Sqrt(s) + b.Loans[p.Zones[to].Name]
-	}
-	region := 0.0 // what there is in the region for those who can't go further
-	for to, z := range p.Zones {
-		if to != own && z.Region == p.Zones[own].Region {
-			region += may(to)
-		}
-	}
-	for _, to := range p.nearest(own) {
-		s := may(to)
-		switch {
-		case m == Ground && to == own:
-		case s <= 0 && to != own:
-		case p.Zones[to].Region != p.Zones[own].Region:
-			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s, Except: stay})
-		case p.kept(own, to) == 0 && b.Stay == 0 || to == own:
-			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s})
-		default:
-			k := max(p.kept(own, to), min(1, b.Stay/region))
-			out.Grants = append(out.Grants, choice.Grant{Zone: p.Zones[to].Name, Load: s * (1 - k), Except: stay},
-				choice.Grant{Zone: p.Zones[to].Name, Load: s * k, Except: move})
-		}
-	}
-	for _, c := range classes {
-		if m == Ground {
-			break // what is let in is as much as the plan has room for, and this is less
-		}
-		admit := 1.0
-		if k := slices.Index(p.Classes, c); k >= 0 {
-			admit = float64(p.Admit[own][k]) / 255
-		}
-		out.Admit = append(out.Admit, admit)
-	}
-	return out
-}
-
 // nearest is the zones in the order of a zone's grants: itself, its region, then the rest, the larger grant first.
 func (p *Plan) nearest(own int) []int {
 	var all []int
