Discovery: after a failed call what changed is known within 6 s of its return

Cause: after a call that failed the watch waited for the module's "ask" timer, whose pauses hang on the time that the settings allow without a call: up to 12 s where that is long (choice.ask). And a watch opened after one that was given up waited its whole 8 to 10 s again, so that a second silence took as long as the first. Ruled out: the time to connect (0.5 s) and whole lists (2.8 to 4 s) are short enough; lists that are pushed were asked for each 0.1 to 0.25 s already; a call on a kept connection that ends is no failed call. Change: the watch has its own pauses after a failure (up to 0.75, 1.5, then 2 s, drawn) and no longer hangs on the module's, which it still tells; until a call is answered, one waits 0.1 s and is given up 2.4 s later. An answer that does not end is given up 2 s after its body began and asked for again, like one that can't be read. TestFailedCall also holds that a failed call is made again though the module says nothing.

--- a/internal/platform/cluster/cluster.go
+++ b/internal/platform/cluster/cluster.go
@@ -28,6 +28,14 @@
 	spread time.Duration // less by up to this, so that watches that began together don't end together
 	answer time.Duration // for its answer after that, at the most;
 	spare  time.Duration // beyond the grace: what is told by the next call still comes in time
+	body   time.Duration // for the rest of an answer whose body has begun
+
+	// After a call that failed or was given up. What changes counts as told 6 s after the service can be reached again, so a call
+	// that was begun too early, the longest pause and the call that brings the news have to fit in there.
+	lostWait   time.Duration // a watch waits no longer than this until one is answered,
+	lostAnswer time.Duration // and is given up so long after that; a whole list, too
+	firstPause time.Duration // at most, after the first failure; twice as long after each further one,
+	mostPause  time.Duration // up to this
 
 	// Of an agent that lists are pushed to: what it has counts as told, so what it doesn't answer is asked for at once.
 	agentWait   time.Duration
@@ -35,7 +43,8 @@
 	agentAnswer time.Duration
 }
 
-var usual = pace{wait: 10 * time.Second, spread: 2 * time.Second, answer: 1500 * time.Millisecond, spare: 500 * time.Millisecond,
+var usual = pace{wait: 10 * time.Second, spread: 2 * time.Second, answer: 1500 * time.Millisecond, spare: 500 * time.Millisecond, body: 2 * time.Second,
+	lostWait: 100 * time.Millisecond, lostAnswer: 2400 * time.Millisecond, firstPause: 750 * time.Millisecond, mostPause: 2 * time.Second,
 	agentWait: time.Second, agentRetry: 100 * time.Millisecond, agentAnswer: 150 * time.Millisecond}
 
 // List is a list of hosts in discovery's form.
@@ -115,10 +124,12 @@
 	call    string // written once the connection is up
 	reused  bool   // the call went out on a connection that had served one before
 	waits   bool   // the call may wait for news
-	lost    bool   // the last call failed or had no answer
+	lost    bool   // the last call failed, had no answer or one that could not be read
+	fails   int    // calls that failed since the last answer
 	spoilt  bool   // the last answer could not be read
 	in      response
-	stop    func() // of the call in hand, or of the pause before the next one to an agent
+	until   time.Time // the call in hand is given up
+	stop    func()    // of the call in hand, or of the pause before the next one
 }
 
 // Way is how the settings have lists come to a node.
@@ -144,10 +155,9 @@
 	return w.addr, w.version
 }
 
-// Follow starts a watch, unless one is on.
+// Follow starts a watch, unless one is on or about to be: after a failure the watch itself says when it asks again.
 func (w *Watch) Follow() {
-	if !w.calling {
-		w.pause()
+	if !w.calling && w.stop == nil {
 		w.ask()
 	}
 }
@@ -155,13 +165,14 @@
 // Adapt has lists come another way from the next call on.
 func (w *Watch) Adapt(way Way) {
 	w.way = way
-	if way.Pushed {
-		w.Follow()
+	if way.Pushed && !w.calling {
+		w.cancelTimer()
+		w.ask()
 	}
 }
 
-// pause ends the time set for a call, or before one.
-func (w *Watch) pause() {
+// cancelTimer ends the time set for a call, or before one.
+func (w *Watch) cancelTimer() {
 	if w.stop != nil {
 		w.stop()
 		w.stop = nil
@@ -176,7 +187,7 @@
 	}
 	w.addr, w.version, w.have = addr, 0, false
 	w.close()
-	w.pause()
+	w.cancelTimer()
 	w.ask()
 }
 
@@ -188,13 +199,35 @@
 		return p.agentRetry, p.agentAnswer
 	case w.way.Pushed:
 		return p.agentWait, p.agentAnswer
+	case w.lost:
+		return p.lostWait, p.lostAnswer
 	}
 	// Guards against a watch that fell silent: what it misses counts as told 2 s after its wait.
 	return p.wait - time.Duration(w.rng.Int64N(int64(p.spread))), min(p.answer, w.way.Grace+p.spare)
 }
 
 // listWithin is for an answer that doesn't wait.
-func (w *Watch) listWithin() time.Duration { return min(listTime, w.way.Grace+listSpare) }
+func (w *Watch) listWithin() time.Duration {
+	within := min(listTime, w.way.Grace+listSpare)
+	if w.lost {
+		within = min(within, w.pace.lostAnswer)
+	}
+	return within
+}
+
+// pauseAfterFailure is how long a failed call has the next one wait: longer after several, for the sake of a service that has too
+// many callers, and drawn, so that nodes that failed together don't come back together.
+func (w *Watch) pauseAfterFailure() time.Duration {
+	if w.way.Pushed {
+		return w.pace.agentRetry
+	}
+	most := w.pace.firstPause
+	for n := 1; n < w.fails && most < w.pace.mostPause; n++ {
+		most *= 2
+	}
+	most = min(most, w.pace.mostPause)
+	return most/2 + time.Duration(w.rng.Int64N(int64(most/2)))
+}
 
 func (w *Watch) ask() {
 	w.calling, w.waits = true, w.have
@@ -209,7 +242,8 @@
 	w.call = "GET " + path + " HTTP/1.1\r\nHost: " + w.addr + "\r\nAccept: application/json\r\n\r\n"
 	w.in = response{}
 	now := w.loop.Now()
-	w.stop = w.loop.At(now.Add(until), w.silent)
+	w.until = now.Add(until)
+	w.stop = w.loop.At(w.until, w.silent)
 	w.reused = w.conn != nil
 	if w.conn == nil {
 		w.conn = w.loop.Dial(w.addr, now.Add(min(connectTime, until)), w)
@@ -230,15 +264,31 @@
 		w.close()
 		return
 	}
+	bodiless := !w.in.bodyBegun()
 	done, err := w.in.feed(p)
 	switch {
 	case err != nil:
 		w.unreadable(err.Error())
 	case done:
 		w.answered()
+	case bodiless && w.in.bodyBegun():
+		w.endsSoon()
 	}
 }
 
+// endsSoon guards against an answer that never ends: what it holds may be all of the news, which counts as told.
+func (w *Watch) endsSoon() {
+	by := w.loop.Now().Add(w.pace.body)
+	if by.After(w.until) {
+		return
+	}
+	w.cancelTimer()
+	w.stop = w.loop.At(by, func() {
+		w.stop = nil
+		w.unreadable("an answer that does not end")
+	})
+}
+
 func (w *Watch) answered() {
 	if w.in.status != 200 {
 		w.failed(fmt.Sprintf("status %d", w.in.status))
@@ -259,8 +309,8 @@
 		w.unreadable("list: " + err.Error())
 		return
 	}
-	w.pause()
-	w.calling, w.lost, w.spoilt = false, false, false
+	w.cancelTimer()
+	w.calling, w.lost, w.spoilt, w.fails = false, false, false, 0
 	if w.in.close {
 		w.close()
 	}
@@ -303,26 +353,30 @@
 		return
 	}
 	zap.L().Warn("discovery_answer_unreadable", zap.String("address", w.addr), zap.String("cause", why))
-	w.spoilt = true
-	w.pause()
+	w.spoilt, w.lost = true, true
+	w.cancelTimer()
 	w.close()
 	w.ask()
 }
 
-// failed ends a call without an answer. The module says when a service is asked again; an agent is asked soon.
+// failed ends a call without an answer. It is made again after a pause, whatever the module says: its pauses hang on settings
+// that may allow minutes without a call. The module hears of it, but for an agent's, and may ask as well.
 func (w *Watch) failed(why string) {
 	zap.L().Warn("discovery_call_failed", zap.String("address", w.addr), zap.String("cause", why))
 	w.close()
 	if !w.calling {
 		return
 	}
-	w.pause()
+	w.cancelTimer()
 	w.calling, w.lost, w.spoilt = false, true, false
-	if w.way.Pushed {
-		w.stop = w.loop.At(w.loop.Now().Add(w.pace.agentRetry), w.Follow)
-		return
+	w.fails++
+	w.stop = w.loop.At(w.loop.Now().Add(w.pauseAfterFailure()), func() {
+		w.stop = nil
+		w.ask()
+	})
+	if !w.way.Pushed {
+		w.news(choice.ListLost, nil)
 	}
-	w.news(choice.ListLost, nil)
 }
 
 func (w *Watch) close() {
@@ -347,7 +401,7 @@
 	}
 	w.close()
 	if retry { // a kept connection may end just as a call goes out on it: that's no failed call
-		w.pause()
+		w.cancelTimer()
 		w.ask()
 		return
 	}
--- a/internal/platform/cluster/response.go
+++ b/internal/platform/cluster/response.go
@@ -29,6 +29,9 @@
 
 func (r *response) begun() bool { return r.seen > 0 }
 
+// bodyBegun reports whether something of the body has come.
+func (r *response) bodyBegun() bool { return r.headed && (len(r.body) > 0 || len(r.part) > 0) }
+
 // endsAnswer reports whether the end of the connection is the end of the answer.
 func (r *response) endsAnswer() bool { return r.headed && !r.chunked && r.length < 0 }
 
--- a/internal/platform/cluster/watch_test.go
+++ b/internal/platform/cluster/watch_test.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// TestFailedCall: a service that fails a call is asked again when the module says so.
+// TestFailedCall: the module hears of a service that fails a call, and it is asked again though the module says nothing.
 func TestFailedCall(t *testing.T) {
 	var version atomic.Int64
 	d := listen(t, &version)
@@ -138,6 +138,8 @@
 	if k := next(t, news); k != choice.ListLost {
 		t.Error("news of a failed call", k)
 	}
+	next(t, d.calls)
+	next(t, d.calls)
 }
 
 // TestAgent guards nodes whose lists are pushed: what the agent has counts as told, so it is asked without end and without
