Tests: a client that leaves has no attempt begun, wherever its request waits

A client that ends, half-closes or resets while its request waits for a probe's answer (which comes, or does not), for a retry after a refusal, a reset or an attempt's time, for the host of a standing connection, for another node's answer, or before the node has accepted it, has no line written for it. What ends the wait is named first in the same poll, or the loop stands past it, as on a small share of a core; TestWaitsEndInAnAttempt shows that the same waits end in an attempt where the client stays. A lease is no waiting place: Core.Open takes or refuses at once. Seen to fail by hand: all of the new tests but TestWaitsEndInAnAttempt, where the front does not tell the core that its client has gone. No code of the program changed; the tests' node can tell other nodes something now.

--- a/internal/platform/downstream/crossing_test.go
+++ b/internal/platform/downstream/crossing_test.go
@@ -29,6 +29,13 @@
 	addr     string
 	sessions chan *session
 	taken    chan dialled
+	told     chan message
+}
+
+// message is one that the node sends to another.
+type message struct {
+	to    int
+	bytes []byte
 }
 
 // dialled is a connection that a host has accepted.
@@ -42,14 +49,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &crossing{t: t, l: l, sessions: make(chan *session, 8), taken: make(chan dialled, 8)}
+	x := &crossing{t: t, l: l, sessions: make(chan *session, 8), taken: make(chan dialled, 8), told: make(chan message, 64)}
 	s, err := wire.DecodeSettings([]byte(strings.NewReplacer(append(change, "REPORTS", "off")...).Replace(exchange.Settings)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.TellsDelay = false
 	up := upstream.New(l, s.ReportFields)
-	if x.core, err = edge.New(edge.Options{Clock: l, Settings: s.Settings, Seed: 1, Prober: up}); err != nil {
+	if x.core, err = edge.New(edge.Options{Clock: l, Settings: s.Settings, Seed: 1, Prober: up,
+		Tell: func(to int, m []byte) { x.told <- message{to, m} }}); err != nil {
 		t.Fatal(err)
 	}
 	x.front = New(Options{Loop: l, Core: x.core, Upstream: up, MostOpen: 100})
