Descriptors: probes hold a third at most, and a request has an idle client go

Cause: each host that was ever asked for a report kept its connection for probes (upstream.prober), without bound, and those of hosts that a whole list no longer names were never ended. With nearly as many hosts as descriptors they filled the node by themselves. And a request that found no room for its host's connection was refused although idle clients held descriptors: those only went for new connections. Ruled out: discovery's call is within the 48 that are kept back; the order of those that go was right; hosts were not held to have failed. Change: connections for probes that are not under way are kept up to a third of the descriptors, the longest unused ends first; a whole list ends those of hosts it doesn't name; before a request is refused for want of room, the clients that have been idle longest go. XMPP's front is as it was: it has the oldest go for new connections only.

--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -4,7 +4,7 @@
 
 // Room for those who have something to say. Clients that connect and say nothing, or that linger after their answer,
 // could otherwise hold all descriptors, and the next one that comes would be cut off, whoever it is. So they wait in one
-// queue, oldest first, and above a number of connections the oldest goes whenever another one comes.
+// queue, oldest first, and above a number of connections the oldest goes whenever another one comes, or asks for something.
 
 const (
 	leastWater = 4 << 10
@@ -85,7 +85,15 @@
 
 // makeRoom has the oldest of those that wait go, until there are few enough connections.
 func (l *Loop) makeRoom() {
-	for e := l.idle.Front(); e != nil && l.most > 0 && l.open > l.most; {
+	if l.most > 0 {
+		l.MakeRoom(l.most)
+	}
+}
+
+// MakeRoom has the oldest of those that wait go, until there are no more than open connections or none that waits. What they have
+// said meanwhile is heard first: within OnData, p is overwritten when it returns.
+func (l *Loop) MakeRoom(open int) {
+	for e := l.idle.Front(); e != nil && l.open > open; {
 		c := e.Value.(*Conn)
 		if c.away { // another process may have it already
 			e = e.Next()
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -17,6 +17,7 @@
 
 const (
 	spareSockets   = 48 // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
+	probePart      = 3  // a part of the rest, as a divisor, that connections for probes may hold while they are not in use
 	defaultSockets = 1024
 	firstList      = 2 * time.Second // for the first list of an agent: what it has counts as told to a process from its start
 )
@@ -98,6 +99,9 @@
 	known := p.beside.known(n.Known, n.Discovery)
 	watch = cluster.New(l, n.Discovery, known, way(n.Settings.Settings), n.Seed, func(k choice.ListKind, news []edge.UpstreamHost) {
 		core.List(k, news)
+		if k == choice.ListWhole {
+			hosts.ForgetOthers(news)
+		}
 		for _, h := range news {
 			if h.State == choice.Gone {
 				hosts.Forget(h.ID)
--- a/internal/platform/downstream/downstream.go
+++ b/internal/platform/downstream/downstream.go
@@ -25,6 +25,7 @@
 	openTime     = 2500 * time.Millisecond
 	readyTime    = 30 * time.Second // for PONG, at a node that knows no hosts yet
 	pinnedTime   = 39 * time.Second // for a connection open before the run; it counts as lost after 40 s
+	forRequest   = 2                // descriptors that are free when a request is taken: its host's, and one for a probe
 	politeOver   = 16               // connections beyond the limit that are refused with an answer
 	mostPatience = time.Hour        // a longer d counts as this
 	mostLoad     = 1e9              // a larger h is no load
@@ -210,14 +211,17 @@
 		return
 	}
 	s.cancelTimer()
-	if s.front.loop.Open()+2 > s.front.most {
+	s.first = bytes.Clone(l)
+	s.conn.Spoke()
+	if s.front.loop.Open()+forRequest > s.front.most {
+		s.front.loop.MakeRoom(s.front.most - forRequest) // those who ask for nothing go first
+	}
+	if s.front.loop.Open()+forRequest > s.front.most {
 		// Guards against running out of descriptors half way: a request taken needs one more for its host.
 		zap.L().Warn("connection_limit_refused", zap.String("front", "platform"), zap.Int("open_connections", s.front.loop.Open()))
 		s.front.core.Refuse(spec, s, time.Second)
 		return
 	}
-	s.conn.Spoke()
-	s.first = bytes.Clone(l)
 	s.request = s.front.core.Open(spec, s)
 }
 
--- a/internal/platform/upstream/probe.go
+++ b/internal/platform/upstream/probe.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"container/list"
 	"io"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -29,6 +32,7 @@
 	in      line.Reader
 	done    func(choice.Outcome, []float64) // the probe in hand; nil: none
 	stop    func()
+	place   *list.Element // among those that have a connection
 }
 
 // Probe asks a host for its load report.
@@ -48,13 +52,39 @@
 	p.done = done
 	p.stop = c.loop.At(by, func() { p.drop(choice.TimedOut) })
 	if p.conn == nil {
+		c.endUnused(1)
 		p.in = line.Reader{}
 		p.conn = c.loop.Dial(h.Addr, by, p)
-	} else if p.up {
+		p.place = c.connected.PushBack(p)
+		return
+	}
+	c.connected.MoveToBack(p.place)
+	if p.up {
 		p.conn.Write([]byte("STATS\r\n"))
 	}
 }
 
+// KeepProbes sets how many connections for probes are kept, beside those with a probe under way. Guards against a list with more
+// hosts than the node has descriptors, whose probes would leave none for clients. 0: there is no bound.
+func (c *Cluster) KeepProbes(most int) {
+	c.mostProbes = most
+	c.endUnused(0)
+}
+
+// endUnused ends connections that are not in use, the longest unused first, until there is room for so many more.
+func (c *Cluster) endUnused(more int) {
+	if c.mostProbes <= 0 {
+		return
+	}
+	for e := c.connected.Front(); e != nil && c.connected.Len()+more > c.mostProbes; {
+		p := e.Value.(*prober)
+		e = e.Next()
+		if p.done == nil {
+			p.hangUp()
+		}
+	}
+}
+
 // Forget closes the probe connections of hosts that are gone.
 func (c *Cluster) Forget(id choice.ServerID) {
 	if p := c.probes[id]; p != nil {
@@ -63,12 +93,37 @@
 	}
 }
 
+// ForgetOthers closes the probe connections of all hosts but these: a whole list says what is gone by not naming it.
+func (c *Cluster) ForgetOthers(hosts []edge.UpstreamHost) {
+	named := map[choice.ServerID]bool{}
+	for _, h := range hosts {
+		named[h.ID] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.probes)) {
+		if !named[id] {
+			c.Forget(id)
+		}
+	}
+}
+
 func (p *prober) drop(o choice.Outcome) {
+	p.hangUp()
+	p.finish(o, nil)
+}
+
+// hangUp ends the connection, where there is one.
+func (p *prober) hangUp() {
 	if p.conn != nil {
 		p.conn.End()
-		p.conn, p.up = nil, false
+		p.unplace()
 	}
-	p.finish(o, nil)
+}
+
+// unplace takes note that there is no connection any more.
+func (p *prober) unplace() {
+	p.conn, p.up = nil, false
+	p.cluster.connected.Remove(p.place)
+	p.place = nil
 }
 
 func (p *prober) finish(o choice.Outcome, report []float64) {
@@ -126,7 +181,7 @@
 	if err == io.EOF {
 		p.conn.End()
 	}
-	p.conn, p.up = nil, false
+	p.unplace()
 	p.finish(o, nil)
 }
 
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"io"
 	"math"
 	"strconv"
@@ -31,6 +32,9 @@
 	loop   *loop.Loop
 	fields []string
 	probes map[choice.ServerID]*prober
+
+	connected  list.List // probers with a connection, the longest unused first
+	mostProbes int       // of them that are kept; 0: any number
 }
 
 // New makes a Cluster; fields are the names of a load report's values in the settings.
