Start: a process without any host says after 4 s that it takes clients

Cause: Program.takesClients waits for a list with hosts; a process that was given none and found discovery down, slow or silent answered PING only when discovery told of some, however long that took. Ruled out: with a known list it was ready in 7 to 18 ms (lists asked for) or 2.0 s (pushed, where the agent's first list is awaited), in each of the six ways in which discovery can be poor; the running process beside it is asked for 0.5 s at most. Change: 4 s after the start the platform's front says that it takes clients, hosts or none. Without hosts they are refused, which can be tried again. What waits for a policy still waits. Measured: TestReadyWithoutDiscovery, the built program, discovery that refuses, lets no connection come up, says nothing, fails each call, answers without end or after 20 s, lists asked for or pushed, known or not: 24 cases. Before: the 12 without a list had no PONG after 12 s (seen to fail).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,7 +43,7 @@
 	platform  *platform // nil: there is only an operator's file
 	beside    beside
 	fleet     *fleet        // nil: the node is none of a fleet
-	hosts     bool          // the platform's front knows some
+	hosts     bool          // the platform's front knows some, or has waited long enough
 	firstList time.Duration // waited for an agent's first list
 	second    bool          // started beside a running process
 	waits     bool          // for word of the policy in force: until then the platform's front doesn't say that it takes clients
@@ -149,7 +149,7 @@
 	return p, nil
 }
 
-// listed is called where the platform's front knows hosts.
+// listed is called where the platform's front knows hosts, or has waited long enough for some.
 func (p *Program) listed() {
 	p.hosts = true
 	p.takesClients()
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -19,6 +19,7 @@
 	spareSockets   = 48 // descriptors that are not for clients and hosts: discovery, probes, the runtime's own
 	probePart      = 3  // a part of the rest, as a divisor, that connections for probes may hold while they are not in use
 	defaultSockets = 1024
+	latestReady    = 4 * time.Second // a process says that it takes clients, hosts or none: 6 s are wanted, and a refusal can be tried again
 	firstList      = 2 * time.Second // for the first list of an agent: what it has counts as told to a process from its start
 )
 
@@ -128,6 +129,7 @@
 	if !n.Settings.Subscribe {
 		watch.Follow()
 	}
+	l.At(l.Now().Add(latestReady), p.listed)
 	switch {
 	case len(hostsKnown) == 0:
 	case n.Settings.Subscribe:
