--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -177,7 +177,7 @@
 
 const (
 	mostServers = 20000
-	mostNodes   = 1000
+	mostNodes   = 4096 // of one entry, as many as a fleet that decides in common may have
 )
 
 func (f *Fleet) check(file *tomlfile.File) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// TestManyNodes takes fleets with more nodes and servers than any bound on their lists may be.
+func TestManyNodes(t *testing.T) {
+	f, err := Parse("f", []byte(strings.NewReplacer("count = 1\n", "count = 1100\n", "count = 3\n", "count = 1100\n").Replace(small)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(f.Nodes) != 1 || f.Nodes[0].Count != 1100 || f.Count() != 1100 {
+		t.Errorf("nodes %+v, %d servers", f.Nodes, f.Count())
+	}
+}
+
 // TestResize checks that proportions hold and no server is lost or made up in rounding.
 func TestResize(t *testing.T) {
 	f, err := Read("../../deploy/fleet-evening.toml")
--- a/internal/loop/datagram.go
+++ b/internal/loop/datagram.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/panjf2000/gnet/v2/pkg/netpoll"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
 
@@ -64,6 +65,21 @@
 	return d, ap, nil
 }
 
+// datagramRoom is what the system counts for a short datagram that waits to be read.
+const datagramRoom = 1 << 10
+
+// Room has the system keep so many short datagrams that wait to be read, as far as it lets a process: what comes on top is lost.
+func (d *Datagrams) Room(datagrams int) {
+	want := datagrams * datagramRoom
+	has, err := unix.GetsockoptInt(d.fd, unix.SOL_SOCKET, unix.SO_RCVBUF)
+	if err == nil && has < want {
+		err = unix.SetsockoptInt(d.fd, unix.SOL_SOCKET, unix.SO_RCVBUF, want/2) // the system doubles it
+	}
+	if err != nil {
+		zap.L().Debug("datagram_room_not_set", zap.Error(err))
+	}
+}
+
 // Hear says whether datagrams are read here. Where two processes hold one socket, only one of them may: each datagram
 // is read once.
 func (d *Datagrams) Hear(on bool) error {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -48,6 +48,7 @@
 	} else {
 		p.socket, p.at, err = l.ListenDatagrams(n.PeerListen, mostMessage, take)
 	}
+	p.makeRoom()
 	return p, err
 }
 
@@ -66,6 +67,14 @@
 	for i, a := range n.Peers {
 		p.numbers[a] = i
 	}
+	p.makeRoom()
+}
+
+// makeRoom guards against a fleet whose nodes all speak at once, of which most would not be heard.
+func (p *peers) makeRoom() {
+	if p.socket != nil {
+		p.socket.Room(len(p.addrs))
+	}
 }
 
 func (p *peers) tell(to int, message []byte) {
--- a/internal/operate/handover/carry.go
+++ b/internal/operate/handover/carry.go
@@ -18,8 +18,8 @@
 const (
 	carryForm       = 1 // of a batch and what is in it; another form isn't taken
 	MostConnections = 64
-	mostBatch       = 1 << 20 // bytes that a taker reads
-	mostLearned     = 256 << 10
+	mostBatch       = 1 << 20   // bytes that a taker reads
+	mostLearned     = 512 << 10 // 202 bytes a host where ids have 64, and sessions that can be resumed
 	heldTime        = time.Second
 )
 
--- a/internal/operate/handover/handover.go
+++ b/internal/operate/handover/handover.go
@@ -25,7 +25,7 @@
 
 const (
 	version    = 1
-	mostLine   = 1 << 20 // of what is lent: a list of thousands of hosts
+	mostLine   = 1 << 20 // of what is lent: a list of thousands of hosts; no more may wait to be written on a connection
 	mostLater  = 4 << 10 // of a line that follows
 	mostRights = 16
 	helloTime  = time.Second
@@ -397,6 +397,9 @@
 		if len(what.Learned) <= mostLearned {
 			m.Learned = what.Learned
 		}
+		if len(m.bytes()) > mostLine { // the list is worth more than what was learned of it
+			m.Learned = nil
+		}
 	}
 	var rights []int
 	for name, fd := range what.Sockets {
--- a/internal/operate/handover/handover_test.go
+++ b/internal/operate/handover/handover_test.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -116,6 +117,35 @@
 	}
 }
 
+// TestManyHostsAreLent lends a list of 1,100 hosts with ids as long as they get, and as much as may have been learned of them: both
+// come whole. Where both are too much, the list comes.
+func TestManyHostsAreLent(t *testing.T) {
+	for _, c := range []struct{ hosts, learned, want int }{{1100, mostLearned, mostLearned}, {2500, mostLearned, 0}} {
+		path := Path(t.TempDir(), "127.0.0.1:3000")
+		var list cluster.List
+		for i := range c.hosts {
+			one, err := cluster.Parse(fmt.Appendf(nil, `{"servers":[{"id":"%064d","addr":"127.0.0.1:20000","zone":"zone-1","kind":"m2","cell":3,"state":"SERVING","weight":1.5}]}`, i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			list.Servers = append(list.Servers, one.Servers...)
+		}
+		l, on := run(t)
+		on(func() {
+			Open(Options{Loop: l, Path: path, Changed: func() {}, Lend: func() Lent {
+				return Lent{Datagrams: -1, Discovery: "d", List: list, Room: 100, Learned: make([]byte, c.learned)}
+			}}, nil)
+		})
+		lent, err := Ask(path, time.Now().Add(20*time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(lent.List.Servers) != c.hosts || len(lent.Learned) != c.want {
+			t.Errorf("%d hosts and %d bytes learned came of %d and %d", len(lent.List.Servers), len(lent.Learned), c.hosts, c.learned)
+		}
+	}
+}
+
 // TestStrangers has the place taken by whatever may stand there: each is a start like any other, in time.
 func TestStrangers(t *testing.T) {
 	serve := func(say string, end bool) string {
