Discovery: a call that is silent again is followed by a pause

Cause: since a call after a given-up one has 2.5 s, a service that is behind with its calls by more than that would be asked again at once, over and over, by each node: Watch.silent knows no pause. Ruled out: a longer time for the answer, which would not fit into the 6 s with the pause. Change: the first silence is followed by a new call at once, as before; one after it by the pause of a failed call. The module hears of no failure, as before.

--- a/internal/platform/cluster/cluster.go
+++ b/internal/platform/cluster/cluster.go
@@ -332,7 +332,7 @@
 }
 
 // silent ends a call that got no answer in time. A watch is opened anew at once: silence is a broken connection, and says
-// nothing of a service that would be spared by a pause.
+// nothing of a service that would be spared by a pause. One that is silent again may be.
 func (w *Watch) silent() {
 	w.stop = nil
 	if !w.waits && !w.way.Pushed {
@@ -340,11 +340,25 @@
 		return
 	}
 	zap.L().Warn("discovery_watch_silent", zap.String("address", w.addr))
+	again := w.lost
 	w.lost = true
 	w.close()
+	if again && !w.way.Pushed { // guards a service that is behind: who has given up must not ask it all the more
+		w.calling = false
+		w.askAfterPause()
+		return
+	}
 	w.ask()
 }
 
+func (w *Watch) askAfterPause() {
+	w.fails++
+	w.stop = w.loop.At(w.loop.Now().Add(w.pauseAfterFailure()), func() {
+		w.stop = nil
+		w.ask()
+	})
+}
+
 // unreadable ends a call whose answer can't be read. What was written counts as told, so it is asked for again at once; one
 // that is spoilt again is a failed call.
 func (w *Watch) unreadable(why string) {
@@ -369,11 +383,7 @@
 	}
 	w.cancelTimer()
 	w.calling, w.lost, w.spoilt = false, true, false
-	w.fails++
-	w.stop = w.loop.At(w.loop.Now().Add(w.pauseAfterFailure()), func() {
-		w.stop = nil
-		w.ask()
-	})
+	w.askAfterPause()
 	if !w.way.Pushed {
 		w.news(choice.ListLost, nil)
 	}
--- a/internal/platform/cluster/outage_test.go
+++ b/internal/platform/cluster/outage_test.go
@@ -190,6 +190,24 @@
 	}
 }
 
+// TestSilentAgain guards a service that is behind with its calls: who gave up a call after another asks again after a pause only.
+func TestSilentAgain(t *testing.T) {
+	var version atomic.Int64
+	d := listen(t, &version)
+	d.silent.Store(true)
+	p := usual
+	p.wait, p.spread, p.answer = 20*time.Millisecond, time.Millisecond, 20*time.Millisecond
+	p.lostWait, p.lostAnswer = p.wait, p.answer
+	follow(t, d.addr, &List{Version: 7}, Way{}, p)
+	next(t, d.calls)
+	next(t, d.calls)
+	second := time.Now()
+	next(t, d.calls)
+	if after := time.Since(second); after < p.firstPause/2 {
+		t.Errorf("asked again after %v", after)
+	}
+}
+
 // TestPausesFitTheTerm holds a call that was begun too early, the longest pause and the call after it to what counts as told.
 func TestPausesFitTheTerm(t *testing.T) {
 	const spare = time.Second // for the call that brings the news
