--- a/choice/message.go
+++ b/choice/message.go
@@ -21,8 +21,8 @@
 	questionBytes  = 9
 	answerBytes    = 5
 	latest         = 1000 // ms that a question may take: what is older says nothing of now
-	mostSeen       = 256  // questions remembered, to tell repeats
-	mostWaiting    = 64   // questions that wait for one server's report
+	mostSeen       = 2048 // questions remembered, to tell repeats
+	mostWaiting    = 1024 // questions that wait for one server's report
 	mostGroups     = 256  // groups remembered of one server
 )
 
