Throttle lets in 1.1 for each connection that lasts; groups stay near their first servers

Cause: on large fleets of hosts that report nothing 1.3 let storms go on, and placements went up to eight samples down a group's order, where each host pays for the group anew.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,6 +31,7 @@
 	holdShare    = 5    // a request waits aim/holdShare for its probes
 	crowded      = 0.85 // predicted load from which on more servers are sampled, and in the end none used
 	maxRounds    = 8    // samples for one placement at most
+	blindRounds  = 3    // the same where loads are inferred: each server further off pays for a group anew
 	moveChance   = 0.4  // of asking whether to move, for each note that messages miss their aim
 	coldSafety   = 0.5  // part of the cold budget used: what all nodes may hold at once is all of it then
 	avgKeep      = 0.97 // of the average, at each report
@@ -108,7 +109,7 @@
 	b.keeps = b.set.Limits.MayTell && b.set.Limits.MayProbe && b.set.Reports != NoReports &&
 		first*float64(len(b.silent)) > 1 && b.plan == nil &&
 		b.set.Tariffs.Peer*(questionBytes+answerBytes)/256 <= b.set.Tariffs.Probe
-	b.bases, b.coldRates = 0, 0
+	b.bases, b.coldBudgets = 0, 0
 	for _, s := range b.servers {
 		k := costPrior * b.unit * float64(b.set.Nodes)
 		n := max(1, s.kind.n/max(s.kind.servers, 1)) // reports of one server that were summed
@@ -127,7 +128,7 @@
 		if s.State == Ready {
 			b.bases += s.base
 			if b.warm(s) < 1 {
-				b.coldRates += b.coldRate(s)
+				b.coldBudgets += b.coldBudget(s)
 			}
 		}
 		sum += s.cost * s.told
@@ -197,7 +198,7 @@
 		if b.predict(s)+s.cost*load > b.spillAt() {
 			return floorShare
 		}
-		return b.registered(s) * b.warm(s) // by what all know: learned sizes differ, nodes must choose alike
+		return b.registered(s) // learned sizes differ, and nodes must choose alike: by what all know
 	}
 	diff := kP*relative(b.predict(s)+s.cost*load, avg) + s.trim
 	w := s.base * b.warm(s) * clamp(1-gain*diff, floorShare, topShare)
@@ -230,7 +231,7 @@
 	s.credit, s.creditAt = b.accrue(s.credit, s.creditAt, coldSafety*b.coldRate(s)), b.now
 	// A group wants few servers, and leave for one of them lapses before its next request comes: some more is
 	// given for all cold servers together.
-	b.coldLeave, b.coldLeaveAt = b.accrue(b.coldLeave, b.coldLeaveAt, coldCommon*b.coldRates), b.now
+	b.coldLeave, b.coldLeaveAt = b.accrue(b.coldLeave, b.coldLeaveAt, coldCommon*b.coldBudgets), b.now
 	return s.credit >= 1 || r.bind != 0 && b.coldLeave >= 1
 }
 
@@ -583,7 +584,7 @@
 	if r.bind != 0 {
 		limit = b.spillAt()
 	}
-	if low > limit && r.rounds < maxRounds {
+	if low > limit && r.rounds < b.mostRounds() {
 		b.place(r)
 		return
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -92,7 +92,7 @@
 	gate         float64 // part of all requests let through
 	unit         float64 // mean told load of a connection; 1 where none is told
 	hints        int
-	coldRates    float64 // what all cold servers bear of this node, in mean connections a second
+	coldBudgets  float64 // what all cold servers bear of this node, in mean connections a second
 	coldLeave    float64 // leave to send to any cold server
 	coldLeaveAt  time.Duration
 	toldLoad     meanLoad   // of all connections that told their load
@@ -467,3 +467,11 @@
 	}
 	return leave
 }
+
+// mostRounds is how many samples a placement may take.
+func (b *Balancer) mostRounds() int {
+	if b.set.Reports == NoReports {
+		return blindRounds
+	}
+	return maxRounds
+}
--- a/choice/throttle.go
+++ b/choice/throttle.go
@@ -13,8 +13,8 @@
 
 const (
 	throttleMemory   = 10 * time.Second
-	throttleMultiple = 1.3 // requests let in for each one that lasts
-	throttleFree     = 1.5 // dropped connections that turn nobody away yet: one may break for other reasons
+	throttleMultiple = 1.1 // requests let in for each one that lasts
+	throttleFree     = 1.0 // dropped connections that turn nobody away yet: one may break for other reasons
 )
 
 // add counts requests, and connections that came to stand; a negative count takes back one that did not last.
