Module: a group's first guess is a whole share of a host where loads are inferred

Cause: where hosts report nothing a group that is put on too few of them shows only once they shed; on a node that has just started every group was sent to one host.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -364,9 +364,10 @@
 // once; but one large group must not fill server after server while others idle.
 func (b *Balancer) spread(r *request) int {
 	// What this node holds is a sample of the group: one connection at one of many nodes tells little of its
-	// size, and nodes that guess differently scatter it. The first guess is half of groupShare.
+	// size, and nodes that guess differently scatter it. The first guess is half of groupShare, or all of it
+	// where too few servers would show only once they shed.
 	cost := max(b.meanCost(), 1e-9) * b.unit
-	size := (b.groups[r.bind]/b.unit + 1) / (1/float64(b.set.Nodes) + 2*cost/groupShare)
+	size := (b.groups[r.bind]/b.unit + 1) / (1/float64(b.set.Nodes) + cost/b.firstGroup())
 	return int(clamp(math.Ceil(size*cost/groupShare), 1, float64(len(b.servers))))
 }
 
--- a/choice/estimate.go
+++ b/choice/estimate.go
@@ -153,6 +153,14 @@
 	return count
 }
 
+// firstGroup is the load that a group is taken for before anything of it is seen.
+func (b *Balancer) firstGroup() float64 {
+	if b.set.Reports == NoReports {
+		return groupShare
+	}
+	return groupShare / 2
+}
+
 // estimate is the load of a server as this node's own connections there suggest it. They are a sample of the fleet's: few tell
 // little, so the estimate leans on the average (the mean of a Gamma prior after a Poisson count).
 func (b *Balancer) estimate(s *server) float64 {
