--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	patrolAfter  = 3 * time.Second        // without a report of a server with own connections
 	muteAfter    = 150 * time.Millisecond // a keeper's answer, with a probe of its own before it
 	maxMuted     = 2                      // lost questions until a request is placed without keepers
-	coldCommon   = 0.25                   // part of all cold servers' budgets that may go to any
+	coldCommon   = 0.15                   // part of all cold servers' budgets that may go to any
 	coldKept     = 0.7                    // part of the cold budget that a keeper spends steadily
 	returnSpread = 3                      // more servers of its group, for a client that one sent away
 	groupMemory  = 40 * time.Second       // about as long as a connection lives: then its group may be gone
