--- a/choice/estimate.go
+++ b/choice/estimate.go
@@ -54,10 +54,11 @@
 	m.mean += (load - m.mean) / m.samples
 }
 
-// learnTold takes a told load as a sample of its class. Where requests bring no hint, told loads alone give the unit in which
-// connections are counted: without this, a connection counts 1 until it tells its load and a small part of that afterwards.
+// learnTold takes a told load as a sample of its class. Where nothing reports and requests bring no hint, told loads alone give
+// the unit in which connections are counted: without this, a connection counts 1 until it tells its load and a small part of
+// that afterwards. Where servers report, costs and what keepers lend are learned with the unit as it is.
 func (b *Balancer) learnTold(class int, load float64) {
-	if b.hints > 0 || class < 0 || !(load > 0) || !finite(load) {
+	if b.set.Reports != NoReports || b.hints > 0 || class < 0 || !(load > 0) || !finite(load) {
 		return
 	}
 	if b.toldLoad.samples == 0 {
--- a/choice/estimate_test.go
+++ b/choice/estimate_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// Where servers report, told loads leave the unit alone: costs, and what keepers lend, are learned in it.
+func TestToldLoadsLeaveTheUnitWhereServersReport(t *testing.T) {
+	set := silentSettings(3)
+	set.Reports, set.Fields = ProbeReports, []Field{Utilization, Load}
+	b, err := New(set, 1, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.learnTold(0, 0.02)
+	if b.unit != 1 || b.guessLoad(0) != 1 {
+		t.Errorf("a connection counts %.3f, a new one %.3f", b.unit, b.guessLoad(0))
+	}
+}
+
 // Slow messages have to raise a host's predicted load where nothing reports it, and connections to leave it.
 func TestSlowMessagesCountWhereNothingReports(t *testing.T) {
 	b, now := silentNode(t, 3, 8)
