Module: common leave for cold hosts has a seeded phase; class tables stay bounded

Cause, found reading the change again: leave that groups use for all cold hosts was reckoned from a clock of zero, so nodes with one rate got it in the same moment; and a told load of a handed-over connection made a table as long as its class index, whatever that was. Ruled out: a draw of the generator (it would shift every other draw). Change: the phase comes from a hash of the seed; classes beyond the settings count in the common mean alone. Both tests seen red without it (20 nodes in 1 of ten phases; 1,048,577 classes kept).

--- a/choice/estimate.go
+++ b/choice/estimate.go
@@ -66,6 +66,9 @@
 	}
 	b.toldLoad.add(load)
 	b.unit = b.toldLoad.mean
+	if class >= len(b.set.Classes) { // of a connection that another process had under other settings
+		return
+	}
 	for len(b.classLoads) <= class {
 		b.classLoads = append(b.classLoads, meanLoad{})
 	}
--- /dev/null
+++ b/choice/phase_test.go
@@ -0,0 +1,38 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+// Nodes that start together must not all get their leave for cold hosts in the same moment.
+func TestCommonLeaveHasASeededPhase(t *testing.T) {
+	const nodes = 20
+	seen := map[int]bool{}
+	for seed := range uint64(nodes) {
+		b, err := New(silentSettings(nodes), seed, time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Step(time.Hour, []Event{ServerList{Kind: ListWhole, Servers: []Server{
+			{ID: "cold", Size: 2, Started: time.Hour}, {ID: "warm", Size: 2}}}})
+		b.coldCredit(&request{bind: 1}, b.find("cold"))
+		if b.coldLeave < 0 || b.coldLeave >= 1 {
+			t.Fatalf("seed %d starts with leave of %.3f", seed, b.coldLeave)
+		}
+		seen[int(b.coldLeave*10)] = true
+	}
+	if len(seen) < 5 {
+		t.Errorf("%d nodes start in %d of ten phases", nodes, len(seen))
+	}
+}
+
+// A connection that comes with a class of other settings must not make a table of its own size.
+func TestToldLoadsOfUnknownClasses(t *testing.T) {
+	b, now := silentNode(t, 3, 4)
+	class := b.set.Classes[0]
+	b.Step(now, []Event{OpenConnection{Request: Request{ID: "x", Class: 1 << 20, Tenant: -1}, Server: "h0", Was: &class, Now: 0.05}})
+	if len(b.classLoads) > len(b.set.Classes) {
+		t.Errorf("%d classes are kept, the settings have %d", len(b.classLoads), len(b.set.Classes))
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -134,6 +134,7 @@
 		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{},
 		inClass: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
 	b.asked, b.meanWorth = map[uint16]asked{}, s.Classes[0].Worth
+	b.coldLeave, b.coldLeaveAt = chanceOf(seed), now // nodes that start together get theirs at other times
 	b.adapt(s)
 	return b, nil
 }
