Guard for starting, sending, repeating, closing; reasons of each close, retry, refusal

Cause: no path's promise was checked outside the path itself, and neither logs nor figures told why a connection was closed, an attempt repeated or a request turned away, nor under which id. Change: internal/invariant is asked by the core and the platform's front at each of the four moments; a step that would break a rule is not taken, is counted and logged (invariant_broken). internal/trace logs each change of a request's state with its id at level debug, unsampled, and counts reasons; GET /api/reasons and request_totals at the stop tell both. The module says why it ends a request (choice.Reason). Slow start moves to a file of its own. Tests: each rule by the shortest history that breaks it; the core with decisions that no module should make. settings_test compares the reason as well now, which is stricter. XMPP closes are counted, not guarded. Ruled out: more lines in /api/telemetry, whose form operators read.

--- a/choice/api.go
+++ b/choice/api.go
@@ -318,6 +318,33 @@
 // NeverRan reports whether the outcome proves that the attempt had no effect.
 func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
 
+var outcomeNames = [...]string{"served", "failed", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+
+// String is the outcome's name in logs and figures.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Reason is why the module ends a request without a connection.
+type Reason uint8
+
+const (
+	Unspecified     Reason = iota
+	UnknownClass           // no such class in the settings
+	Overloaded             // the fleet is full as a whole, or the plan lets in only a part of the class
+	NoServer               // no server may take it
+	ServersCrowded         // those that may are full
+	AttemptsUsed           // the last attempt that the settings allow has failed
+	TimeShort              // too little time is left for another attempt
+	MayHaveRun             // an attempt may have run, and must not run twice
+	DeadlineReached        // its time is up
+	Withdrawn              // the node can't wait any longer
+)
+
+var reasonNames = [...]string{"unspecified", "unknown_class", "overloaded", "no_server", "servers_crowded", "attempts_used", "time_short",
+	"may_have_run", "deadline_reached", "withdrawn"}
+
+// String is the reason's name in logs and figures.
+func (r Reason) String() string { return reasonNames[r] }
+
 // Action is what the module asks the node to do: one of the types below.
 type Action interface{ action() }
 
@@ -332,11 +359,15 @@
 	}
 	// Refuse ends a request: trying again does no harm. After is advice; 0 gives none.
 	Refuse struct {
-		ID    RequestID
-		After time.Duration
+		ID     RequestID
+		After  time.Duration
+		Reason Reason
 	}
 	// Fail ends a request and promises nothing.
-	Fail struct{ ID RequestID }
+	Fail struct {
+		ID     RequestID
+		Reason Reason
+	}
 	// Cancel calls an attempt off.
 	Cancel struct {
 		ID      RequestID
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -211,42 +211,6 @@
 // spillAt is the predicted load up to which a group stays on its server.
 func (b *Balancer) spillAt() float64 { return clamp(b.avg+spill, 0.5, crowded) }
 
-// warm is the part of its capacity that a server is sure to have.
-func (b *Balancer) warm(s *server) float64 {
-	age := b.now - s.Started
-	if s.Started <= 0 || age >= b.set.Rules.WarmUp {
-		return 1
-	}
-	cold := b.set.Rules.ColdShare
-	return cold + (1-cold)*max(0, age.Seconds()/b.set.Rules.WarmUp.Seconds())
-}
-
-// coldCredit guards a cold server: this node's part of what all may send it, as leave for one mean
-// connection now and then, at a seeded phase. Leave that is not used lapses: saved up at many nodes, it
-// would come all at once.
-func (b *Balancer) coldCredit(r *request, s *server) bool {
-	if b.warm(s) == 1 {
-		return true
-	}
-	s.credit, s.creditAt = b.accrue(s.credit, s.creditAt, coldSafety*b.coldRate(s)), b.now
-	// A group wants few servers, and leave for one of them lapses before its next request comes: some more is
-	// given for all cold servers together.
-	b.coldLeave, b.coldLeaveAt = b.accrue(b.coldLeave, b.coldLeaveAt, coldCommon*b.coldBudgets), b.now
-	return s.credit >= 1 || r.bind != 0 && b.coldLeave >= 1
-}
-
-// keptCredit is the same for a server's keeper, which spends the budget for all, as leave for one at a time.
-func (b *Balancer) keptCredit(s *server) bool {
-	if b.warm(s) == 1 {
-		return true
-	}
-	rate := coldKept * float64(b.all) * b.coldBudget(s)
-	s.credit, s.creditAt = s.credit+rate*(b.now-s.creditAt).Seconds(), b.now
-	// What comes in one FallTime stays under the budget, but for the first connection.
-	s.credit = min(s.credit, max(1, (1/coldKept-1)*rate*b.set.Rules.FallTime.Seconds()))
-	return s.credit >= 1
-}
-
 // strike ejects a server that failed this node, longer each time; a probe or request is then its trial.
 func (b *Balancer) strike(s *server) {
 	s.badUntil = b.now + firstEject<<min(s.strikes, 3)
@@ -312,7 +276,7 @@
 		return
 	}
 	if q.Class < 0 || q.Class >= len(b.set.Classes) {
-		b.out = append(b.out, Fail{q.ID})
+		b.out = append(b.out, Fail{q.ID, UnknownClass})
 		return
 	}
 	r := &request{Request: q, load: b.loadOf(q), bind: b.bindOf(q), deadline: b.now + q.Left,
@@ -323,7 +287,7 @@
 			b.probe(s)
 		}
 		b.throttle.add(b.now, 1, 0)
-		b.answer(r)
+		b.answer(r, Overloaded)
 		return
 	}
 	b.out = append(b.out, SetTimer{"end " + string(q.ID), max(0, q.Left-2*b.set.Round)})
@@ -495,7 +459,7 @@
 		return -math.Log(b.chance(r, s)) / b.weight(r, s, r.load, b.avg)
 	})
 	if len(next) == 0 || len(r.picks) >= maxRounds {
-		b.answer(r)
+		b.answer(r, NoServer)
 		return
 	}
 	r.picks = append(r.picks, next...)
@@ -590,7 +554,11 @@
 		return
 	}
 	if low > crowded { // admission: set-ups are work too, servers that shed make them come again
-		b.answer(r)
+		why := ServersCrowded
+		if len(picks) == 0 {
+			why = NoServer
+		}
+		b.answer(r, why)
 		return
 	}
 	best := lowest(picks, 1, func(s *server) float64 {
@@ -606,7 +574,7 @@
 		limit = min(limit, max(aim, left/2)) // leave time for another server
 	}
 	if limit <= 0 {
-		b.answer(r)
+		b.answer(r, TimeShort)
 		return
 	}
 	r.attempts++
@@ -653,16 +621,22 @@
 		r.may, r.mayBy = s, r.class.forgets(r.sentAt)-2*b.set.Round
 	}
 	r.tried = append(r.tried, s)
-	if r.attempts >= r.most || r.deadline-b.now <= 4*b.set.Round ||
-		r.may != nil && r.class.Repeat == Unsafe {
-		b.answer(r)
+	switch {
+	case r.may != nil && r.class.Repeat == Unsafe:
+		b.answer(r, MayHaveRun)
+		return
+	case r.attempts >= r.most:
+		b.answer(r, AttemptsUsed)
+		return
+	case r.deadline-b.now <= 4*b.set.Round:
+		b.answer(r, TimeShort)
 		return
 	}
 	b.place(r)
 }
 
 // answer ends a request without a connection: refused where trying again is harmless, else failed.
-func (b *Balancer) answer(r *request) {
+func (b *Balancer) answer(r *request, why Reason) {
 	c := r.class
 	b.refused = append(b.refused, r.Class)
 	if r.on == nil && r.may == nil || c.Repeat == Safe || c.Repeat == Keyed && c.Scope == ScopeAll {
@@ -673,9 +647,9 @@
 		if b.plan != nil && r.attempts == 0 { // by then it may be another plan; spread, against waves
 			after = time.Duration((0.5 + b.rng.Float64()) * float64(b.plan.ComeAgain))
 		}
-		b.out = append(b.out, Refuse{r.ID, after})
+		b.out = append(b.out, Refuse{r.ID, after, why})
 	} else {
-		b.out = append(b.out, Fail{r.ID})
+		b.out = append(b.out, Fail{r.ID, why})
 	}
 	if r.on != nil && b.set.Limits.MayCancel {
 		b.out = append(b.out, Cancel{r.ID, r.attempts - 1})
--- a/choice/estimate.go
+++ b/choice/estimate.go
@@ -118,24 +118,6 @@
 	return b.first
 }
 
-// coldBudget is what a cold server bears from each node, in mean connections a second: the rule counts by what fills it
-// over its warm-up, since in a storm of retries the usual traffic says nothing of what a server can do. A node with more
-// than its part of the traffic learns a cost too low, so the first guess is the least.
-func (b *Balancer) coldBudget(s *server) float64 {
-	rules := b.set.Rules
-	cost := s.cost * b.unit
-	if b.keeps || b.set.Reports == NoReports {
-		cost = max(cost, b.firstCost()/b.registered(s))
-	}
-	return rules.FallMultiple * b.warm(s) / (cost * rules.WarmUp.Seconds() * float64(b.all))
-}
-
-// coldRate is what this node may send to a cold server: its budget, and no more than a multiple of what an even spread of the
-// usual traffic would bring, while costs are still a guess.
-func (b *Balancer) coldRate(s *server) float64 {
-	return min(b.set.Rules.FallMultiple*b.warm(s)*b.usualRate(s)/max(b.avg, 0.5), b.coldBudget(s))
-}
-
 // usualRate is what an even spread of this node's usual traffic brings to a server, in mean connections a second.
 func (b *Balancer) usualRate(s *server) float64 {
 	return max(b.recent/rateMemory.Seconds()*s.base/max(b.bases, s.base), 1e-9)
--- a/choice/settings_test.go
+++ b/choice/settings_test.go
@@ -46,13 +46,13 @@
 	next.Classes = []Class{{Name: "a", SetupAim: time.Second, Deadline: 10 * time.Second, Repeat: Unsafe}, {Name: "b", SetupAim: time.Second, Deadline: 10 * time.Second}}
 	next.Tenants, next.Limits.Attempts = []Tenant{{Name: "t"}, {Name: "u", Connections: 9}}, 2
 	none := func() []Event { return nil }
-	if n, a := sends("1", 0, func() []Event { return []Event{NewSettings{next}} }); n != 3 || a != (Refuse{ID: "1"}) {
+	if n, a := sends("1", 0, func() []Event { return []Event{NewSettings{next}} }); n != 3 || a != (Refuse{ID: "1", Reason: AttemptsUsed}) {
 		t.Errorf("the request under way: %d attempts, %+v", n, a)
 	}
-	if n, a := sends("2", 0, none); n != 1 || a != (Fail{"2"}) {
+	if n, a := sends("2", 0, none); n != 1 || a != (Fail{"2", MayHaveRun}) {
 		t.Errorf("one that must not run twice: %d attempts, %+v", n, a)
 	}
-	if n, a := sends("3", 1, none); n != 2 || a != (Refuse{ID: "3"}) {
+	if n, a := sends("3", 1, none); n != 2 || a != (Refuse{ID: "3", Reason: AttemptsUsed}) {
 		t.Errorf("a new class: %d attempts, %+v", n, a)
 	}
 	// Settings without a class are none.
--- a/choice/step.go
+++ b/choice/step.go
@@ -55,7 +55,7 @@
 			b.forget(b.reqs[e.ID])
 		case TimeUp:
 			if r := b.reqs[e.ID]; r != nil && !r.open {
-				b.answer(r)
+				b.answer(r, Withdrawn)
 			}
 		case TimerFired:
 			b.fired(e.Token)
@@ -91,6 +91,6 @@
 	case kind == "hold" && r != nil && r.waiting > 0:
 		b.dispatch(r)
 	case kind == "end" && r != nil && !r.open: // own the deadline: an answer while the client still waits
-		b.answer(r)
+		b.answer(r, DeadlineReached)
 	}
 }
--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"spurwinch/choice"
+	"spurwinch/internal/invariant"
 )
 
 // Connections that another process of this node takes over: the client and the host notice nothing.
@@ -126,6 +127,7 @@
 		a.host = &host{UpstreamHost: UpstreamHost{Server: s.Host, Addr: s.Addr}}
 	}
 	a.Host = a.host.UpstreamHost
+	r.guard = c.o.Monitor.Adopted(invariant.Facts{ID: string(s.ID), Class: s.Class})
 	a.host.held++
 	r.attempt = a
 	if c.requests[s.ID] != nil { // an id that is open here: the module knows the first only, and this one goes
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"spurwinch/choice"
+	"spurwinch/internal/invariant"
+	"spurwinch/internal/trace"
 
 	"go.uber.org/zap"
 )
@@ -98,6 +100,7 @@
 	Refused bool          // trying again does no harm; else the request failed
 	After   time.Duration // advice for when to come again; 0: none
 	Why     Why
+	Reason  trace.Reason // for logs and figures
 }
 
 // Why tells a front the reason of a local reply, for protocols that name it.
@@ -147,6 +150,10 @@
 	Observer Observer
 	// Figures are the process's, counted here for all fronts; nil: nobody asks for them.
 	Figures Figures
+	// Monitor checks each step against the node's promises; nil: the core has one of its own.
+	Monitor *invariant.Monitor
+	// Trace hears what becomes of requests; nil: the core has one of its own.
+	Trace *trace.Recorder
 }
 
 const (
@@ -183,7 +190,9 @@
 	network time.Duration // least time seen to connect: what a message takes on the way
 	noted   time.Time     // when the module was last told of slow messages here
 	slow    bool
-	held    int // attempts and connections there now
+	held    int                   // attempts and connections there now
+	leaving time.Time             // since when it is known to drain or to be gone; zero: it serves
+	calls   *invariant.CallWindow // what this node sent it since its start
 }
 
 // New makes the core of one cluster. Its balancer acts first on the first Flush.
@@ -198,6 +207,12 @@
 	if c.o.Figures == nil {
 		c.o.Figures = uncounted{}
 	}
+	if c.o.Monitor == nil {
+		c.o.Monitor = &invariant.Monitor{}
+	}
+	if c.o.Trace == nil {
+		c.o.Trace = &trace.Recorder{}
+	}
 	c.adapt()
 	return c, nil
 }
@@ -263,7 +278,7 @@
 		}
 	case choice.Refuse:
 		if r := c.requests[a.ID]; r != nil {
-			l := LocalReply{Refused: true, After: a.After}
+			l := LocalReply{Refused: true, After: a.After, Reason: trace.Reason(a.Reason.String())}
 			if r.committed {
 				l.Why = Late
 			}
@@ -271,7 +286,7 @@
 		}
 	case choice.Fail:
 		if r := c.requests[a.ID]; r != nil {
-			r.conclude(LocalReply{})
+			r.conclude(LocalReply{Reason: trace.Reason(a.Reason.String())})
 		}
 	case choice.Cancel:
 		if r := c.requests[a.ID]; r != nil && r.attempt != nil && r.attempt.Number == a.Attempt && !r.open {
@@ -328,11 +343,13 @@
 		if k := c.hosts[h.ID]; c.o.Observer != nil && (k == nil || k.State != h.State || k.Started != h.Started) {
 			c.o.Observer.Host(h)
 		}
-		if k := c.hosts[h.ID]; k == nil {
-			c.hosts[h.ID] = &host{UpstreamHost: h}
+		k := c.hosts[h.ID]
+		if k == nil {
+			k = &host{UpstreamHost: h}
+			c.hosts[h.ID] = k
 		} else {
 			if k.Started != h.Started {
-				k.slow, k.network = false, 0
+				k.slow, k.network, k.calls = false, 0, nil
 			}
 			left := k.State == choice.Ready && h.State != choice.Ready
 			k.UpstreamHost = h
@@ -340,6 +357,7 @@
 				leaving = append(leaving, k)
 			}
 		}
+		k.noteState(c.o.Clock.Now())
 	}
 	if kind == choice.ListWhole { // a host that a whole list doesn't name is gone
 		named := map[choice.ServerID]bool{}
@@ -350,6 +368,7 @@
 			if !named[id] && h.State != choice.Gone {
 				ready := h.State == choice.Ready
 				h.State = choice.Gone
+				h.noteState(c.o.Clock.Now())
 				if c.o.Observer != nil {
 					c.o.Observer.Host(h.UpstreamHost)
 				}
@@ -417,6 +436,9 @@
 	parting  *LocalReply // the core has the module answer it: with whatever it answers, this goes along
 
 	committed bool // bytes of a host have reached the client: no other host can take over
+	guard     *invariant.Request
+
+	retryAfter string // the outcome of the last attempt; empty: there was none
 
 	// For the observer.
 	seq      uint64
@@ -456,10 +478,11 @@
 
 // Refuse refuses a request that the node has no room to take: the client hears of it like Open's.
 func (c *Core) Refuse(s Spec, client Client, after time.Duration) {
-	r := &Request{Spec: s, core: c, client: client, arrived: c.o.Clock.Now()}
+	r := &Request{Spec: s, core: c, client: client, arrived: c.o.Clock.Now(), class: c.o.Settings.Classes[s.Class]}
 	c.seq++
 	r.seq = c.seq
-	r.answer(LocalReply{Refused: true, After: after})
+	r.watch()
+	r.answer(LocalReply{Refused: true, After: after, Reason: trace.NoDescriptor})
 }
 
 // Gauges tells what the core holds now.
@@ -477,10 +500,11 @@
 func (c *Core) Open(s Spec, client Client) *Request {
 	c.seq++
 	r := &Request{Spec: s, core: c, client: client, seq: c.seq, arrived: c.o.Clock.Now(), class: c.o.Settings.Classes[s.Class]}
+	r.watch()
 	switch {
 	case c.requests[s.ID] != nil:
 		// Guards against two requests under one id, of which the module would know only the first.
-		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(LocalReply{}) })
+		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(LocalReply{Reason: trace.IDInUse}) })
 		return r
 	case c.draining:
 		c.requests[s.ID] = r
@@ -489,11 +513,12 @@
 	}
 	if after, ok := c.takes(r); !ok {
 		c.requests[s.ID] = r
-		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(LocalReply{Refused: true, After: after}) })
+		c.o.Clock.At(c.o.Clock.Now(), func() { r.answer(LocalReply{Refused: true, After: after, Reason: trace.NoPolicy}) })
 		return r
 	}
 	s = r.Spec
 	c.requests[s.ID] = r
+	c.o.Trace.Read(string(s.ID), r.class.Name, s.Deadline.Sub(r.arrived))
 	// The module owns the deadline; this guards against a request that it has lost.
 	r.stop = c.o.Clock.At(s.Deadline, r.expired)
 	if s.At != "" {
@@ -514,11 +539,11 @@
 		return
 	}
 	zap.L().Error("deadline_unanswered", zap.String("request", string(r.ID)))
-	r.refuse(LocalReply{Refused: true})
+	r.refuse(LocalReply{Refused: true, Reason: trace.PastDeadline})
 	r.core.o.Clock.At(r.core.o.Clock.Now(), func() {
 		if !r.over && !r.open { // the module doesn't know it: what was sent may have run
 			r.core.tell(choice.ClientGone{ID: r.ID})
-			r.cut(LocalReply{Refused: r.attempts == 0})
+			r.cut(LocalReply{Refused: r.attempts == 0, Reason: trace.LostByModule})
 		}
 	})
 }
@@ -569,7 +594,8 @@
 	}
 	r.attempts++
 	r.attempt = a
-	h := r.core.hosts[id]
+	c := r.core
+	h := c.hosts[id]
 	if h == nil {
 		a.host = &host{UpstreamHost: UpstreamHost{Server: choice.Server{ID: id}}, held: 1}
 		a.Ended(choice.ConnectFailed, nil)
@@ -577,7 +603,15 @@
 	}
 	a.host, a.Host = h, h.UpstreamHost
 	h.held++
-	a.stop = r.core.o.Clock.At(until, func() { a.giveUp(choice.TimedOut) })
+	if a.guarded = r.guard.Start(c.facts(h), a.started) == invariant.Kept; !a.guarded {
+		a.Ended(choice.Moot, nil)
+		return
+	}
+	if r.retryAfter != "" {
+		c.o.Trace.Retried(string(r.ID), r.retryAfter)
+	}
+	c.o.Trace.Started(string(r.ID), a.Number, string(h.ID))
+	a.stop = c.o.Clock.At(until, func() { a.giveUp(choice.TimedOut) })
 	if u := r.client.Attempt(a); !a.ended {
 		a.upstream = u
 	}
@@ -589,6 +623,10 @@
 		return
 	}
 	r.over = true
+	if r.guard.Answer(l.Refused, r.core.o.Clock.Now()) == invariant.UnsafeRefusal {
+		l.Refused, l.After, l.Reason = false, 0, trace.UnsafeToRefuse
+	}
+	r.core.o.Trace.Answered(string(r.ID), l.Refused, l.Reason)
 	if l.Refused {
 		r.count().Refused++
 		r.observe(Refused)
@@ -616,7 +654,7 @@
 	if !r.over && !r.open {
 		r.count().Failed++
 	}
-	r.Gone()
+	r.Gone() // for the guard, too: what its front owes a client that broke the protocol it has paid
 }
 
 // Gone says that the client left, before its answer or on an open connection.
@@ -625,6 +663,7 @@
 		return
 	}
 	r.over = true
+	r.guard.Gone()
 	if r.open {
 		r.observeEnd(ByClient)
 	} else {
@@ -699,6 +738,7 @@
 	started  time.Time
 	by       time.Time // its first byte is out before, or it is not sent; zero: whenever
 	begun    bool      // it may be out
+	guarded  bool      // the guard has let it start
 	written  bool
 	ended    bool
 
@@ -732,8 +772,11 @@
 		a.giveUp(choice.TimedOut)
 	case !a.by.IsZero() && !now.Before(a.by):
 		a.giveUp(choice.Cancelled)
+	case a.request.guard.Send(a.request.core.facts(a.host), now) != invariant.Kept:
+		a.giveUp(choice.Cancelled)
 	default:
 		a.begun = true
+		a.request.core.o.Trace.Sent(string(a.request.ID), a.Number, string(a.host.ID))
 		return true
 	}
 	a.request.core.spared++
@@ -763,6 +806,8 @@
 		return
 	}
 	r.open = true
+	r.guard.Served(true, r.core.o.Clock.Now())
+	r.core.o.Trace.Served(string(r.ID), string(a.host.ID))
 	r.count().Served++
 	r.observeTry(a, choice.Served)
 	r.observe(Up)
@@ -803,16 +848,22 @@
 	}
 	a.ended = true
 	a.host.held--
+	if a.guarded {
+		a.request.guard.Ended(a.begun && !o.NeverRan())
+	}
 	if a.stop != nil {
 		a.stop()
 	}
 	r := a.request
-	r.attempt = nil
+	r.attempt, r.retryAfter = nil, o.String()
+	r.core.o.Trace.Ended(string(r.ID), a.Number, string(a.host.ID), o.String(), a.written, r.core.o.Clock.Now().Sub(a.started))
 	final := r.over || r.open || r.committed || o == choice.Served
 	switch r.observeTry(a, o); {
 	case r.open:
 		r.observeEnd(ByHost)
 	case o == choice.Served && !r.over:
+		r.guard.Served(false, r.core.o.Clock.Now())
+		r.core.o.Trace.Served(string(r.ID), string(a.host.ID))
 		r.count().Served++
 		r.observe(Served)
 	}
@@ -825,16 +876,16 @@
 	case r.over || r.open || o == choice.Served:
 		r.over = true
 	case r.committed && o == choice.TimedOut:
-		r.answer(LocalReply{Refused: true, Why: Late})
+		r.answer(LocalReply{Refused: true, Why: Late, Reason: trace.PastDeadline})
 	case r.committed:
-		r.answer(LocalReply{Refused: true, Why: HostLost})
+		r.answer(LocalReply{Refused: true, Why: HostLost, Reason: trace.HostLost})
 	case r.At != "":
 		// The host of a connection open before the run is no choice: only ever this one.
 		now := r.core.o.Clock.Now()
 		if now.Add(retryPinned).Before(r.Deadline) {
 			r.core.o.Clock.At(now.Add(retryPinned), r.sendPinned)
 		} else {
-			r.answer(LocalReply{Refused: true, Why: Unreachable})
+			r.answer(LocalReply{Refused: true, Why: Unreachable, Reason: trace.Unreachable})
 		}
 	}
 	r.settle()
@@ -894,7 +945,7 @@
 }
 
 func (c *Core) leaving() LocalReply {
-	l := LocalReply{Refused: true, Why: ShuttingDown}
+	l := LocalReply{Refused: true, Why: ShuttingDown, Reason: trace.Stopping}
 	if c.o.Settings.Limits.RetryAdvice {
 		l.After = min(leaveAdvice, c.o.Settings.Limits.MaxRetryAdvice)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,10 +15,12 @@
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/failover/agent"
+	"spurwinch/internal/invariant"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/operate/admin"
 	"spurwinch/internal/operate/handover"
 	"spurwinch/internal/operate/stats"
+	"spurwinch/internal/trace"
 	"spurwinch/internal/xmpp"
 )
 
@@ -39,6 +41,8 @@
 	closers   []func()
 	exit      time.Duration
 	figures   stats.Figures
+	monitor   invariant.Monitor
+	trace     trace.Recorder
 	xmpp      *xmpp.Front
 	platform  *platform // nil: there is only an operator's file
 	beside    beside
@@ -57,6 +61,7 @@
 func newProgram(l *loop.Loop) *Program {
 	p := &Program{loop: l, exit: operatorExit, firstList: firstList, named: map[string]*edge.Core{}}
 	p.beside = beside{program: p, listeners: map[string]*loop.Listener{}}
+	p.monitor.Broken = logViolation
 	return p
 }
 
@@ -163,7 +168,7 @@
 }
 
 func (p *Program) openDoor(addr string) (err error) {
-	if _, p.door, err = admin.Listen(p.loop, addr, p.ready, p.telemetry); err == nil {
+	if _, p.door, err = admin.Listen(p.loop, addr, admin.Answers{Ready: p.ready, Telemetry: p.telemetry, Reasons: p.reasons}); err == nil {
 		zap.L().Info("listening", zap.String("protocol", "operators"), zap.Stringer("address", p.door))
 	}
 	return err
@@ -244,6 +249,7 @@
 		left := func() {
 			p.loop.EndIdle() // whoever has not said yet what it wants would be cut off with the process
 			zap.L().Info("left", zap.Stringer("core", core), zap.Int("attempts_spared", core.Spared()))
+			p.logReasons()
 		}
 		if over {
 			core.HandOver(func() {
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		core, err = edge.New(edge.Options{Clock: l, Settings: settings, Observer: observer, Figures: &p.figures, Seed: seed + uint64(i),
+		core, err = edge.New(edge.Options{Clock: l, Settings: settings, Observer: observer, Figures: &p.figures, Monitor: &p.monitor, Trace: &p.trace, Seed: seed + uint64(i),
 			Prober: sessions{func() *edge.Core { return core }, c.Sessions / float64(c.Nodes)},
 			Follow: func() { watch.Follow() }, Leave: time.Duration(c.Leave)})
 		if err != nil {
@@ -76,6 +76,7 @@
 	front := xmpp.New(l, domains, xmpp.Limits{Stanza: o.Limits.StanzaBytes, Early: o.Limits.EarlyBytes,
 		HeaderTime: time.Duration(o.Limits.HeaderTime), ShakeTime: time.Duration(o.Limits.ShakeTime), MostOpen: o.Limits.Connections, Resumable: o.Limits.Resumable}, seed)
 	op.front, p.xmpp = front, front
+	front.Trace = &p.trace
 	front.Guard(o.Guard())
 	if p.platform == nil {
 		p.beside.total = o.Limits.Connections + spareSockets
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -82,7 +82,7 @@
 	var watch *cluster.Watch
 	var others *peers
 	core, err := edge.New(edge.Options{Clock: l, Settings: platformSettings(n, n.Settings.Settings, len(n.Peers) > 0, 1), Seed: n.Seed, Prober: hosts,
-		Follow: func() { watch.Follow() }, Observer: observer, Figures: &p.figures,
+		Follow: func() { watch.Follow() }, Observer: observer, Figures: &p.figures, Monitor: &p.monitor, Trace: &p.trace,
 		Tell: func(to int, message []byte) { others.tell(to, message) }})
 	if err != nil {
 		return nil, at, err
--- a/internal/operate/admin/admin.go
+++ b/internal/operate/admin/admin.go
@@ -27,17 +27,23 @@
 // Door answers operators.
 type Door struct {
 	loop    *loop.Loop
-	ready   func() bool
-	figures func(buf []byte) []byte
+	answers Answers
 	waiting list.List // callers that have not finished their head, oldest first
 	ended   []*loop.Conn
 	body    []byte // used again for each answer
 	out     []byte
 }
 
-// Listen opens the door at addr. ready says whether this process takes clients; figures writes the figures behind buf.
-func Listen(l *loop.Loop, addr string, ready func() bool, figures func(buf []byte) []byte) (*Door, netip.AddrPort, error) {
-	d := &Door{loop: l, ready: ready, figures: figures}
+// Answers are what the door asks the process.
+type Answers struct {
+	Ready     func() bool             // whether this process takes clients
+	Telemetry func(buf []byte) []byte // writes the figures behind buf
+	Reasons   func(buf []byte) []byte // writes what became of requests, and why, behind buf
+}
+
+// Listen opens the door at addr.
+func Listen(l *loop.Loop, addr string, answers Answers) (*Door, netip.AddrPort, error) {
+	d := &Door{loop: l, answers: answers}
 	k, err := l.ListenApart(addr, MostCallers+4, d.accept)
 	if err != nil {
 		return nil, netip.AddrPort{}, fmt.Errorf("operators' door: %w", err)
@@ -52,7 +58,7 @@
 	k := &caller{door: d, conn: c}
 	k.place = d.waiting.PushBack(k)
 	k.stop = d.loop.At(d.loop.Now().Add(headTime), func() {
-		k.answer(http.StatusRequestTimeout, "", "no whole head came in time: send GET /api/ready or GET /api/telemetry\n")
+		k.answer(reply{http.StatusRequestTimeout, "", text("no whole head came in time: send GET /api/ready or GET /api/telemetry\n")})
 	})
 	return k
 }
@@ -86,10 +92,10 @@
 	end := endOf(k.head, from)
 	switch {
 	case end < 0 && len(k.head) > mostHead, bytes.Count(k.head, []byte("\n")) > mostLines:
-		k.answer(http.StatusRequestHeaderFieldsTooLarge, "", fmt.Sprintf("the head is too large: at most %d bytes in %d lines are read\n", mostHead, mostLines))
+		k.answer(reply{http.StatusRequestHeaderFieldsTooLarge, "",
+			text(fmt.Sprintf("the head is too large: at most %d bytes in %d lines are read\n", mostHead, mostLines))})
 	case end >= 0:
-		status, allow, body := k.door.serve(k.head[:end])
-		k.answer(status, allow, body)
+		k.answer(k.door.serve(k.head[:end]))
 	}
 }
 
@@ -109,45 +115,64 @@
 	return -1
 }
 
-// serve answers a whole head. An empty body stands for the figures.
-func (d *Door) serve(head []byte) (status int, allow, body string) {
+// reply is the answer to a call.
+type reply struct {
+	status int
+	allow  string                  // of the Allow header; empty: there is none
+	body   func(buf []byte) []byte // writes the body behind buf
+}
+
+// text is a body of that text.
+func text(body string) func([]byte) []byte {
+	return func(buf []byte) []byte { return append(buf, body...) }
+}
+
+// serve answers a whole head.
+func (d *Door) serve(head []byte) reply {
 	r, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(head), len(head)+16))
 	if err != nil {
-		return http.StatusBadRequest, "", "the head can't be read: GET /api/ready HTTP/1.1 and an empty line are wanted\n"
-	}
-	switch r.URL.Path {
-	case "/api/ready", "/api/telemetry":
-	default:
-		return http.StatusNotFound, "", "no such call: /api/ready and /api/telemetry are there\n"
+		return reply{http.StatusBadRequest, "", text("the head can't be read: GET /api/ready HTTP/1.1 and an empty line are wanted\n")}
 	}
+	call, known := d.calls()[r.URL.Path]
 	switch {
+	case !known:
+		return reply{http.StatusNotFound, "", text("no such call: /api/ready and /api/telemetry are there\n")}
 	case r.Method != http.MethodGet:
-		return http.StatusMethodNotAllowed, http.MethodGet, "this call takes GET only\n"
-	case r.URL.Path == "/api/telemetry":
-		return http.StatusOK, "", ""
-	case !d.ready():
-		return http.StatusServiceUnavailable, "", "not ready: this process takes no clients now\n"
+		return reply{http.StatusMethodNotAllowed, http.MethodGet, text("this call takes GET only\n")}
 	}
-	return http.StatusOK, "", "ready\n"
+	return call()
+}
+
+// calls are the calls that there are, by path.
+func (d *Door) calls() map[string]func() reply {
+	return map[string]func() reply{
+		"/api/ready":     d.readiness,
+		"/api/telemetry": func() reply { return reply{http.StatusOK, "", d.answers.Telemetry} },
+		"/api/reasons":   func() reply { return reply{http.StatusOK, "", d.answers.Reasons} },
+	}
+}
+
+func (d *Door) readiness() reply {
+	if !d.answers.Ready() {
+		return reply{http.StatusServiceUnavailable, "", text("not ready: this process takes no clients now\n")}
+	}
+	return reply{http.StatusOK, "", text("ready\n")}
 }
 
 // answer gives the one answer and ends the connection; the loop drops what still comes for a moment, so that the end is
 // no reset.
-func (k *caller) answer(status int, allow, body string) {
+func (k *caller) answer(a reply) {
 	if k.over {
 		return
 	}
 	k.done()
 	d := k.door
-	d.body = append(d.body[:0], body...)
-	if body == "" {
-		d.body = d.figures(d.body)
-	}
+	d.body = a.body(d.body[:0])
 	d.out = append(d.out[:0], "HTTP/1.1 "...)
-	d.out = strconv.AppendInt(d.out, int64(status), 10)
-	d.out = append(append(d.out, ' '), http.StatusText(status)...)
-	if allow != "" {
-		d.out = append(append(d.out, "\r\nAllow: "...), allow...)
+	d.out = strconv.AppendInt(d.out, int64(a.status), 10)
+	d.out = append(append(d.out, ' '), http.StatusText(a.status)...)
+	if a.allow != "" {
+		d.out = append(append(d.out, "\r\nAllow: "...), a.allow...)
 	}
 	d.out = append(d.out, "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: "...)
 	d.out = strconv.AppendInt(d.out, int64(len(d.body)), 10)
@@ -178,7 +203,7 @@
 		return
 	}
 	if err == io.EOF && len(k.head) > 0 {
-		k.answer(http.StatusBadRequest, "", "the head ends before its empty line\n")
+		k.answer(reply{http.StatusBadRequest, "", text("the head ends before its empty line\n")})
 		return
 	}
 	k.done()
--- a/internal/operate/admin/admin_test.go
+++ b/internal/operate/admin/admin_test.go
@@ -15,7 +15,8 @@
 		"PRI * HTTP/2.0\r\n\r\n", "GET /api/ready HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "CONNECT /api/ready HTTP/1.1\r\n\r\n"} {
 		f.Add([]byte(s), 3)
 	}
-	d := &Door{ready: func() bool { return false }}
+	none := func(buf []byte) []byte { return buf }
+	d := &Door{answers: Answers{Ready: func() bool { return false }, Telemetry: none, Reasons: none}}
 	f.Fuzz(func(t *testing.T, head []byte, cut int) {
 		end := endOf(head, 0)
 		if cut = max(0, min(cut, len(head))); endOf(head[:cut], 0) < 0 && endOf(head, max(0, cut-3)) != end {
@@ -27,7 +28,8 @@
 			}
 			return
 		}
-		status, allow, body := d.serve(head[:end])
+		answer := d.serve(head[:end])
+		status, allow, body := answer.status, answer.allow, string(answer.body(nil))
 		switch status {
 		case http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusServiceUnavailable:
 		case http.StatusMethodNotAllowed:
--- a/internal/operate/logs/logs.go
+++ b/internal/operate/logs/logs.go
@@ -53,10 +53,27 @@
 				left.Add(1)
 			}
 		}))
-	zap.ReplaceGlobals(zap.New(sampled))
+	zap.ReplaceGlobals(zap.New(bounded{sampled, core}))
 	return nil
 }
 
+// bounded has lines of level debug, which tell single requests, pass whole, and all others within their bound.
+type bounded struct {
+	zapcore.Core
+	whole zapcore.Core
+}
+
+func (b bounded) With(f []zapcore.Field) zapcore.Core {
+	return bounded{b.Core.With(f), b.whole.With(f)}
+}
+
+func (b bounded) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if e.Level == zapcore.DebugLevel {
+		return b.whole.Check(e, c)
+	}
+	return b.Core.Check(e, c)
+}
+
 // telling adds to a line how many were left out before it.
 type telling struct {
 	zapcore.Core
--- a/internal/operate/logs/logs_test.go
+++ b/internal/operate/logs/logs_test.go
@@ -31,3 +31,18 @@
 		}
 	}
 }
+
+// TestRequestsAreWhole checks that lines of level debug, which tell of single requests, are not cut to the rate.
+func TestRequestsAreWhole(t *testing.T) {
+	t.Cleanup(zap.ReplaceGlobals(zap.L()))
+	var out strings.Builder
+	if err := Setup(&out, Options{Format: "json", Level: "debug"}); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 * first {
+		zap.L().Debug("request_read")
+	}
+	if n := strings.Count(out.String(), "request_read"); n != 10*first {
+		t.Errorf("%d of %d lines passed", n, 10*first)
+	}
+}
--- a/internal/operate/stats/stats.go
+++ b/internal/operate/stats/stats.go
@@ -48,14 +48,7 @@
 
 // Append writes all figures behind buf, one a line.
 func (f *Figures) Append(buf []byte, g edge.Gauges) []byte {
-	line := func(value uint64, kind string, name ...string) {
-		buf = append(buf, "gw"...)
-		for _, n := range name {
-			buf = append(append(buf, '.'), n...)
-		}
-		buf = strconv.AppendUint(append(buf, ':'), value, 10)
-		buf = append(append(append(buf, '|'), kind...), '\n')
-	}
+	line := func(value uint64, kind string, name ...string) { buf = appendFigure(buf, value, kind, name...) }
 	for _, c := range f.classes {
 		line(c.Served, "c", "requests", c.name, "served")
 		line(c.Refused, "c", "requests", c.name, "refused")
@@ -69,3 +62,17 @@
 	line(f.ReloadsFailed, "c", "reloads_failed")
 	return buf
 }
+
+// AppendCounter writes one counter behind buf, in the form of Append.
+func AppendCounter(buf []byte, value uint64, name ...string) []byte {
+	return appendFigure(buf, value, "c", name...)
+}
+
+func appendFigure(buf []byte, value uint64, kind string, name ...string) []byte {
+	buf = append(buf, "gw"...)
+	for _, n := range name {
+		buf = append(append(buf, '.'), n...)
+	}
+	buf = strconv.AppendUint(append(buf, ':'), value, 10)
+	return append(append(append(buf, '|'), kind...), '\n')
+}
--- a/internal/platform/downstream/carry.go
+++ b/internal/platform/downstream/carry.go
@@ -9,6 +9,7 @@
 	"spurwinch/internal/loop"
 	"spurwinch/internal/platform/line"
 	"spurwinch/internal/platform/upstream"
+	"spurwinch/internal/trace"
 )
 
 // Standing is what the front knows of a client's connection beside its sockets, as one process of a node tells it to
@@ -68,6 +69,7 @@
 
 // Release lets go of a lent connection that another process has.
 func (s *session) Release() {
+	s.front.core.ClosedUnasked(trace.HandedOver)
 	s.done()
 	s.conn.Release()
 	if s.host != nil {
--- a/internal/platform/downstream/downstream.go
+++ b/internal/platform/downstream/downstream.go
@@ -12,9 +12,11 @@
 
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
+	"spurwinch/internal/invariant"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/platform/line"
 	"spurwinch/internal/platform/upstream"
+	"spurwinch/internal/trace"
 
 	"go.uber.org/zap"
 )
@@ -131,7 +133,7 @@
 	switch {
 	case s.over || s.request != nil || s.stop != nil:
 	case s.pinged:
-		s.drop()
+		s.drop(trace.ClientSilent)
 	default:
 		s.malformed("no line in time")
 	}
@@ -139,10 +141,14 @@
 
 // Leave answers a client whose connection is wanted for another one, before it has said what it wants.
 func (s *session) Leave() {
+	why := trace.ClientEvicted
+	if s.front.core.Draining() {
+		why = trace.NodeStopping
+	}
 	if s.pinged {
-		s.drop()
+		s.drop(why)
 	} else {
-		s.finish(busy(0))
+		s.finish(busy(0), invariant.ByNode, why)
 	}
 }
 
@@ -200,7 +206,7 @@
 			s.pong()
 		} else if len(s.front.waiting) < 1024 {
 			s.cancelTimer()
-			s.stop = s.front.loop.At(s.front.loop.Now().Add(readyTime), s.drop)
+			s.stop = s.front.loop.At(s.front.loop.Now().Add(readyTime), func() { s.drop(trace.ClientSilent) })
 			s.front.waiting = append(s.front.waiting, s)
 		}
 		return
@@ -302,7 +308,7 @@
 // malformed answers what can't be served. A request that the client has out is called off: it is the core's no more.
 func (s *session) malformed(why string) {
 	zap.L().Warn("client_line_unreadable", zap.String("sent", why))
-	s.finish([]byte("ERR\r\n"))
+	s.finish([]byte("ERR\r\n"), invariant.ByClient, trace.ClientBroken)
 	if s.request != nil {
 		s.request.Broken()
 	}
@@ -315,21 +321,32 @@
 	return []byte("BUSY " + strconv.FormatInt(max(1, after.Milliseconds()), 10) + "\r\n")
 }
 
-// finish writes a last line and ends the connection.
-func (s *session) finish(last []byte) {
+// finish writes a last line and ends the connection; by and why say who is the cause.
+func (s *session) finish(last []byte, by invariant.Ending, why trace.Close) {
 	if s.over {
 		return
 	}
-	s.done()
+	s.close(by, why)
 	s.conn.Write(last)
 	s.conn.End()
 }
 
-func (s *session) drop() {
-	s.done()
+// drop ends a connection whose client is owed no word.
+func (s *session) drop(why trace.Close) {
+	s.close(invariant.ByClient, why)
 	s.conn.End()
 }
 
+// close ends the session, and has the guard check that nothing is still owed.
+func (s *session) close(by invariant.Ending, why trace.Close) {
+	if s.request != nil {
+		s.request.Closed(by, why)
+	} else {
+		s.front.core.ClosedUnasked(why)
+	}
+	s.done()
+}
+
 func (s *session) done() {
 	s.over = true
 	s.cancelTimer()
@@ -352,9 +369,9 @@
 // LocalReply gives the node's own answer.
 func (s *session) LocalReply(r edge.LocalReply) {
 	if r.Refused {
-		s.finish(busy(r.After))
+		s.finish(busy(r.After), invariant.ByNode, trace.NodeAnswered)
 	} else {
-		s.finish([]byte("ERR\r\n"))
+		s.finish([]byte("ERR\r\n"), invariant.ByNode, trace.NodeAnswered)
 	}
 }
 
@@ -371,7 +388,7 @@
 	if err := s.host.Write(p); err != nil {
 		zap.L().Warn("client_line_too_long")
 		s.host.End(false)
-		s.drop()
+		s.drop(trace.ClientBroken)
 		s.request.Gone()
 		return
 	}
@@ -382,7 +399,7 @@
 func (s *session) Hear() { s.conn.Hear() }
 
 // Final passes the answer of a request on that its host served to its end.
-func (s *session) Final(l []byte) { s.finish(l) }
+func (s *session) Final(l []byte) { s.finish(l, invariant.ByHost, trace.HostServed) }
 
 // Bytes passes the host's bytes on.
 func (s *session) Bytes(p []byte) {
@@ -435,10 +452,11 @@
 	if s.over {
 		return
 	}
-	s.done()
 	if reset {
+		s.close(invariant.ByHost, trace.HostReset)
 		s.conn.Abort()
 	} else {
+		s.close(invariant.ByHost, trace.HostEnded)
 		s.conn.End()
 	}
 }
@@ -465,7 +483,9 @@
 	if s.moving && s.out.Mid() { // the host's line stops amid: MOVE behind it would be a part of it, and no MOVE
 		last = "\r\n" + last
 	}
-	s.finish([]byte(last))
+	s.close(invariant.ByNode, trace.NodeMovedClient)
+	s.conn.Write([]byte(last))
+	s.conn.End()
 }
 
 // OnEnd ends the host's side as the client did its own.
@@ -478,7 +498,11 @@
 		s.malformed("half a line and the end")
 		return
 	}
-	s.done()
+	why := trace.ClientEnded
+	if reset {
+		why = trace.ClientReset
+	}
+	s.close(invariant.ByClient, why)
 	if s.open {
 		s.host.End(reset)
 	}
--- a/internal/xmpp/carry.go
+++ b/internal/xmpp/carry.go
@@ -8,6 +8,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	sessions "spurwinch/internal/session"
+	"spurwinch/internal/trace"
 )
 
 // Stream is where a scanner is in its stream.
@@ -94,7 +95,7 @@
 	delete(s.front.owners, s.sm) // it is the other process's to know of
 	s.front.sessions.Forget(s.sm)
 	s.sm = sessions.Key{}
-	s.done()
+	s.done(trace.HandedOver)
 	s.raw.Release()
 	if h := s.upstream; h != nil {
 		h.over = true
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -14,6 +14,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
 	sessions "spurwinch/internal/session"
+	"spurwinch/internal/trace"
 	"spurwinch/internal/transport/admit"
 	"spurwinch/internal/transport/tls"
 
@@ -44,6 +45,7 @@
 	domains map[string]Domain
 	ids     *rand.Rand
 	Answers Answers
+	Trace   *trace.Recorder // hears why connections end; nil: nobody does
 
 	shakes   *tls.Handshakes
 	keys     *tls.Keys                // nil: no listener has TLS
@@ -255,7 +257,7 @@
 	if s.request != nil {
 		s.request.Gone()
 	}
-	s.end(last)
+	s.end(last, trace.ClientEnded)
 }
 
 // token looks at what the client sent and says whether the stream must end with an error.
@@ -352,7 +354,7 @@
 
 // refuseTLS answers STARTTLS, which is not carried: the front could not read an encrypted stream.
 func (s *session) refuseTLS() {
-	s.end("<failure xmlns='" + tlsNS + "'/></stream:stream>")
+	s.end("<failure xmlns='"+tlsNS+"'/></stream:stream>", trace.ClientBroken)
 	s.front.Answers.Errors++
 }
 
@@ -433,13 +435,18 @@
 	if !s.open {
 		s.front.Answers.Errors++
 	}
-	s.end(last)
+	s.end(last, streamError(c))
+}
+
+// streamError is the reason of a close by a stream error.
+func streamError(c condition) trace.Close {
+	return trace.Close("stream_error_" + strings.ReplaceAll(string(c), "-", "_"))
 }
 
 // end writes a last text and ends both sides.
-func (s *session) end(last string) {
+func (s *session) end(last string, why trace.Close) {
 	resumable := s.sm.ID != "" // a closing tag would end the session at its host, and its client may come again elsewhere
-	s.done()
+	s.done(why)
 	s.conn.Write([]byte(last))
 	s.conn.End()
 	if s.upstream != nil {
@@ -450,14 +457,27 @@
 	}
 }
 
-func (s *session) done() {
+func (s *session) done(why trace.Close) {
 	s.over = true
+	s.trace(why)
 	s.front.gone(s, s.in.ended)
 	s.guest.Gone()
 	s.sent, s.greeting, s.hold = nil, nil, nil
 	s.cancelTimer()
 }
 
+// trace tells why the client's connection ends.
+func (s *session) trace(why trace.Close) {
+	if s.front.Trace == nil {
+		return
+	}
+	id := ""
+	if s.request != nil {
+		id = string(s.request.ID)
+	}
+	s.front.Trace.Closed(id, why)
+}
+
 func (s *session) cancelTimer() {
 	if s.stop != nil {
 		s.stop()
@@ -473,7 +493,11 @@
 	if !s.open {
 		s.front.Answers.Left++
 	}
-	s.done()
+	why := trace.ClientEnded
+	if err != io.EOF {
+		why = trace.ClientReset
+	}
+	s.done(why)
 	if s.upstream != nil {
 		s.upstream.finish(err != io.EOF)
 	}
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -7,6 +7,7 @@
 	"spurwinch/choice"
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
+	"spurwinch/internal/trace"
 
 	"go.uber.org/zap"
 )
@@ -176,7 +177,7 @@
 		h.over = true
 		h.conn.End()
 		s.front.Answers.Errors++
-		s.done()
+		s.done(trace.HostEnded)
 		s.conn.Write([]byte(string(h.held) + "</" + h.in.prefix + ":stream>"))
 		s.conn.End()
 		h.attempt.Ended(choice.Failed, nil)
@@ -262,7 +263,11 @@
 		h.conn.End()
 	}
 	if s.open {
-		s.done()
+		why := trace.HostEnded
+		if err != io.EOF {
+			why = trace.HostReset
+		}
+		s.done(why)
 		h.attempt.Ended(choice.Reset, nil)
 		if err == io.EOF {
 			s.conn.End()
