--- a/cmd/spurwinchctl/lab.go
+++ b/cmd/spurwinchctl/lab.go
@@ -20,7 +20,7 @@
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Many processes of the program, and the faults between them"}
-	c.AddCommand(faultsCommand(), exploreCommand(), mutationsCommand())
+	c.AddCommand(faultsCommand(), exploreCommand(), mutationsCommand(), soakCommand())
 	return c
 }
 
@@ -52,15 +52,8 @@
 			if err != nil {
 				return err
 			}
-			if o.Program = program; program == "" {
-				self, err := os.Executable()
-				if err != nil {
-					return err
-				}
-				o.Program = filepath.Join(filepath.Dir(self), "spurwinch")
-			}
-			if _, err := os.Stat(o.Program); err != nil {
-				return fmt.Errorf("no program to start: %w (--program names it)", err)
+			if o.Program, err = nodeProgram(program); err != nil {
+				return err
 			}
 			if o.Dir, err = os.MkdirTemp("", "spurwinch-lab-"); err != nil {
 				return err
