--- a/internal/loop/carry.go
+++ b/internal/loop/carry.go
@@ -74,7 +74,7 @@
 
 func (c *Conn) receive() (int, error) {
 	if c.rights == nil {
-		return unix.Read(c.fd, c.l.buf[:])
+		return c.l.kernel.Read(c.fd, c.l.buf[:])
 	}
 	var side [4*MostRights + 64]byte
 	n, sn, flags, _, err := unix.Recvmsg(c.fd, c.l.buf[:], side[:], unix.MSG_CMSG_CLOEXEC)
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -9,7 +9,6 @@
 	"os"
 	"time"
 
-	"github.com/panjf2000/gnet/v2/pkg/netpoll"
 	"golang.org/x/sys/unix"
 )
 
@@ -85,14 +84,14 @@
 		return fail(fmt.Errorf("address %q: %w", addr, err))
 	}
 	sa, family := sockaddr(ap)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.kernel.Socket(family)
 	if err != nil {
 		return fail(os.NewSyscallError("socket", err))
 	}
 	c.fd = fd
 	l.open++
 	setOptions(fd)
-	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
+	if err := l.kernel.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
 		return fail(os.NewSyscallError("connect", err))
 	}
 	l.fds[fd] = c.ready
@@ -113,7 +112,7 @@
 		return
 	}
 	if c.connected && len(c.out) == 0 {
-		n, err := unix.Write(c.fd, p)
+		n, err := c.l.kernel.Write(c.fd, p)
 		if n > 0 {
 			p = p[n:]
 		}
@@ -218,7 +217,7 @@
 
 // drop takes what comes after the end of this side, and reports whether there was any.
 func (c *Conn) drop() bool {
-	n, _, err := unix.Recvfrom(c.fd, sink[:], unix.MSG_TRUNC)
+	n, err := c.l.kernel.Drop(c.fd, sink[:])
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case err != nil:
@@ -308,27 +307,7 @@
 	if want == c.events {
 		return
 	}
-	p, pa := c.l.poller, &netpoll.PollAttachment{FD: c.fd}
-	var err error
-	switch {
-	case want == 0:
-		err = p.Delete(c.fd)
-	case want == watchRead && c.events != 0:
-		err = p.ModRead(pa, false)
-	case want == watchRead:
-		err = p.AddRead(pa, false)
-	case want == watchWrite:
-		if c.events != 0 {
-			err = p.Delete(c.fd)
-		}
-		if err == nil {
-			err = p.AddWrite(pa, false)
-		}
-	case c.events != 0:
-		err = p.ModReadWrite(pa, false)
-	default:
-		err = p.AddReadWrite(pa, false)
-	}
+	err := c.l.kernel.Watch(c.l.poller, c.fd, c.events, want)
 	c.events = want
 	if err != nil {
 		c.later(err)
@@ -375,7 +354,7 @@
 }
 
 func (c *Conn) flush() {
-	n, err := unix.Write(c.fd, c.out)
+	n, err := c.l.kernel.Write(c.fd, c.out)
 	if n > 0 {
 		c.out = c.out[n:]
 	}
--- /dev/null
+++ b/internal/loop/kernel.go
@@ -0,0 +1,64 @@
+package loop
+
+import (
+	"github.com/panjf2000/gnet/v2/pkg/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// Kernel is the system calls that connections live by. Tests put others in its place, which fail as Linux documents.
+type Kernel interface {
+	Socket(family int) (fd int, err error)
+	Connect(fd int, to unix.Sockaddr) error
+	Accept(fd int) (connection int, from unix.Sockaddr, err error)
+	Read(fd int, p []byte) (n int, err error)
+	Write(fd int, p []byte) (n int, err error)
+	Drop(fd int, p []byte) (n int, err error)
+	Watch(poller *netpoll.Poller, fd, had, want int) error
+}
+
+// Linux is the kernel itself.
+type Linux struct{}
+
+func (Linux) Socket(family int) (int, error) {
+	return unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+}
+
+func (Linux) Connect(fd int, to unix.Sockaddr) error { return unix.Connect(fd, to) }
+
+func (Linux) Accept(fd int) (int, unix.Sockaddr, error) {
+	return unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+}
+
+func (Linux) Read(fd int, p []byte) (int, error) { return unix.Read(fd, p) }
+
+func (Linux) Write(fd int, p []byte) (int, error) { return unix.Write(fd, p) }
+
+// drop takes bytes without copying them: nothing is written to p.
+func (Linux) Drop(fd int, p []byte) (int, error) {
+	n, _, err := unix.Recvfrom(fd, p, unix.MSG_TRUNC)
+	return n, err
+}
+
+// watch has the poller watch a descriptor for other events than before; none: it is not watched.
+func (Linux) Watch(poller *netpoll.Poller, fd, had, want int) (err error) {
+	at := &netpoll.PollAttachment{FD: fd}
+	switch {
+	case want == 0:
+		return poller.Delete(fd)
+	case want == watchRead && had != 0:
+		return poller.ModRead(at, false)
+	case want == watchRead:
+		return poller.AddRead(at, false)
+	case want == watchWrite:
+		if had != 0 {
+			err = poller.Delete(fd)
+		}
+		if err == nil {
+			err = poller.AddWrite(at, false)
+		}
+		return err
+	case had != 0:
+		return poller.ModReadWrite(at, false)
+	}
+	return poller.AddReadWrite(at, false)
+}
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -137,7 +137,7 @@
 		if !k.on {
 			return
 		}
-		fd, from, err := unix.Accept4(k.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, from, err := l.kernel.Accept(k.fd)
 		switch {
 		case err == unix.EMFILE || err == unix.ENFILE:
 			// Guards against a listener that spins, and clients that hang, when descriptors run out: the spare one
@@ -147,7 +147,7 @@
 				return
 			}
 			unix.Close(l.spare)
-			if fd, _, err := unix.Accept4(k.fd, unix.SOCK_CLOEXEC); err == nil {
+			if fd, _, err := l.kernel.Accept(k.fd); err == nil {
 				unix.Close(fd)
 			}
 			l.holdSpare()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -36,6 +36,7 @@
 // Loop runs callbacks. All methods but Post belong to the loop's goroutine, or to the time before Run.
 type Loop struct {
 	poller    *netpoll.Poller
+	kernel    Kernel
 	fds       map[int]func(events uint32)
 	timers    timers
 	timerFD   int
@@ -53,12 +54,15 @@
 }
 
 // New makes a loop that is not running yet.
-func New() (*Loop, error) {
+func New() (*Loop, error) { return NewOn(Linux{}) }
+
+// NewOn makes a loop on another kernel.
+func NewOn(kernel Kernel) (*Loop, error) {
 	p, err := netpoll.OpenPoller()
 	if err != nil {
 		return nil, fmt.Errorf("loop: %w", err)
 	}
-	l := &Loop{poller: p, fds: map[int]func(uint32){}, spare: -1, highWater: mostWater}
+	l := &Loop{poller: p, kernel: kernel, fds: map[int]func(uint32){}, spare: -1, highWater: mostWater}
 	l.timerFD, err = unix.TimerfdCreate(unix.CLOCK_MONOTONIC, unix.TFD_NONBLOCK|unix.TFD_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("loop: timerfd: %w", err)
