--- a/cmd/spurwinch/program_test.go
+++ b/cmd/spurwinch/program_test.go
@@ -31,6 +31,17 @@
 	return bin
 }
 
+// buildAsDeployed builds the program as deploy/balancer.toml does: dynamically, against the C library.
+func buildAsDeployed(t testing.TB) string {
+	bin := filepath.Join(t.TempDir(), "spurwinch")
+	cmd := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin, ".")
+	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return bin
+}
+
 // launch starts the program and waits for the line that names its address.
 func launch(t testing.TB, bin string, env []string, args ...string) *program {
 	p := &program{cmd: exec.Command(bin, args...), done: make(chan error, 1)}
--- /dev/null
+++ b/cmd/spurwinch/shim_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"spurwinch/internal/exchange"
+	"spurwinch/internal/lab/shim"
+)
+
+// shimmed is a started program whose system calls fail, and whose wall clock is stepped, as the test says.
+type shimmed struct {
+	*program
+	*shim.Control
+	player *exchange.Player
+	config string
+}
+
+// launchShimmed starts the program with a host h1 and discovery d.
+func launchShimmed(t *testing.T, prepare ...func(*shim.Control)) *shimmed {
+	bin, dir := buildAsDeployed(t), t.TempDir()
+	library, err := shim.Build(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &shimmed{player: &exchange.Player{Values: map[string]string{}}, config: filepath.Join(dir, "config.json")}
+	if s.Control, err = shim.NewControl(filepath.Join(dir, "faults"), 1); err != nil {
+		t.Fatal(err)
+	}
+	for _, fn := range prepare {
+		fn(s.Control)
+	}
+	host, discovery := s.player.Listen(t, "h1"), s.player.Listen(t, "d")
+	config := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	 "known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"a","kind":"m","cell":0,"state":"SERVING","weight":1,"started_ms":0}]},
+	 "settings":%s}`, discovery, host, strings.NewReplacer("REPORTS", "off", `"mayProbe":true`, `"mayProbe":false`).Replace(exchange.Settings))
+	if err := os.WriteFile(s.config, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.program = launch(t, bin, append(s.Environment(library), "GW_CONFIG="+s.config))
+	s.player.Addr = s.addr
+	return s
+}
+
+// TestInterruptedWake has the write that wakes the loop interrupted, for a signal that comes then: the next signal is heard all the same,
+// and so is the planned stop.
+func TestInterruptedWake(t *testing.T) {
+	s := launchShimmed(t)
+	s.player.Do = map[string]func(){
+		"interrupt": func() {
+			s.Fail(shim.Write, 1)
+			s.cmd.Process.Signal(syscall.SIGHUP)
+			exchange.Until(t, "a wake is interrupted", func() bool { return s.Injected(shim.Write) > 0 })
+			s.Heal()
+		},
+		"stop": func() { s.cmd.Process.Signal(syscall.SIGTERM) },
+	}
+	s.player.Play(t, `
+c open
+d accept d
+c > OPEN 01 01 c=chat,d=2000
+s accept h1
+s < OPEN 01 01 c=chat,d={*}
+s > UP 1
+c < UP 1
+do interrupt
+do stop
+c < MOVE
+c < END
+s < END
+`)
+	select {
+	case err := <-s.done:
+		if err != nil {
+			t.Error("the program ended with ", err)
+		}
+	case <-time.After(60 * time.Second):
+		t.Error("the program does not end after SIGTERM")
+	}
+}
--- /dev/null
+++ b/internal/loop/failing_test.go
@@ -0,0 +1,70 @@
+package loop
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// failing is a kernel whose next calls fail as they are told to.
+type failing struct {
+	Linux
+	mu     sync.Mutex
+	accept []error
+}
+
+// next is the error with which a call fails now; nil: it doesn't.
+func (k *failing) next(errs *[]error) (err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(*errs) > 0 {
+		err, *errs = (*errs)[0], (*errs)[1:]
+	}
+	return err
+}
+
+func (k *failing) Accept(fd int) (int, unix.Sockaddr, error) {
+	if err := k.next(&k.accept); err != nil {
+		return -1, nil, err
+	}
+	return k.Linux.Accept(fd)
+}
+
+// runOn runs a loop on a kernel until the test ends.
+func runOn(t *testing.T, k Kernel) *Loop {
+	l, err := NewOn(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	runs(t, l)
+	return l
+}
+
+// TestAcceptFailsForAMoment has accept fail once in each way that Linux documents while a client has sent its words: it is served.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	for _, err := range []error{unix.EINTR, unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPROTO, unix.EPERM} {
+		k := &failing{}
+		l := runOn(t, k)
+		addr := echo(t, l)
+		answered := make(chan error, 1)
+		held(t, l, func() {
+			c, failed := net.Dial("tcp", addr)
+			if failed != nil {
+				t.Error(failed)
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			send(t, c, "x")
+			k.accept = []error{err}
+			go func() { answered <- echoed(c) }()
+		})
+		if lost := wait(t, answered); lost != nil {
+			t.Errorf("%v: the client got %v", err, lost)
+		}
+		if len(k.accept) > 0 {
+			t.Errorf("the crossing did not take place: accept did not fail with %v", err)
+		}
+	}
+}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -33,6 +33,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	runs(t, l)
+	return l
+}
+
+// runs runs a loop that was made until the test ends.
+func runs(t *testing.T, l *Loop) {
 	var done sync.WaitGroup
 	done.Add(1)
 	go func() {
@@ -45,7 +51,6 @@
 		l.Post(l.Stop)
 		done.Wait()
 	})
-	return l
 }
 
 // on runs fn on the loop and waits for it.
@@ -93,7 +98,13 @@
 	if _, err := c.Write([]byte("x")); err != nil {
 		return err
 	}
-	_, err = io.ReadFull(c, make([]byte, 1))
+	return echoed(c)
+}
+
+// echoed waits for the byte that was sent.
+func echoed(c net.Conn) error {
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	_, err := io.ReadFull(c, make([]byte, 1))
 	return err
 }
 
--- a/internal/platform/downstream/crossing_test.go
+++ b/internal/platform/downstream/crossing_test.go
@@ -45,7 +45,11 @@
 }
 
 func newCrossing(t *testing.T, hosts int, change ...string) *crossing {
-	l, err := loop.New()
+	return newCrossingOn(t, loop.Linux{}, hosts, change...)
+}
+
+func newCrossingOn(t *testing.T, kernel loop.Kernel, hosts int, change ...string) *crossing {
+	l, err := loop.NewOn(kernel)
 	if err != nil {
 		t.Fatal(err)
 	}
