Loop: calls that fail for a moment are made again; nothing follows what was given up

Class: an error of this machine, which passes, was taken for one of the other side, which is final, at each call by itself. Post has its own eventfd; a late timer leaves its descriptor unread for one poll in place of a wake. Conn.Cancel drops what waits: GiveUp, a failed attempt and a host's end before UP use it, for XMPP too. Related paths: XMPP attempts (half a greeting), probes that could not be sent struck their host, evidence of zones counted them. Ruled out: a patched gnet, whose wake can't be reached from outside; polling.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -402,7 +402,7 @@
 	if e.Outcome == Served {
 		s.strikes = 0
 		b.observe(s, e.Report)
-	} else if s.State == Ready {
+	} else if s.State == Ready && e.Outcome != Moot { // never sent: that says nothing of the server
 		b.strike(s)
 	}
 	if !b.set.TellsDelay && e.Outcome == Served && !b.keeps {
--- a/choice/evidence.go
+++ b/choice/evidence.go
@@ -187,7 +187,7 @@
 }
 
 func (b *Balancer) countProbe(e ProbeResult) {
-	if s := b.find(e.Server); s != nil && s.State == Ready {
+	if s := b.find(e.Server); s != nil && s.State == Ready && e.Outcome != Moot {
 		b.countZone(s.Zone, e.Outcome != Served)
 	}
 }
--- a/internal/lab/soak/host.go
+++ b/internal/lab/soak/host.go
@@ -163,8 +163,8 @@
 	}()
 	h.count(id, y)
 	m, state := h.now()
-	if m == resets || m == slow {
-		time.Sleep(time.Duration(h.draw() * float64(1500*time.Millisecond)))
+	if (m == resets || m == slow) && !h.dawdle(c, r) {
+		return
 	}
 	switch {
 	case state != "SERVING" || m == full || h.holds() >= bears*6/5:
@@ -188,6 +188,14 @@
 	}
 }
 
+// dawdle waits a while before the answer, unless the node gives up meanwhile.
+func (h *host) dawdle(c net.Conn, r *bufio.Reader) (there bool) {
+	c.SetReadDeadline(time.Now().Add(time.Duration(h.draw() * float64(1500*time.Millisecond))))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := r.Peek(1)
+	return err == nil || isTimeout(err)
+}
+
 // wait reads until the node gives up.
 func (h *host) wait(r *bufio.Reader) {
 	for {
--- a/internal/loop/carry.go
+++ b/internal/loop/carry.go
@@ -74,10 +74,14 @@
 
 func (c *Conn) receive() (int, error) {
 	if c.rights == nil {
-		return c.l.kernel.Read(c.fd, c.l.buf[:])
+		return c.l.read(c.fd, c.l.buf[:])
 	}
 	var side [4*MostRights + 64]byte
-	n, sn, flags, _, err := unix.Recvmsg(c.fd, c.l.buf[:], side[:], unix.MSG_CMSG_CLOEXEC)
+	var sn, flags int
+	n, err := uninterrupted(func() (n int, err error) {
+		n, sn, flags, _, err = unix.Recvmsg(c.fd, c.l.buf[:], side[:], unix.MSG_CMSG_CLOEXEC)
+		return n, err
+	})
 	if err == nil && sn > 0 {
 		c.rights(Rights(side[:sn]))
 	}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -72,32 +72,53 @@
 )
 
 // Dial starts a connection that must be up by the given time. The handler hears of a failure through OnEnd, never
-// before Dial has returned.
+// before Dial has returned. What this machine lacks for a moment is waited for.
 func (l *Loop) Dial(addr string, until time.Time, h Handler) *Conn {
 	c := &Conn{l: l, fd: -1, h: h}
-	fail := func(err error) *Conn {
-		c.stopTimer = l.At(l.Now(), func() { c.broke(err) })
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		c.later(fmt.Errorf("address %q: %w", addr, err))
 		return c
 	}
-	ap, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return fail(fmt.Errorf("address %q: %w", addr, err))
+	c.dial(to, until)
+	return c
+}
+
+// dial begins to connect, now or when this machine has what it takes.
+func (c *Conn) dial(to netip.AddrPort, until time.Time) {
+	l := c.l
+	err := c.connect(to)
+	again := l.Now().Add(passingPause)
+	switch {
+	case err == nil:
+		l.fds[c.fd] = c.ready
+		c.register()
+		c.stopTimer = l.At(until, func() { c.broke(ErrTimeout) })
+	case (scarce(err) || isOneOf(err, unix.ENETUNREACH)) && again.Before(until):
+		c.stopTimer = l.At(again, func() { c.dial(to, until) })
+	case scarce(err):
+		c.stopTimer = l.At(l.Now(), func() { c.broke(&LocalError{err}) })
+	default:
+		c.stopTimer = l.At(l.Now(), func() { c.broke(err) })
 	}
-	sa, family := sockaddr(ap)
-	fd, err := l.kernel.Socket(family)
+}
+
+// connect makes the connection's socket and begins to connect it. Without an error it is under way.
+func (c *Conn) connect(to netip.AddrPort) error {
+	sa, family := sockaddr(to)
+	fd, err := c.l.kernel.Socket(family)
 	if err != nil {
-		return fail(os.NewSyscallError("socket", err))
+		return os.NewSyscallError("socket", err)
 	}
-	c.fd = fd
-	l.open++
 	setOptions(fd)
-	if err := l.kernel.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
-		return fail(os.NewSyscallError("connect", err))
-	}
-	l.fds[fd] = c.ready
-	c.register()
-	c.stopTimer = l.At(until, func() { c.broke(ErrTimeout) })
-	return c
+	switch err = c.l.kernel.Connect(fd, sa); err {
+	case nil, unix.EINPROGRESS, unix.EINTR: // one that is interrupted goes on by itself
+		c.fd = fd
+		c.l.open++
+		return nil
+	}
+	unix.Close(fd)
+	return os.NewSyscallError("connect", err)
 }
 
 // SetHandler hands the connection's callbacks to another handler.
@@ -112,11 +133,11 @@
 		return
 	}
 	if c.connected && len(c.out) == 0 {
-		n, err := c.l.kernel.Write(c.fd, p)
+		n, err := c.l.write(c.fd, p)
 		if n > 0 {
 			p = p[n:]
 		}
-		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+		if err != nil && err != unix.EAGAIN {
 			c.unsent = true
 			c.later(os.NewSyscallError("write", err))
 			return
@@ -177,6 +198,15 @@
 	c.shutdown()
 }
 
+// Cancel is End for a connection on which nothing more must go out: what waits is dropped, and with it the connection.
+func (c *Conn) Cancel() {
+	if len(c.out) > 0 {
+		c.Abort()
+	} else {
+		c.End()
+	}
+}
+
 func (c *Conn) shutdown() {
 	if c.eof {
 		c.close()
@@ -217,9 +247,9 @@
 
 // drop takes what comes after the end of this side, and reports whether there was any.
 func (c *Conn) drop() bool {
-	n, err := c.l.kernel.Drop(c.fd, sink[:])
+	n, err := c.l.drop(c.fd, sink[:])
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case err == unix.EAGAIN:
 	case err != nil:
 		c.close()
 	case n == 0:
@@ -308,8 +338,15 @@
 		return
 	}
 	err := c.l.kernel.Watch(c.l.poller, c.fd, c.events, want)
-	c.events = want
-	if err != nil {
+	switch {
+	case err == nil:
+		c.events = want
+	case scarce(err): // what the poller watches now is not known: nothing, to begin with
+		c.l.kernel.Watch(c.l.poller, c.fd, c.events, 0)
+		c.events = 0
+		c.l.At(c.l.Now().Add(passingPause), c.register)
+	default:
+		c.events = want
 		c.later(err)
 	}
 }
@@ -354,11 +391,11 @@
 }
 
 func (c *Conn) flush() {
-	n, err := c.l.kernel.Write(c.fd, c.out)
+	n, err := c.l.write(c.fd, c.out)
 	if n > 0 {
 		c.out = c.out[n:]
 	}
-	if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+	if err != nil && err != unix.EAGAIN {
 		c.broke(os.NewSyscallError("write", err))
 		return
 	}
@@ -390,7 +427,7 @@
 	}
 	n, err := c.receive()
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case err == unix.EAGAIN:
 		return false
 	case err != nil:
 		c.failed = true // nothing more can be read
--- a/internal/loop/datagram.go
+++ b/internal/loop/datagram.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 
-	"github.com/panjf2000/gnet/v2/pkg/netpoll"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 )
@@ -86,11 +85,15 @@
 	if on == d.heard {
 		return nil
 	}
-	d.heard = on
+	had, want := watchRead, 0
 	if on {
-		return d.l.poller.AddRead(&netpoll.PollAttachment{FD: d.fd}, false)
+		had, want = 0, watchRead
+	}
+	if err := d.l.kernel.Watch(d.l.poller, d.fd, had, want); err != nil {
+		return err
 	}
-	return d.l.poller.Delete(d.fd)
+	d.heard = on
+	return nil
 }
 
 // Close ends it.
--- a/internal/loop/failing_test.go
+++ b/internal/loop/failing_test.go
@@ -57,14 +57,18 @@
 			}
 			t.Cleanup(func() { c.Close() })
 			send(t, c, "x")
+			k.mu.Lock()
 			k.accept = []error{err}
+			k.mu.Unlock()
 			go func() { answered <- echoed(c) }()
 		})
 		if lost := wait(t, answered); lost != nil {
 			t.Errorf("%v: the client got %v", err, lost)
 		}
+		k.mu.Lock()
 		if len(k.accept) > 0 {
 			t.Errorf("the crossing did not take place: accept did not fail with %v", err)
 		}
+		k.mu.Unlock()
 	}
 }
--- a/internal/loop/kernel.go
+++ b/internal/loop/kernel.go
@@ -1,6 +1,8 @@
 package loop
 
 import (
+	"errors"
+
 	"github.com/panjf2000/gnet/v2/pkg/netpoll"
 	"golang.org/x/sys/unix"
 )
@@ -33,14 +35,14 @@
 
 func (Linux) Write(fd int, p []byte) (int, error) { return unix.Write(fd, p) }
 
-// drop takes bytes without copying them: nothing is written to p.
+// Drop takes bytes without copying them: nothing is written to p.
 func (Linux) Drop(fd int, p []byte) (int, error) {
 	n, _, err := unix.Recvfrom(fd, p, unix.MSG_TRUNC)
 	return n, err
 }
 
-// watch has the poller watch a descriptor for other events than before; none: it is not watched.
-func (Linux) Watch(poller *netpoll.Poller, fd, had, want int) (err error) {
+// Watch has the poller watch a descriptor for other events than before; none: it is not watched.
+func (Linux) Watch(poller *netpoll.Poller, fd, had, want int) error {
 	at := &netpoll.PollAttachment{FD: fd}
 	switch {
 	case want == 0:
@@ -48,17 +50,26 @@
 	case want == watchRead && had != 0:
 		return poller.ModRead(at, false)
 	case want == watchRead:
-		return poller.AddRead(at, false)
+		return add(poller, fd, func() error { return poller.AddRead(at, false) })
 	case want == watchWrite:
 		if had != 0 {
-			err = poller.Delete(fd)
-		}
-		if err == nil {
-			err = poller.AddWrite(at, false)
+			if err := poller.Delete(fd); err != nil {
+				return err
+			}
 		}
-		return err
+		return add(poller, fd, func() error { return poller.AddWrite(at, false) })
 	case had != 0:
 		return poller.ModReadWrite(at, false)
 	}
-	return poller.AddReadWrite(at, false)
+	return add(poller, fd, func() error { return poller.AddReadWrite(at, false) })
+}
+
+// add adds a descriptor, also one that an earlier call has failed to take out.
+func add(poller *netpoll.Poller, fd int, call func() error) error {
+	err := call()
+	if errors.Is(err, unix.EEXIST) {
+		poller.Delete(fd)
+		err = call()
+	}
+	return err
 }
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -131,6 +131,7 @@
 	}
 }
 
+// take accepts what waits. An accept that fails for a moment is made again.
 func (k *Listener) take() {
 	l := k.l
 	for range acceptBurst {
@@ -138,38 +139,79 @@
 			return
 		}
 		fd, from, err := l.kernel.Accept(k.fd)
+		exhausted := false
+		if isOneOf(err, unix.EMFILE, unix.ENFILE) {
+			fd, from, err = l.acceptWithSpare(k.fd)
+			exhausted = l.spare < 0
+		}
 		switch {
-		case err == unix.EMFILE || err == unix.ENFILE:
-			// Guards against a listener that spins, and clients that hang, when descriptors run out: the spare one
-			// serves to take the client off the queue and close on it.
-			if l.spare < 0 {
-				l.holdSpare()
-				return
-			}
-			unix.Close(l.spare)
-			if fd, _, err := l.kernel.Accept(k.fd); err == nil {
-				unix.Close(fd)
-			}
-			l.holdSpare()
-			zap.L().Warn("descriptors_exhausted")
+		case err == unix.EAGAIN:
+			return
+		case isOneOf(err, unix.EINTR, unix.ECONNABORTED, unix.EPROTO): // at most that one connection is gone
 			continue
 		case err != nil:
+			k.rest(err)
 			return
 		}
-		setOptions(fd)
-		c := l.attach(fd, k.apart)
-		c.Peer = addrPort(from).Addr()
-		if !k.apart {
-			l.makeRoom()
-		}
-		c.h = k.accept(c)
-		if c.h == nil {
-			c.Abort()
-			continue
+		c := k.taken(fd, from)
+		if exhausted && c != nil {
+			zap.L().Warn("descriptors_exhausted")
+			c.giveWay(c.place)
 		}
-		c.wait()
-		l.fds[fd] = c.ready
-		c.register()
+	}
+}
+
+// taken has a connection that was accepted be served; nil: nobody serves it.
+func (k *Listener) taken(fd int, from unix.Sockaddr) *Conn {
+	l := k.l
+	setOptions(fd)
+	c := l.attach(fd, k.apart)
+	c.Peer = addrPort(from).Addr()
+	if !k.apart {
+		l.makeRoom()
+	}
+	c.h = k.accept(c)
+	if c.h == nil {
+		c.Abort()
+		return nil
+	}
+	c.wait()
+	l.fds[fd] = c.ready
+	c.register()
+	return c
+}
+
+// acceptWithSpare accepts with the descriptor that is kept back. Guards against a listener that spins, and clients that hang, when
+// descriptors run out: who comes then is heard, and goes with an answer. Where they were short for a moment only, the spare one is
+// back at once.
+func (l *Loop) acceptWithSpare(listener int) (fd int, from unix.Sockaddr, err error) {
+	if l.spare < 0 {
+		l.holdSpare()
+	}
+	if l.spare < 0 {
+		return -1, nil, unix.EMFILE
+	}
+	unix.Close(l.spare)
+	l.spare = -1
+	fd, from, err = l.kernel.Accept(listener)
+	l.holdSpare()
+	return fd, from, err
+}
+
+// rest looks away from the listener for a moment: what keeps it from accepting would wake the loop again and again.
+func (k *Listener) rest(why error) {
+	zap.L().Warn("accept_failed", zap.Error(why))
+	k.l.poller.Delete(k.fd)
+	k.l.At(k.l.Now().Add(passingPause), k.look)
+}
+
+// look watches the listener again.
+func (k *Listener) look() {
+	if !k.on {
+		return
+	}
+	if err := k.l.kernel.Watch(k.l.poller, k.fd, 0, watchRead); err != nil {
+		k.rest(err)
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2/pkg/netpoll"
-	"github.com/panjf2000/gnet/v2/pkg/queue"
 	"golang.org/x/sys/unix"
 
 	gneterrors "github.com/panjf2000/gnet/v2/pkg/errors"
@@ -39,6 +38,7 @@
 	kernel    Kernel
 	fds       map[int]func(events uint32)
 	timers    timers
+	posts     *posts
 	timerFD   int
 	armed     time.Time
 	yielded   bool // late timers wait for what lies ready
@@ -71,6 +71,13 @@
 	if err := p.AddRead(&netpoll.PollAttachment{FD: l.timerFD}, false); err != nil {
 		return nil, fmt.Errorf("loop: %w", err)
 	}
+	if l.posts, err = newPosts(); err != nil {
+		return nil, fmt.Errorf("loop: %w", err)
+	}
+	l.fds[l.posts.fd] = l.posted
+	if err := p.AddRead(&netpoll.PollAttachment{FD: l.posts.fd}, false); err != nil {
+		return nil, fmt.Errorf("loop: %w", err)
+	}
 	l.holdSpare()
 	return l, nil
 }
@@ -85,17 +92,15 @@
 func (l *Loop) After(fn func()) { l.after = append(l.after, fn) }
 
 // Post runs fn on the loop; any goroutine may call it.
-func (l *Loop) Post(fn func()) {
-	err := l.poller.Trigger(queue.HighPriority, func(any) error {
+func (l *Loop) Post(fn func()) { l.posts.add(fn) }
+
+// posted runs what other goroutines have posted.
+func (l *Loop) posted(uint32) {
+	for _, fn := range l.posts.take() {
 		fn()
-		l.settle()
-		if l.stopping {
-			return gneterrors.ErrEngineShutdown
+		for _, after := range l.after {
+			after()
 		}
-		return nil
-	}, nil)
-	if err != nil {
-		zap.L().Error("loop_wake_failed", zap.Error(err))
 	}
 }
 
@@ -123,6 +128,8 @@
 
 // Close closes all that the loop served, as the process's end would. It is called once Run has returned.
 func (l *Loop) Close() {
+	delete(l.fds, l.posts.fd)
+	l.posts.close()
 	for fd := range l.fds {
 		unix.Close(fd)
 	}
@@ -184,20 +191,18 @@
 	}
 }
 
-// timerReady runs the timers that are due. Late ones go last of the next poll: on a small share of a core an answer and the
-// time set for it are found in one poll, and whichever the kernel names first must not decide.
+// timerReady runs the timers that are due. Late ones go last: on a small share of a core an answer and the time set for it are found in
+// one poll, and whichever the kernel names first must not decide. Their descriptor is left unread then, so that the next poll finds it again.
 func (l *Loop) timerReady(uint32) {
+	late := len(l.timers.heap) > 0 && time.Since(l.timers.heap[0].at) > onTime
+	if late && !l.yielded {
+		l.yielded = true
+		return
+	}
 	var b [8]byte
-	unix.Read(l.timerFD, b[:])
+	unix.Read(l.timerFD, b[:]) // where it is interrupted, the next poll finds it once more
 	l.armed = time.Time{}
-	switch {
-	case l.yielded:
-	case len(l.timers.heap) > 0 && time.Since(l.timers.heap[0].at) > onTime:
-		l.yielded = true // what is posted runs when all that the poll found has been heard
-		l.Post(l.fire)
-	default:
-		l.fire()
-	}
+	l.fire()
 }
 
 func (l *Loop) fire() {
@@ -233,6 +238,7 @@
 	in := max(time.Until(at), time.Microsecond)
 	spec := unix.ItimerSpec{Value: unix.NsecToTimespec(int64(in))}
 	if err := unix.TimerfdSettime(l.timerFD, 0, &spec, nil); err != nil {
+		l.armed = time.Time{} // set again after the next callback
 		zap.L().Error("loop_timer_failed", zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/loop/post.go
@@ -0,0 +1,63 @@
+package loop
+
+import (
+	"fmt"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+// posts are the functions that other goroutines have the loop run. Their own descriptor wakes it, and not gnet's: there a write that is
+// interrupted leaves a mark that the loop was woken, and no later one wakes it.
+type posts struct {
+	fd      int // an eventfd, readable while functions wait
+	mu      sync.Mutex
+	waiting []func()
+	closed  bool // its descriptor is somebody else's, perhaps
+}
+
+func newPosts() (*posts, error) {
+	fd, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	return &posts{fd: fd}, nil
+}
+
+// add has the loop run fn, unless the loop is closed.
+func (p *posts) add(fn func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.waiting = append(p.waiting, fn)
+	one := [8]byte{1}
+	for {
+		// EAGAIN says that the counter is full: then it is readable, which is all that is wanted.
+		if _, err := unix.Write(p.fd, one[:]); err != unix.EINTR {
+			return
+		}
+	}
+}
+
+// close gives the descriptor up; who posts later is not heard.
+func (p *posts) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.closed = true
+		unix.Close(p.fd)
+	}
+}
+
+// take gives what waits, in the order in which it was added.
+func (p *posts) take() []func() {
+	var count [8]byte
+	unix.Read(p.fd, count[:]) // before the functions are taken; where it is interrupted, the next poll finds the descriptor again
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := p.waiting
+	p.waiting = nil
+	return all
+}
--- a/internal/platform/upstream/probe.go
+++ b/internal/platform/upstream/probe.go
@@ -175,7 +175,10 @@
 // OnEnd fails the probe in hand.
 func (p *prober) OnEnd(err error) {
 	o := choice.Reset
-	if !p.up {
+	switch {
+	case loop.Local(err):
+		o = choice.Moot
+	case !p.up:
 		o = choice.ConnectFailed
 	}
 	if err == io.EOF {
--- a/internal/platform/upstream/upstream.go
+++ b/internal/platform/upstream/upstream.go
@@ -154,7 +154,7 @@
 		zap.L().Warn("host_answer_unreadable", zap.String("host", string(r.attempt.Host.ID)), zap.String("sent", why))
 	}
 	r.over = true
-	r.conn.End()
+	r.conn.Cancel()
 	r.attempt.Ended(o, report)
 }
 
@@ -255,8 +255,15 @@
 	}
 }
 
-// GiveUp closes the connection.
-func (r *Request) GiveUp() { r.End(false) }
+// GiveUp closes the connection. A request line that is half written stays half: the core takes it for one that has not run.
+func (r *Request) GiveUp() {
+	if r.over || r.up {
+		r.End(false)
+		return
+	}
+	r.done()
+	r.conn.Cancel()
+}
 
 func (r *Request) done() {
 	r.over = true
@@ -276,8 +283,12 @@
 		return
 	}
 	r.done()
-	if err == io.EOF {
+	sent := r.conn.Sent()
+	switch {
+	case err == io.EOF && r.up:
 		r.conn.End()
+	case err == io.EOF:
+		r.conn.Cancel()
 	}
 	switch {
 	case r.up:
@@ -290,7 +301,9 @@
 		}
 		r.attempt.Ended(o, nil)
 		r.sink.Ended(err != io.EOF)
-	case !r.conn.Sent():
+	case loop.Local(err):
+		r.attempt.Ended(choice.Moot, nil)
+	case !sent:
 		r.attempt.Ended(choice.ConnectFailed, nil)
 	default:
 		r.attempt.Ended(choice.Reset, nil)
--- a/internal/xmpp/host.go
+++ b/internal/xmpp/host.go
@@ -221,7 +221,7 @@
 
 func (h *upstreamRequest) fail(o choice.Outcome) {
 	h.over = true
-	h.conn.End()
+	h.conn.Cancel()
 	h.attempt.Ended(o, nil)
 }
 
@@ -249,8 +249,16 @@
 	h.finish(false)
 }
 
-// GiveUp ends the attempt for the core.
-func (h *upstreamRequest) GiveUp() { h.finish(false) }
+// GiveUp ends the attempt for the core. What is half written before the session stands stays half: the core takes it for one that has
+// not run.
+func (h *upstreamRequest) GiveUp() {
+	if h.over || h.session.open {
+		h.finish(false)
+		return
+	}
+	h.over = true
+	h.conn.Cancel()
+}
 
 // OnEnd gives the outcome of a connection that failed or ended.
 func (h *upstreamRequest) OnEnd(err error) {
@@ -259,8 +267,12 @@
 	}
 	s := h.session
 	h.over = true
-	if err == io.EOF {
+	sent := h.conn.Sent()
+	switch {
+	case err == io.EOF && s.open:
 		h.conn.End()
+	case err == io.EOF:
+		h.conn.Cancel()
 	}
 	if s.open {
 		why := trace.HostEnded
@@ -276,7 +288,11 @@
 		}
 		return
 	}
-	if !h.up || !h.conn.Sent() {
+	if loop.Local(err) {
+		h.attempt.Ended(choice.Moot, nil)
+		return
+	}
+	if !h.up || !sent {
 		h.attempt.Ended(choice.ConnectFailed, nil)
 		return
 	}
