--- /dev/null
+++ b/internal/edge/clock_test.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"spurwinch/choice"
+)
+
+const warmUp = 10 * time.Second
+
+// steppedCore is a core whose process has started on a clock that is so far ahead of everybody else's. Its discovery tells of one host that
+// has been there for long.
+func steppedCore(t *testing.T, ahead time.Duration) (*world, *Core) {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 1)), now: time.Unix(1e9, 0).Add(ahead)}
+	core, err := New(Options{Clock: w, Prober: w, Seed: 1, Settings: choice.Settings{Nodes: 1,
+		Classes: []choice.Class{{Name: "a", SetupAim: time.Second, Deadline: 4 * time.Second, Worth: 1}}, Limits: choice.Limits{Attempts: 3},
+		Rules: choice.Rules{ColdShare: 0.2, WarmUp: warmUp, FallMultiple: 4, FallTime: time.Second}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.core = core
+	core.Start(nil)
+	core.List(choice.ListWhole, []UpstreamHost{{Server: choice.Server{ID: "old", Size: 1}}})
+	core.Flush()
+	return w, core
+}
+
+// TestSteppedClock has a host start while a node runs whose wall clock is off: for this node, too, it is cold for as long as it warms up, and no
+// longer.
+func TestSteppedClock(t *testing.T) {
+	for _, ahead := range []time.Duration{0, time.Hour, -time.Hour, time.Minute, -time.Minute, 15 * time.Second, -5 * time.Second} {
+		w, core := steppedCore(t, ahead)
+		cold := func(id choice.ServerID) bool {
+			_, cold := core.balancer.SlowStartRate(id)
+			return cold
+		}
+		starts := func(id choice.ServerID) {
+			begun := w.now.Add(-ahead) // by everybody else's clock
+			w.run(w.now.Add(time.Second))
+			core.List(choice.ListChange, []UpstreamHost{{Server: choice.Server{ID: id, Size: 1, Started: time.Duration(begun.UnixNano())}}})
+			core.Flush()
+		}
+		w.run(w.now.Add(20 * time.Second))
+		core.List(choice.ListChange, nil) // a watch that has ended without news
+		starts("new")
+		if !cold("new") {
+			t.Errorf("%v ahead: a host that started a second ago counts as warm", ahead)
+		}
+		w.run(w.now.Add(warmUp / 2))
+		starts("newer")
+		if !cold("new") || !cold("newer") || cold("old") {
+			t.Errorf("%v ahead: cold are new %v, newer %v, old %v", ahead, cold("new"), cold("newer"), cold("old"))
+		}
+		if w.run(w.now.Add(warmUp)); cold("new") || cold("newer") {
+			t.Errorf("%v ahead: cold are new %v, newer %v, long after both are warm", ahead, cold("new"), cold("newer"))
+		}
+	}
+}
--- a/internal/operate/logs/logs_test.go
+++ b/internal/operate/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -46,3 +47,29 @@
 		t.Errorf("%d of %d lines passed", n, 10*first)
 	}
 }
+
+// steppedClock is a wall clock that a test sets.
+type steppedClock struct{ now time.Time }
+
+func (c *steppedClock) Now() time.Time                         { return c.now }
+func (c *steppedClock) NewTicker(d time.Duration) *time.Ticker { return time.NewTicker(d) }
+
+// TestSteppedBack has the wall clock be stepped back by an hour: events are told as before, a second later.
+func TestSteppedBack(t *testing.T) {
+	t.Cleanup(zap.ReplaceGlobals(zap.L()))
+	var out strings.Builder
+	if err := Setup(&out, Options{Format: "json", Level: "info"}); err != nil {
+		t.Fatal(err)
+	}
+	clock := &steppedClock{time.Now()}
+	logger := zap.L().WithOptions(zap.WithClock(clock))
+	for range 2 * first {
+		logger.Warn("host_silent")
+	}
+	clock.now = clock.now.Add(-time.Hour)
+	time.Sleep(window + 50*time.Millisecond)
+	out.Reset()
+	if logger.Warn("host_silent"); !strings.Contains(out.String(), "host_silent") {
+		t.Error("an event of a second later is left out")
+	}
+}
