Clocks: another node's and discovery's are reckoned from what comes; logs count time

Class: a comparison of wall clocks of two machines, or of two moments on one, where a span of real time is meant. Change: messages of a node that agree for a second or more tell its clock's offset; what was held up comes at once and agrees in nothing. A host's start is reckoned by the module's clock (edge/starts.go): none starts later than the list tells of it, and what is news to a list that was followed did not start long before it was last heard of; both correct the offset. The list's own value stays what starts are told apart by. The log's bound counts time passed. Related paths: hosts that come back, another discovery after SIGHUP (tests). Open: a process that starts under a clock that is ahead takes hosts of its first list for warm until the list has news.

--- a/choice/api.go
+++ b/choice/api.go
@@ -178,7 +178,9 @@
 	Cell    int
 	State   ServerState
 	Size    float64
-	Started time.Duration // clock time of its last start; 0: long ago
+	Started time.Duration // clock time of its last start, as the list tells it; 0: long ago
+	// ColdSince is when it started by the clock of Step, where that differs from the list's; 0: it does not.
+	ColdSince time.Duration
 }
 
 type (
--- a/choice/message.go
+++ b/choice/message.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"strconv"
+	"time"
 )
 
 // Messages between nodes, on the wire. No decisions here.
@@ -24,6 +25,7 @@
 	mostSeen       = 2048 // questions remembered, to tell repeats
 	mostWaiting    = 1024 // questions that wait for one server's report
 	mostGroups     = 256  // groups remembered of one server
+	clockMessages  = 3    // that agree in another node's clock
 )
 
 type messageKind uint8
@@ -104,7 +106,7 @@
 
 // fresh reports whether a question is a new one of now, and remembers it.
 func (b *Balancer) fresh(from int, m message) bool {
-	if age := int16(clockOf(b) - m.token); age > latest || age < -latest {
+	if !b.inTime(from, m.token) {
 		return false
 	}
 	k := seenKey{from, m.token}
@@ -122,6 +124,46 @@
 	return true
 }
 
+// clockOffset is how far another node's clock is from this one's, as its messages tell: machines' clocks may be stepped, by seconds or
+// an hour.
+type clockOffset struct {
+	known int16 // ms
+	// Messages that are late or early by known, and agree with one another:
+	other int16
+	count int
+	since time.Duration
+}
+
+// inTime reports whether a message was sent within the last moment, by its sender's clock. What several messages of a second or more agree
+// in is that clock; messages that were held up on the way come all at once, and agree in nothing.
+func (b *Balancer) inTime(from int, token uint16) bool {
+	off := int16(clockOf(b) - token)
+	c := b.clocks[from]
+	if near(off, c.known) {
+		if c.count > 0 {
+			c.count = 0
+			b.clocks[from] = c
+		}
+		return true
+	}
+	if c.count == 0 || !near(off, c.other) {
+		c.other, c.count, c.since = off, 0, b.now
+	}
+	c.count++
+	agreed := c.count >= clockMessages && b.now-c.since >= latest*time.Millisecond
+	if agreed {
+		c = clockOffset{known: off}
+	}
+	b.clocks[from] = c
+	return agreed
+}
+
+// near says whether two offsets differ by no more than a message may be late.
+func near(x, y int16) bool {
+	d := x - y
+	return d <= latest && d >= -latest
+}
+
 // Dropped counts the messages that were not believed.
 func (b *Balancer) Dropped() int { return b.dropped }
 
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -5,7 +5,11 @@
 
 // warm is the part of its capacity that a server is sure to have.
 func (b *Balancer) warm(s *server) float64 {
-	age := b.now - s.Started
+	start := s.Started
+	if s.ColdSince > 0 {
+		start = s.ColdSince
+	}
+	age := b.now - start
 	if s.Started <= 0 || age >= b.set.Rules.WarmUp {
 		return 1
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -112,6 +112,7 @@
 	asked        map[uint16]asked   // questions out, by token
 	silent       []time.Duration    // by node: until when it is taken to be gone
 	lastToken    int64
+	clocks       map[int]clockOffset // by node, of those whose clocks differ
 	seen         []seenKey
 	seenAt       int
 	dropped      int
@@ -133,7 +134,7 @@
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 1)), now: now, rateAt: now, unit: 1, gate: 1,
 		reqs: map[RequestID]*request{}, groups: map[uint64]float64{}, kinds: map[string]*costs{},
 		inClass: map[zoneClass]float64{}, zoneNews: map[string]*zoneCount{}}
-	b.asked, b.meanWorth = map[uint16]asked{}, s.Classes[0].Worth
+	b.asked, b.clocks, b.meanWorth = map[uint16]asked{}, map[int]clockOffset{}, s.Classes[0].Worth
 	b.coldLeave, b.coldLeaveAt = chanceOf(seed), now // nodes that start together get theirs at other times
 	b.adapt(s)
 	return b, nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -183,6 +183,7 @@
 	seq      uint64
 	counts   []*Counts // by class
 	lease    *Lease    // nil: nothing but the settings says what is taken
+	starts   discoveryClock
 }
 
 type host struct {
@@ -335,10 +336,9 @@
 func (c *Core) List(kind choice.ListKind, hosts []UpstreamHost) {
 	l := choice.ServerList{Kind: kind}
 	var leaving []*host
+	heard := c.clock(c.o.Clock.Now())
 	for _, h := range hosts {
-		if h.Started > 0 { // a start before the module's clock, which is Unix time as well
-			h.Started = max(h.Started, 1)
-		}
+		h.ColdSince = c.starts.reckon(h.Server, heard)
 		l.Servers = append(l.Servers, h.Server)
 		if k := c.hosts[h.ID]; c.o.Observer != nil && (k == nil || k.State != h.State || k.Started != h.Started) {
 			c.o.Observer.Host(h)
@@ -383,6 +383,9 @@
 			delete(c.hosts, id)
 		}
 	}
+	if kind == choice.ListWhole || kind == choice.ListChange {
+		c.starts.listed(heard, c.hosts)
+	}
 	c.tell(l) // first: what is called off goes to none of them
 	for _, h := range leaving {
 		c.callOff(h)
@@ -392,6 +395,9 @@
 	}
 }
 
+// AnotherList says that the next list is another discovery's, whose hosts may have started at any time.
+func (c *Core) AnotherList() { c.starts.heard = 0 }
+
 // Listed are the hosts that are not gone, by id.
 func (c *Core) Listed() []UpstreamHost {
 	var all []UpstreamHost
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -43,6 +43,9 @@
 	n.others.known(next)
 	zap.L().Info("configuration_taken", zap.String("discovery", next.Discovery), zap.Int("classes", len(next.Settings.ClassByName)),
 		zap.Int("attempts", next.Settings.Limits.Attempts))
+	if addr, _ := n.watch.At(); addr != next.Discovery {
+		n.core.AnotherList()
+	}
 	n.watch.Move(next.Discovery)
 }
 
--- a/internal/operate/logs/logs.go
+++ b/internal/operate/logs/logs.go
@@ -53,25 +53,32 @@
 				left.Add(1)
 			}
 		}))
-	zap.ReplaceGlobals(zap.New(bounded{sampled, core}))
+	zap.ReplaceGlobals(zap.New(bounded{sampled, core, time.Now()}))
 	return nil
 }
 
-// bounded has lines of level debug, which tell single requests, pass whole, and all others within their bound.
+// bounded has lines of level debug, which tell single requests, pass whole, and all others within their bound. The bound counts time that
+// has passed: the wall clock may be stepped back, and an event would be shut up until it has caught up.
 type bounded struct {
 	zapcore.Core
 	whole zapcore.Core
+	began time.Time
 }
 
 func (b bounded) With(f []zapcore.Field) zapcore.Core {
-	return bounded{b.Core.With(f), b.whole.With(f)}
+	return bounded{b.Core.With(f), b.whole.With(f), b.began}
 }
 
 func (b bounded) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if e.Level == zapcore.DebugLevel {
 		return b.whole.Check(e, c)
 	}
-	return b.Core.Check(e, c)
+	told := e.Time
+	e.Time = b.began.Add(time.Since(b.began))
+	if c = b.Core.Check(e, c); c != nil {
+		c.Time = told
+	}
+	return c
 }
 
 // telling adds to a line how many were left out before it.
