Red: hand-over between clocks that differ, a start and a reload without descriptors

Cause: times go to the next process as Unix time and are set against its own clock; config.Again's and node.New's errors are final whatever they are, and nothing reads the file again. Measured: a resting connection that is handed over under a clock an hour ahead ends after 0.2 ms, behind it outlives 20 s; a server left out for two seconds is left out for 16, or not at all; a process whose first calls fail ends with status 1; a SIGHUP during ENFILE or EIO is lost.

--- a/choice/learned_test.go
+++ b/choice/learned_test.go
@@ -291,3 +291,36 @@
 		}
 	}
 }
+
+// TestLearnedByAnotherClock has a process begin on a clock that is an hour off the one before it: what that one learned keeps its age, and what
+// it spent at a cold server stays spent.
+func TestLearnedByAnotherClock(t *testing.T) {
+	for _, off := range []time.Duration{time.Hour, -time.Hour} {
+		list := fleet(3)
+		list.Servers[1].Started = 2*time.Hour - time.Second
+		before, err := New(plain(), 1, 2*time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before.Step(2*time.Hour, []Event{list, ProbeResult{Server: "s000", Outcome: Served, Report: []float64{0.5, 0.5}}})
+		before.find("s001").credit, before.find("s001").creditAt = 0, 2*time.Hour
+		before.strike(before.find("s002"))
+		learned := before.Learned()
+		now := 2*time.Hour + off
+		after, err := New(plain(), 2, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list.Servers[1].ColdSince = now - time.Second
+		after.Step(now, []Event{list, Inherited{learned}})
+		if s := after.find("s000"); !s.known || s.reportAt != now {
+			t.Errorf("%v off: a report of now is %v old, known %v", off, now-s.reportAt, s.known)
+		}
+		if s := after.find("s001"); s.credit != 0 || s.creditAt != now {
+			t.Errorf("%v off: a cold server that was sent all it bears may have %v, since %v", off, s.credit, now-s.creditAt)
+		}
+		if s := after.find("s002"); s.badUntil != now+firstEject {
+			t.Errorf("%v off: a server that failed is left out for %v", off, s.badUntil-now)
+		}
+	}
+}
--- a/cmd/spurwinch/shim_test.go
+++ b/cmd/spurwinch/shim_test.go
@@ -83,3 +83,39 @@
 		t.Error("the program does not end after SIGTERM")
 	}
 }
+
+// TestScarceForAMoment has a process find no descriptors at all, at its start and for a new configuration: it starts, and the configuration is
+// taken, once there are some again.
+func TestScarceForAMoment(t *testing.T) {
+	t.Run("start", func(t *testing.T) {
+		s := launchShimmed(t, func(c *shim.Control) {
+			for _, k := range []shim.Kind{shim.Open, shim.Socket, shim.Watch} {
+				c.Fail(k, 1)
+			}
+			time.AfterFunc(500*time.Millisecond, c.Heal)
+		})
+		if s.Injected(shim.Open) == 0 {
+			t.Error("the crossing did not take place: the configuration could be read at once")
+		}
+		s.player.Play(t, "c open\nc > PING\nc < PONG\n")
+	})
+	t.Run("reload", func(t *testing.T) {
+		s := launchShimmed(t)
+		next := s.player.Listen(t, "next")
+		s.player.Do = map[string]func(){"reload": func() {
+			text, err := os.ReadFile(s.config)
+			if err != nil {
+				t.Error(err)
+			}
+			text = []byte(strings.Replace(string(text), s.player.Listeners["d"].Addr().String(), next, 1))
+			if err := os.WriteFile(s.config, text, 0o600); err != nil {
+				t.Error(err)
+			}
+			s.Fail(shim.Open, 1)
+			s.cmd.Process.Signal(syscall.SIGHUP)
+			exchange.Until(t, "the file can't be opened", func() bool { return s.Injected(shim.Open) > 0 })
+			s.Heal()
+		}}
+		s.player.Play(t, "d accept d\ndo reload\ne accept next\ne < GET /v1/servers HTTP/1.1\\r\\nHost: {*}\\r\\nAccept: application/json\\r\\n\n")
+	})
+}
