Hand-over by spans of time; starts and reloads wait for what is short for a moment

Change: resting connections, lines that wait, sessions without a stream and what the module learned go to the next process as spans (Left, Waits, Now); Unix times stay beside them for releases that know no other. Reload reads its files again every 0.1 s for 30 s where they could not be read for a moment; a start is assembled again for 5 s, with all of the try before closed. node.New is taken apart by what it sets up. Related paths: XMPP's resting connections and sessions have the same. Ruled out: CLOCK_MONOTONIC over the wire, which the standard library doesn't tell; retrying a file with a fault, which no time mends.

--- a/choice/learned.go
+++ b/choice/learned.go
@@ -28,6 +28,7 @@
 	Kinds   []LearnedKind   `cbor:"11,keyasint,omitempty"`
 	Servers []LearnedServer `cbor:"12,keyasint,omitempty"`
 	Meaning string          `cbor:"13,keyasint,omitempty"` // of the settings that the values were learned under
+	Now     time.Duration   `cbor:"14,keyasint,omitempty"` // when it is told; 0: a release that has its clock be the reader's
 }
 
 // LearnedKind is what reports said of a kind of machine.
@@ -79,7 +80,7 @@
 // Learned tells what this balancer has found out.
 func (b *Balancer) Learned() Learned {
 	l := Learned{Form: LearnedForm, Unit: b.unit, Hints: b.hints, SumLoad: b.sumLoad, SumBase: b.sumBase, SumAt: b.sumAt,
-		Rate: b.rate, RateAt: b.rateAt, Gate: b.gate, Worth: b.meanWorth, Meaning: b.set.meaning()}
+		Rate: b.rate, RateAt: b.rateAt, Gate: b.gate, Worth: b.meanWorth, Meaning: b.set.meaning(), Now: b.now}
 	for name, k := range b.kinds {
 		if k.n > 0 {
 			l.Kinds = append(l.Kinds, LearnedKind{name, k.num, k.den, k.n})
@@ -122,6 +123,7 @@
 	if !l.sound() || l.Meaning != b.set.meaning() {
 		return
 	}
+	l = l.at(b.now)
 	if b.hints < l.Hints {
 		b.unit, b.hints = l.Unit, l.Hints
 	}
@@ -161,6 +163,27 @@
 	b.price()
 }
 
+// at is the same with its times on the clock of a reader that reads it now.
+func (l Learned) at(now time.Duration) Learned {
+	if l.Now == 0 {
+		return l
+	}
+	shift := now - l.Now
+	moved := func(at time.Duration) time.Duration {
+		if at == 0 {
+			return 0
+		}
+		return at + shift
+	}
+	l.SumAt, l.RateAt, l.Now = moved(l.SumAt), moved(l.RateAt), now
+	l.Servers = slices.Clone(l.Servers)
+	for i := range l.Servers {
+		s := &l.Servers[i]
+		s.ReportAt, s.BadUntil, s.CreditAt = moved(s.ReportAt), moved(s.BadUntil), moved(s.CreditAt)
+	}
+	return l
+}
+
 // stood has a connection count as one that the server's last report shows, and that costs are learned by.
 func (b *Balancer) stood(s *server, load float64) {
 	if s.slow += load; s.known {
--- a/internal/edge/carry.go
+++ b/internal/edge/carry.go
@@ -99,7 +99,11 @@
 }
 
 // Learned is what the module has found out so far, for another process.
-func (c *Core) Learned() choice.Learned { return c.balancer.Learned() }
+func (c *Core) Learned() choice.Learned {
+	l := c.balancer.Learned()
+	l.Now = c.clock(c.o.Clock.Now())
+	return l
+}
 
 // Inherit tells the module what that of another process has found out.
 func (c *Core) Inherit(l choice.Learned) { c.tell(choice.Inherited{Learned: l}) }
--- a/internal/loop/carry.go
+++ b/internal/loop/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -18,6 +19,20 @@
 	Paused bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// Times change their process as spans: the other one's wall clock may be stepped before or while it runs.
+
+// Left is a time as it is told to another process: what is left until it, at least a nanosecond.
+func Left(now, at time.Time) int64 { return max(1, int64(at.Sub(now))) }
+
+// After is a time that another process has told by Left. Where that one is of a release that tells Unix time only, left is 0, and what its
+// clock and this one's make of it is held within most.
+func After(now time.Time, left, unix int64, most time.Duration) time.Time {
+	if left == 0 {
+		left = int64(time.Unix(0, unix).Sub(now))
+	}
+	return now.Add(min(max(time.Duration(left), 0), most))
+}
+
 // Lend takes an established connection off the poller and tells its socket and state. ok is false for one that is no
 // longer what its socket says: it ends, has ended, or had a write fail.
 func (c *Conn) Lend() (fd int, state Carried, ok bool) {
--- a/internal/loop/errors.go
+++ b/internal/loop/errors.go
@@ -45,6 +45,9 @@
 	return isOneOf(err, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EADDRNOTAVAIL, unix.EAGAIN)
 }
 
+// Passing says that a call failed in a way that passes: for want of something on this machine, or since its disk did not answer.
+func Passing(err error) bool { return scarce(err) || isOneOf(err, unix.EINTR, unix.EIO, unix.ESTALE) }
+
 // uninterrupted makes a call until no signal interrupts it. One that the kernel has no memory for has done nothing, as one that would block.
 func uninterrupted(call func() (int, error)) (n int, err error) {
 	for range mostInterrupts {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -134,6 +134,11 @@
 		unix.Close(fd)
 	}
 	clear(l.fds)
+	l.poller.Close()
+	if l.spare >= 0 {
+		unix.Close(l.spare)
+		l.spare = -1
+	}
 }
 
 func (l *Loop) settle() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	cores     []*edge.Core
 	named     map[string]*edge.Core             // by cluster; the platform's has no name
 	reloads   []func() (take func(), err error) // reads the files again; take has what they say take effect
+	rereading func()                            // calls off the next try at reading them; nil: there is none
 	leaves    []func()                          // when the planned stop begins
 	closers   []func()
 	exit      time.Duration
@@ -71,17 +72,25 @@
 // newVoter makes a voter of the fleet's log; where it is nil and the node is to vote, the error is ErrVoter.
 func New(l *loop.Loop, getenv func(string) string, operator string, newVoter agent.NewVoter) (*Program, error) {
 	p := newProgram(l)
+	if err := p.assemble(getenv, operator, newVoter); err != nil {
+		p.Close() // files that were begun
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Program) assemble(getenv func(string) string, operator string, newVoter agent.NewVoter) error {
 	mgmt := getenv("GW_MGMT")
 	seed := uint64(time.Now().UnixNano())
 	var o config.Operator
 	if operator != "" {
 		var err error
 		if o, err = config.ReadOperator(operator); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if o.Fleet != nil && newVoter == nil && o.Fleet.Votes() {
-		return nil, ErrVoter
+		return ErrVoter
 	}
 	p.waits = o.Fleet != nil && o.Fleet.List.Policy != nil
 	var n config.Node
@@ -93,13 +102,13 @@
 	if onPlatform {
 		var err error
 		if n, err = config.FromEnvironment(getenv); err != nil {
-			return nil, err
+			return err
 		}
 		listen, mgmt = n.Listen, n.Mgmt
 	}
 	if mgmt != "" { // before any client can come: a start that fails must not take connections with it
 		if err := p.openDoor(mgmt); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	place := handover.Path(getenv("TMPDIR"), listen)
@@ -110,48 +119,65 @@
 		p.waits, p.second = false, true
 	}
 	if onPlatform {
-		observer, err := p.record(o.Capture, n.Name, n.Settings.Settings, n.Settings.ReportFields)
-		if err != nil {
-			return nil, err
-		}
-		front, _, err := p.serve(n, observer)
-		if err != nil {
-			return nil, err
+		if err := p.assemblePlatform(n, o.Capture, getenv("GW_CONFIG")); err != nil {
+			return err
 		}
-		p.cores, seed, p.exit = append(p.cores, front.core), n.Seed, platformExit
-		p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
-		p.reloads = append(p.reloads, p.rereads(front, getenv("GW_CONFIG")))
+		seed = n.Seed
 	}
 	if len(o.Clusters) > 0 {
 		// A process started beside another one reads the same seed; the ids that it gives its sessions must differ from those
 		// that it takes over.
 		seed ^= uint64(time.Now().UnixNano())
-		more, op, err := serveOperator(l, operator, o, seed, p)
+		more, op, err := serveOperator(p.loop, operator, o, seed, p)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		p.cores = append(p.cores, more...)
 		p.reloads = append(p.reloads, op.reread)
 	}
 	if o.Fleet != nil {
-		core := p.named[o.Fleet.Cluster]
-		if core == nil {
-			return nil, fmt.Errorf("%s: [fleet] cluster = %q: no cluster has this name", operator, o.Fleet.Cluster)
+		if err := p.assembleFleet(*o.Fleet, operator, newVoter); err != nil {
+			return err
 		}
-		p.joinFleet(*o.Fleet, core, newVoter, func() ([]string, []choice.Class) {
-			classes := core.Classes()
-			var names []string
-			for _, c := range classes {
-				names = append(names, c.Name)
-			}
-			return names, classes
-		})
 	}
 	p.beside.open(place)
 	if p.platform == nil {
-		l.At(l.Now(), p.takes)
+		p.loop.At(p.loop.Now(), p.takes)
 	}
-	return p, nil
+	return nil
+}
+
+// assemblePlatform sets up the platform's front.
+func (p *Program) assemblePlatform(n config.Node, capture config.Capture, path string) error {
+	observer, err := p.record(capture, n.Name, n.Settings.Settings, n.Settings.ReportFields)
+	if err != nil {
+		return err
+	}
+	front, _, err := p.serve(n, observer)
+	if err != nil {
+		return err
+	}
+	p.cores, p.exit = append(p.cores, front.core), platformExit
+	p.leaves = append(p.leaves, func() { front.others.report(front.core.Unbelieved()) })
+	p.reloads = append(p.reloads, p.rereads(front, path))
+	return nil
+}
+
+// assembleFleet sets up the node's part in its fleet.
+func (p *Program) assembleFleet(f config.Fleet, operator string, newVoter agent.NewVoter) error {
+	core := p.named[f.Cluster]
+	if core == nil {
+		return fmt.Errorf("%s: [fleet] cluster = %q: no cluster has this name", operator, f.Cluster)
+	}
+	p.joinFleet(f, core, newVoter, func() ([]string, []choice.Class) {
+		classes := core.Classes()
+		var names []string
+		for _, c := range classes {
+			names = append(names, c.Name)
+		}
+		return names, classes
+	})
+	return nil
 }
 
 // listed is called where the platform's front knows hosts, or has waited long enough for some.
@@ -220,24 +246,6 @@
 	}
 }
 
-// Reload reads the files again. They take effect all together, or one fault has everything stay as it was.
-func (p *Program) Reload() {
-	var takes []func()
-	for _, read := range p.reloads {
-		take, err := read()
-		if err != nil {
-			p.figures.ReloadsFailed++
-			zap.L().Error("reload_kept_old_configuration", zap.Error(err))
-			return
-		}
-		takes = append(takes, take)
-	}
-	for _, take := range takes {
-		take()
-	}
-	p.figures.ReloadsOK++
-}
-
 // Leave begins the planned stop, which ends the loop.
 func (p *Program) Leave() {
 	for _, fn := range p.leaves {
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"spurwinch/internal/loop"
+)
+
+const (
+	rereadPause = 100 * time.Millisecond // between two tries at files that could not be read for a moment
+	rereadFor   = 30 * time.Second       // then the old configuration stays, until the next signal
+)
+
+// Reload reads the files again. They take effect all together, or one fault has everything stay as it was.
+func (p *Program) Reload() {
+	if p.rereading != nil {
+		p.rereading()
+		p.rereading = nil
+	}
+	p.reloadUntil(p.loop.Now().Add(rereadFor))
+}
+
+// reloadUntil tries again, up to a time, where files can't be read for a moment: no further signal would come for them.
+func (p *Program) reloadUntil(end time.Time) {
+	takes, err := p.reread()
+	next := p.loop.Now().Add(rereadPause)
+	switch {
+	case err == nil:
+		for _, take := range takes {
+			take()
+		}
+		p.figures.ReloadsOK++
+	case loop.Passing(err) && next.Before(end):
+		zap.L().Warn("reload_tried_again", zap.Error(err))
+		p.rereading = p.loop.At(next, func() {
+			p.rereading = nil
+			p.reloadUntil(end)
+		})
+	default:
+		p.figures.ReloadsFailed++
+		zap.L().Error("reload_kept_old_configuration", zap.Error(err))
+	}
+}
+
+// reread reads and checks all files; what it returns has them take effect.
+func (p *Program) reread() (takes []func(), err error) {
+	for _, read := range p.reloads {
+		take, err := read()
+		if err != nil {
+			return nil, err
+		}
+		takes = append(takes, take)
+	}
+	return takes, nil
+}
--- a/internal/node/start/start.go
+++ b/internal/node/start/start.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"spurwinch/internal/failover/agent"
 	"spurwinch/internal/loop"
@@ -17,6 +18,11 @@
 	"spurwinch/internal/operate/logs"
 )
 
+const (
+	startPatience = 5 * time.Second // for what a start lacks; 10 s are wanted until a node takes clients
+	startPause    = 50 * time.Millisecond
+)
+
 const usage = "usage: spurwinch [-operator FILE] [-log console|json] [-log-level LEVEL] | spurwinch import-nginx FILE"
 
 // Main is the program: it runs until it has left, and gives its exit code. newVoter makes a voter of the fleet's log; nil: this program
@@ -56,11 +62,7 @@
 	if err := logs.Setup(os.Stderr, o); err != nil {
 		return err
 	}
-	l, err := loop.New()
-	if err != nil {
-		return err
-	}
-	p, err := node.New(l, os.Getenv, *operator, newVoter)
+	p, err := assemble(*operator, newVoter)
 	if errors.Is(err, node.ErrVoter) {
 		// Nothing is open yet that another program could miss.
 		return become("spurwinch-voter", args)
@@ -71,6 +73,28 @@
 	return p.Run(reload, stop)
 }
 
+// assemble puts the node together. What this machine lacks for a moment is waited for: a process that ends at its start is a node that is gone.
+func assemble(operator string, newVoter agent.NewVoter) (*node.Program, error) {
+	for end := time.Now().Add(startPatience); ; time.Sleep(startPause) {
+		p, err := tryToAssemble(operator, newVoter)
+		if err == nil || !loop.Passing(err) || time.Now().After(end) {
+			return p, err
+		}
+	}
+}
+
+func tryToAssemble(operator string, newVoter agent.NewVoter) (*node.Program, error) {
+	l, err := loop.New()
+	if err != nil {
+		return nil, err
+	}
+	p, err := node.New(l, os.Getenv, operator, newVoter)
+	if err != nil {
+		l.Close() // nothing of it may stand in the way of the next try
+	}
+	return p, err
+}
+
 // become has a program that stands beside this one take this process over.
 func become(name string, args []string) error {
 	self, err := os.Executable()
--- a/internal/platform/downstream/carry.go
+++ b/internal/platform/downstream/carry.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
@@ -20,7 +19,8 @@
 	Host   *upstream.Standing `cbor:"3,keyasint,omitempty"`
 	Line   []byte             `cbor:"4,keyasint,omitempty"` // of the client's first line
 	Pinged bool               `cbor:"5,keyasint,omitempty"`
-	Until  int64              `cbor:"6,keyasint,omitempty"` // Unix time in ns by which that line must be there
+	Until  int64              `cbor:"6,keyasint,omitempty"` // Unix time in ns by which that line must be there, for releases without Left
+	Left   int64              `cbor:"7,keyasint,omitempty"` // ns until then
 }
 
 // check says what is wrong with what another process told, of a connection with so many sockets.
@@ -133,7 +133,8 @@
 		return nil, nil, false
 	}
 	s.cancelTimer()
-	return []int{fd}, Standing{Conn: conn, Line: s.in.Part(), Pinged: s.pinged, Until: s.until.UnixNano()}, true
+	return []int{fd}, Standing{Conn: conn, Line: s.in.Part(), Pinged: s.pinged, Until: s.until.UnixNano(),
+		Left: loop.Left(s.front.loop.Now(), s.until)}, true
 }
 
 // Return has a lent connection go on.
@@ -149,5 +150,5 @@
 	s := &session{front: f, in: line.NewReader(st.Line), pinged: st.Pinged}
 	s.conn = f.loop.Restore(fd, st.Conn, s)
 	s.conn.Wait()
-	s.due(time.Unix(0, st.Until))
+	s.due(loop.After(f.loop.Now(), st.Left, st.Until, openTime))
 }
--- a/internal/platform/upstream/carry.go
+++ b/internal/platform/upstream/carry.go
@@ -15,12 +15,13 @@
 	Line   []byte       `cbor:"2,keyasint,omitempty"` // of the host, not ended yet
 	Behind int          `cbor:"3,keyasint,omitempty"` // bytes of the client's line in hand
 	Last   uint8        `cbor:"4,keyasint,omitempty"`
-	Sent   int64        `cbor:"5,keyasint,omitempty"` // Unix time in ns of the line that waits for its answer; 0: none does
+	Sent   int64        `cbor:"5,keyasint,omitempty"` // Unix time in ns of the line that waits for its answer, for releases without Waits; 0: none does
+	Waits  int64        `cbor:"6,keyasint,omitempty"` // ns that it has waited; 0: none does
 }
 
 // Check says what is wrong with what another process told.
 func (s Standing) Check() error {
-	if len(s.Line) > line.Max || s.Behind < 0 || s.Behind > line.Max || s.Last > uint8(move) || s.Sent < 0 {
+	if len(s.Line) > line.Max || s.Behind < 0 || s.Behind > line.Max || s.Last > uint8(move) || s.Sent < 0 || s.Waits < 0 {
 		return errors.New("a host's side that can't be")
 	}
 	return nil
@@ -34,7 +35,7 @@
 	fd, s.Conn, ok = r.conn.Lend()
 	s.Line, s.Behind, s.Last = r.in.Part(), r.out.Part(), uint8(r.last)
 	if !r.sent.IsZero() {
-		s.Sent = r.sent.UnixNano()
+		s.Sent, s.Waits = r.sent.UnixNano(), max(1, int64(r.cluster.loop.Now().Sub(r.sent)))
 	}
 	r.unwatch()
 	return fd, s, ok
@@ -46,6 +47,18 @@
 	r.rewatch()
 }
 
+// sentAt is when the line was sent that waits for its answer.
+func (s Standing) sentAt(now time.Time) time.Time {
+	waited := time.Duration(s.Waits)
+	if waited == 0 {
+		waited = max(0, now.Sub(time.Unix(0, s.Sent)))
+	}
+	return now.Add(-min(waited, longestWait))
+}
+
+// longestWait is more than any line may wait.
+const longestWait = 10 * time.Second
+
 // Release lets go of a lent connection that another process has.
 func (r *Request) Release() {
 	r.done()
@@ -57,7 +70,7 @@
 	r := &Request{cluster: c, attempt: a, sink: sink, up: true, last: ending(s.Last),
 		in: line.NewReader(s.Line), out: line.NewScanner(s.Behind)}
 	if s.Sent > 0 {
-		r.sent = time.Unix(0, s.Sent)
+		r.sent = s.sentAt(c.loop.Now())
 	}
 	r.conn = c.loop.Restore(fd, s.Conn, r)
 	r.rewatch()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -25,7 +25,8 @@
 	Host    choice.ServerID
 	Started time.Duration // of the host's process, as the list told it: another one knows nothing of the session
 	Max     time.Duration // how long the host keeps it once its stream is gone
-	Until   time.Time     // zero: its stream stands; a second more or less is told to another process
+	Until   time.Time     // zero: its stream stands
+	Left    time.Duration // until then, as it is told to another process, whose clock may differ; 0: a release that tells Until only
 }
 
 // Table holds sessions, most recent last. The zero Table holds none: use New.
@@ -153,7 +154,9 @@
 func (t *Table) Broken(now time.Time, most int) (all []Session) {
 	for e := t.broken.Back(); e != nil && len(all) < most; e = e.Prev() {
 		if s := e.Value.(*Session); !s.old(now) {
-			all = append(all, *s)
+			told := *s
+			told.Left = s.Until.Sub(now)
+			all = append(all, told)
 		}
 	}
 	return all
@@ -163,6 +166,9 @@
 func (t *Table) Inherit(now time.Time, all []Session) {
 	for i := len(all) - 1; i >= 0; i-- {
 		s := all[i]
+		if s.Left > 0 {
+			s.Until, s.Left = now.Add(s.Left), 0
+		}
 		if s.ID == "" || s.Host == "" || s.Until.IsZero() || s.old(now) || s.Until.Sub(now) > MostMax || t.by[s.Key] != nil {
 			continue
 		}
--- a/internal/xmpp/carry.go
+++ b/internal/xmpp/carry.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
@@ -29,7 +28,8 @@
 	In     Stream       `cbor:"2,keyasint"`
 	To     string       `cbor:"3,keyasint,omitempty"`
 	Host   *Host        `cbor:"4,keyasint,omitempty"`
-	Until  int64        `cbor:"5,keyasint,omitempty"` // Unix time in ns by which the header must be there
+	Until  int64        `cbor:"5,keyasint,omitempty"` // Unix time in ns by which the header must be there, for releases without Left
+	Left   int64        `cbor:"8,keyasint,omitempty"` // ns until then
 	Opened bool         `cbor:"6,keyasint,omitempty"` // the client waits for a stream header
 
 	Resumes *sessions.Session `cbor:"7,keyasint,omitempty"` // that its client can resume
@@ -127,7 +127,8 @@
 		return nil, nil, false
 	}
 	s.cancelTimer()
-	return []int{fd}, Standing{Conn: conn, In: s.in.stream(), Until: s.until.UnixNano()}, true
+	return []int{fd}, Standing{Conn: conn, In: s.in.stream(), Until: s.until.UnixNano(),
+		Left: loop.Left(s.front.loop.Now(), s.until)}, true
 }
 
 // Return has a lent connection go on.
@@ -193,5 +194,5 @@
 	s.raw = f.loop.Restore(fd, st.Conn, s)
 	s.conn, s.guest = s.raw, f.door.Stood(f.loop.Now(), s.raw.Peer, "")
 	s.raw.Wait()
-	s.due(time.Unix(0, st.Until))
+	s.due(loop.After(f.loop.Now(), st.Left, st.Until, f.limits.HeaderTime))
 }
