--- a/internal/agree/store.go
+++ b/internal/agree/store.go
@@ -35,6 +35,7 @@
 
 // Store keeps records on disk. Its methods may wait for the disk, and belong to one goroutine.
 type Store struct {
+	disk disk
 	dir  string
 	file *os.File
 	at   int64
@@ -45,8 +46,10 @@
 
 // OpenStore opens the store of a directory, which it makes, and reads what was kept, oldest first. A file that is not whole is
 // renamed; the error then is an ErrSpoilt, and the store is a new one.
-func OpenStore(dir string) (*Store, []Record, error) {
-	s := &Store{dir: dir}
+func OpenStore(dir string) (*Store, []Record, error) { return openStoreOn(files{}, dir) }
+
+func openStoreOn(d disk, dir string) (*Store, []Record, error) {
+	s := &Store{disk: d, dir: dir}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, err
 	}
@@ -59,7 +62,7 @@
 	}
 	records, at, fault := parse(raw)
 	if fault != nil {
-		if err := os.Rename(path, path+".spoilt"); err != nil {
+		if err := s.disk.Rename(path, path+".spoilt"); err != nil {
 			return nil, nil, err
 		}
 		if err := s.rewrite(nil); err != nil {
@@ -75,7 +78,7 @@
 		return nil, nil, err
 	}
 	// What a stopped machine left half written goes, so that no later record stands behind it.
-	if _, err := s.file.WriteAt(make([]byte, min(s.size-at, 4096)), at); err != nil {
+	if err := s.disk.WriteAt(s.file, make([]byte, min(s.size-at, 4096)), at); err != nil {
 		return nil, nil, err
 	}
 	return s, records, nil
@@ -147,10 +150,10 @@
 			return err
 		}
 	}
-	if _, err := s.file.WriteAt(b, s.at); err != nil {
+	if err := s.disk.WriteAt(s.file, b, s.at); err != nil {
 		return err
 	}
-	if err := s.file.Sync(); err != nil {
+	if err := s.disk.Sync(s.file); err != nil {
 		return err
 	}
 	s.at += int64(len(b))
@@ -184,15 +187,15 @@
 	head := binary.BigEndian.AppendUint64([]byte(magic), uint64(size))
 	head = binary.BigEndian.AppendUint64(head, xxhash.Sum64(head))
 	// The whole size is written, not left as a hole: a full disk shows here and not in the middle of a promise.
-	if _, err = f.Write(append(append(head, body...), make([]byte, size-headBytes-int64(len(body)))...)); err == nil {
-		err = f.Sync()
+	if err = s.disk.WriteAt(f, append(append(head, body...), make([]byte, size-headBytes-int64(len(body)))...), 0); err == nil {
+		err = s.disk.Sync(f)
 	}
 	if err == nil {
 		old := s.file
 		s.file = f
 		if err = s.lock(); err != nil {
 			s.file = old
-		} else if err = os.Rename(path+".new", path); err != nil {
+		} else if err = s.disk.Rename(path+".new", path); err != nil {
 			s.file = old
 		} else if old != nil {
 			old.Close()
@@ -203,12 +206,7 @@
 		return err
 	}
 	s.at, s.size = headBytes+int64(len(body)), size
-	d, err := os.Open(s.dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	return s.disk.SyncFolder(s.dir)
 }
 
 // Close gives the file back.
