Store: what was half written is cleared whole, and a folder that failed is synced again

Change: OpenStore clears up to the last byte that is set; Save clears what a failed write left behind its record, and syncs the folder first where the last try failed. A lock or a clearing that fails gives its descriptor back. Ruled out: a record's length written twice; zeros to the end of the file, a megabyte at each start.

--- a/internal/agree/store.go
+++ b/internal/agree/store.go
@@ -40,6 +40,10 @@
 	file *os.File
 	at   int64
 	size int64
+	// dirty is the end of what may stand behind at: a part of a record that was never whole. No later record may end before it.
+	dirty int64
+	// renamed says that the file has its name, but that the folder may not have it on disk yet.
+	renamed bool
 }
 
 const storeName = "agreed.log"
@@ -75,11 +79,15 @@
 	}
 	s.at, s.size = at, int64(len(raw))
 	if err := s.lock(); err != nil {
+		s.Close()
 		return nil, nil, err
 	}
-	// What a stopped machine left half written goes, so that no later record stands behind it.
-	if err := s.disk.WriteAt(s.file, make([]byte, min(s.size-at, 4096)), at); err != nil {
-		return nil, nil, err
+	// What a stopped process or machine left half written goes, so that no later record stands before it.
+	if half := lastSet(raw[at:]); half > 0 {
+		if err := s.disk.WriteAt(s.file, make([]byte, half), at); err != nil {
+			s.Close()
+			return nil, nil, err
+		}
 	}
 	return s, records, nil
 }
@@ -128,6 +136,15 @@
 	return true
 }
 
+// lastSet is the number of bytes up to the last one that is not zero.
+func lastSet(p []byte) int64 {
+	n := len(p)
+	for n > 0 && p[n-1] == 0 {
+		n--
+	}
+	return int64(n)
+}
+
 func sum(length, body []byte) uint64 {
 	h := xxhash.New()
 	h.Write(length)
@@ -142,24 +159,41 @@
 	return append(append(out, body...), endMark)
 }
 
-// Save keeps a record behind the others. When it returns without an error the record outlives the machine.
+// Save keeps a record behind the others. When it returns without an error the record outlives the machine. After an error the same record may be
+// saved again, or another one in its place.
 func (s *Store) Save(r Record) error {
 	b := frame(r)
-	if s.at+int64(len(b)) > s.size {
-		if err := s.grow(s.at + int64(len(b))); err != nil {
+	end := s.at + int64(len(b))
+	if end > s.size {
+		if err := s.grow(end); err != nil {
 			return err
 		}
 	}
-	if err := s.disk.WriteAt(s.file, b, s.at); err != nil {
+	if err := s.syncFolder(); err != nil {
+		return err
+	}
+	rest := make([]byte, max(0, s.dirty-end))
+	s.dirty = max(s.dirty, end)
+	if err := s.disk.WriteAt(s.file, append(b, rest...), s.at); err != nil {
 		return err
 	}
 	if err := s.disk.Sync(s.file); err != nil {
 		return err
 	}
-	s.at += int64(len(b))
+	s.at, s.dirty = end, 0
 	return nil
 }
 
+// syncFolder has the file's name be on disk, where it may not be yet.
+func (s *Store) syncFolder() error {
+	if !s.renamed {
+		return nil
+	}
+	err := s.disk.SyncFolder(s.dir)
+	s.renamed = err != nil
+	return err
+}
+
 // grow makes room by writing the file anew: its head must never name a size that it doesn't have.
 func (s *Store) grow(least int64) error {
 	raw := make([]byte, s.at)
@@ -205,8 +239,8 @@
 		f.Close()
 		return err
 	}
-	s.at, s.size = headBytes+int64(len(body)), size
-	return s.disk.SyncFolder(s.dir)
+	s.at, s.size, s.dirty, s.renamed = headBytes+int64(len(body)), size, 0, true
+	return s.syncFolder()
 }
 
 // Close gives the file back.
