--- a/internal/edge/clock_test.go
+++ b/internal/edge/clock_test.go
@@ -90,3 +90,40 @@
 		t.Error("it counts as cold")
 	}
 }
+
+// TestStartsUnderASteppedClock has a process start on a clock that is ahead, with a list that names a cold host, which seems to be warm. The first
+// news of another start tells what the clock is worth, and so how old the first host is.
+func TestStartsUnderASteppedClock(t *testing.T) {
+	const ahead = time.Hour
+	w, _ := steppedCore(t, ahead)
+	unix := func() time.Duration { return time.Duration(w.now.Add(-ahead).UnixNano()) }
+	cold := choice.Server{ID: "cold", Size: 1, Started: unix() - time.Second}
+	core := startAgain(t, w, cold)
+	w.run(w.now.Add(time.Second))
+	core.List(choice.ListChange, []UpstreamHost{{Server: choice.Server{ID: "new", Size: 1, Started: unix() - time.Second}}})
+	core.Flush()
+	for _, id := range []choice.ServerID{"cold", "new"} {
+		if _, is := core.balancer.SlowStartRate(id); !is {
+			t.Errorf("%s counts as warm", id)
+		}
+	}
+	w.run(w.now.Add(warmUp + 2*time.Second))
+	for _, id := range []choice.ServerID{"cold", "new"} {
+		if _, is := core.balancer.SlowStartRate(id); is {
+			t.Errorf("%s counts as cold long after it is warm", id)
+		}
+	}
+}
+
+// startAgain is a core of a new process at the world's present time, whose first list names a host.
+func startAgain(t *testing.T, w *world, first choice.Server) *Core {
+	core, err := New(w.core.o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.core, w.timers = core, nil
+	core.Start(nil)
+	core.List(choice.ListWhole, []UpstreamHost{{Server: first}})
+	core.Flush()
+	return core
+}
--- a/internal/loop/failing_test.go
+++ b/internal/loop/failing_test.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	Linux
 	mu     sync.Mutex
 	accept []error
+	write  []error
 }
 
 // next is the error with which a call fails now; nil: it doesn't.
@@ -32,6 +34,13 @@
 	return k.Linux.Accept(fd)
 }
 
+func (k *failing) Write(fd int, p []byte) (int, error) {
+	if err := k.next(&k.write); err != nil {
+		return -1, err
+	}
+	return k.Linux.Write(fd, p)
+}
+
 // runOn runs a loop on a kernel until the test ends.
 func runOn(t *testing.T, k Kernel) *Loop {
 	l, err := NewOn(k)
@@ -72,3 +81,26 @@
 		k.mu.Unlock()
 	}
 }
+
+// TestNothingFollowsAFailedWrite has a write fail and the next one succeed before the failure is told: the second is not written, since the
+// other side would read its bytes behind those that came before the failure.
+func TestNothingFollowsAFailedWrite(t *testing.T) {
+	k := &failing{}
+	l := runOn(t, k)
+	r := record()
+	c, peer := pair(t, l, func(*Conn) Handler { return r })
+	held(t, l, func() {
+		c.Write([]byte("one "))
+		k.mu.Lock()
+		k.write = []error{unix.EHOSTUNREACH}
+		k.mu.Unlock()
+		c.Write([]byte("two "))
+		c.Write([]byte("three"))
+	})
+	if err := wait(t, r.end); err == nil {
+		t.Error("no failure is told")
+	}
+	if got, _ := io.ReadAll(peer); string(got) != "one " {
+		t.Errorf("the other side got %q", got)
+	}
+}
