Nothing is written behind a failed write; a corrected clock reckons all starts anew

Change: Conn.Write drops what comes after a failure; the core reckons starts by one offset, and tells the module of all hosts again when that is corrected. Datagrams whose send is interrupted are sent again.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -336,9 +336,12 @@
 func (c *Core) List(kind choice.ListKind, hosts []UpstreamHost) {
 	l := choice.ServerList{Kind: kind}
 	var leaving []*host
-	heard := c.clock(c.o.Clock.Now())
+	heard, corrected := c.clock(c.o.Clock.Now()), false
 	for _, h := range hosts {
-		h.ColdSince = c.starts.reckon(h.Server, heard)
+		corrected = c.starts.hear(h.Server, heard) || corrected
+	}
+	for _, h := range hosts {
+		h.ColdSince = c.starts.reckon(h.Started)
 		l.Servers = append(l.Servers, h.Server)
 		if k := c.hosts[h.ID]; c.o.Observer != nil && (k == nil || k.State != h.State || k.Started != h.Started) {
 			c.o.Observer.Host(h)
@@ -386,6 +389,9 @@
 	if kind == choice.ListWhole || kind == choice.ListChange {
 		c.starts.listed(heard, c.hosts)
 	}
+	if corrected && kind == choice.ListChange {
+		l.Servers = append(l.Servers, c.reckonAgain(hosts)...)
+	}
 	c.tell(l) // first: what is called off goes to none of them
 	for _, h := range leaving {
 		c.callOff(h)
@@ -396,7 +402,20 @@
 }
 
 // AnotherList says that the next list is another discovery's, whose hosts may have started at any time.
-func (c *Core) AnotherList() { c.starts.heard = 0 }
+func (c *Core) AnotherList() { c.starts.another() }
+
+// reckonAgain has the starts of all hosts but those of a change be reckoned by a clock that was corrected, and gives those hosts.
+func (c *Core) reckonAgain(change []UpstreamHost) (all []choice.Server) {
+	for _, h := range c.hosts {
+		if slices.ContainsFunc(change, func(o UpstreamHost) bool { return o.ID == h.ID }) || h.Started <= 0 {
+			continue
+		}
+		h.ColdSince = c.starts.reckon(h.Started)
+		all = append(all, h.Server)
+	}
+	slices.SortFunc(all, func(a, b choice.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
 
 // Listed are the hosts that are not gone, by id.
 func (c *Core) Listed() []UpstreamHost {
--- a/internal/edge/starts.go
+++ b/internal/edge/starts.go
@@ -6,48 +6,50 @@
 	"spurwinch/choice"
 )
 
-// discoveryClock reckons when hosts started, by the module's clock. The list tells it in Unix time; this process knows Unix time from its own start on,
-// by a wall clock that may have been stepped then. Two things are sure: no host starts later than the list tells of it, and one that is news
-// to a list that was followed has not started long before the list was last heard of.
+// discoveryClock reckons when hosts started, by the module's clock. The list tells it in Unix time; this process knows Unix time from its own
+// start on, by a wall clock that may have been stepped then. Two things are sure: no host starts later than the list tells of it, and one that
+// is news to a list that was followed has not started long before the list was last heard of.
 type discoveryClock struct {
-	behind time.Duration // of the module's clock, that discovery's is
-	heard  time.Duration // when this list was last heard of; 0: never
-	known  map[choice.ServerID]startOf
+	offset time.Duration                     // of the module's clock from the one that starts are told by
+	heard  time.Duration                     // when this list was last heard of; 0: never
+	known  map[choice.ServerID]time.Duration // starts as they were told
 }
 
-// startOf is a start as the list tells it, and as it is reckoned.
-type startOf struct{ told, reckoned time.Duration }
-
 const (
 	// listDelay is about how long discovery takes to tell of a start.
-	listDelay      = 3 * time.Second
-	mostGoneStarts = 256
+	listDelay = 3 * time.Second
 	// startSlack is how far machines' clocks differ that are well.
 	startSlack = 100 * time.Millisecond
+	// mostGoneStarts is how many starts are kept of hosts that are gone: one that comes back as it was has not started anew.
+	mostGoneStarts = 256
 )
 
-// reckon gives the start of a host by the module's clock, which is now.
-func (d *discoveryClock) reckon(h choice.Server, now time.Duration) time.Duration {
-	if h.Started <= 0 {
-		return 0
-	}
-	if k, ok := d.known[h.ID]; ok && k.told == h.Started {
-		return k.reckoned
+// hear takes in the start of a host that a list names now, and reports whether starts are to be reckoned anew.
+func (d *discoveryClock) hear(h choice.Server, now time.Duration) (corrected bool) {
+	if h.Started <= 0 || d.known[h.ID] == h.Started {
+		return false
 	}
 	if d.known == nil {
-		d.known = map[choice.ServerID]startOf{}
+		d.known = map[choice.ServerID]time.Duration{}
 	}
-	age := now - d.behind - h.Started
-	if age < -startSlack || d.heard > 0 && age > now-d.heard+listDelay {
-		d.behind, age = now-h.Started, 0
+	d.known[h.ID] = h.Started
+	age := now - d.reckon(h.Started)
+	if age >= -startSlack && (d.heard == 0 || age <= now-d.heard+listDelay) {
+		return false
 	}
-	start := startOf{h.Started, now - max(age, 0)}
-	d.known[h.ID] = start
-	return start.reckoned
+	d.offset = now - h.Started // as if it had started now: the youngest that it can be
+	return true
 }
 
-// listed notes that the list was heard of, and lets go of starts of hosts that have long been gone. Those of hosts that are gone for a while
-// are kept: one that comes back has not started anew.
+// reckon gives a start by the module's clock.
+func (d *discoveryClock) reckon(told time.Duration) time.Duration {
+	if told <= 0 {
+		return 0
+	}
+	return max(1, told+d.offset)
+}
+
+// listed notes that the list was heard of, and lets go of starts of hosts that are gone where there are many.
 func (d *discoveryClock) listed(now time.Duration, hosts map[choice.ServerID]*host) {
 	d.heard = now
 	if len(d.known) <= mostGoneStarts+len(hosts) {
@@ -59,3 +61,6 @@
 		}
 	}
 }
+
+// another says that the next list is another discovery's, whose hosts may have started at any time.
+func (d *discoveryClock) another() { d.heard = 0 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -129,7 +129,7 @@
 
 // Write sends p, or keeps what the kernel does not take yet.
 func (c *Conn) Write(p []byte) {
-	if c.closed || c.shut || c.ending || len(p) == 0 {
+	if c.closed || c.shut || c.ending || c.unsent || len(p) == 0 { // nothing may follow what a failed write has lost
 		return
 	}
 	if c.connected && len(c.out) == 0 {
--- a/internal/loop/datagram.go
+++ b/internal/loop/datagram.go
@@ -112,5 +112,6 @@
 	if family != d.family {
 		return fmt.Errorf("datagram to %s: not of the socket's address family", to)
 	}
-	return unix.Sendto(d.fd, p, 0, sa)
+	_, err := uninterrupted(func() (int, error) { return 0, unix.Sendto(d.fd, p, 0, sa) })
+	return err
 }
