Core: a request's timers go with it; one that leaves at once is never told of

Change: SetTimer says for which request it is; the core stops those when the request has its answer or stands. A request that is gone before the module has heard of it is taken back. Ruled out: a shorter patience than the client names, which would answer early.

--- a/choice/api.go
+++ b/choice/api.go
@@ -379,10 +379,11 @@
 	Probe struct{ Server ServerID }
 	// Move asks the client of an open connection to come again.
 	Move struct{ ID RequestID }
-	// SetTimer asks for a TimerFired after a time; it cannot be taken back.
+	// SetTimer asks for a TimerFired after a time. It cannot be taken back, but one that is for a request need not fire when that is over.
 	SetTimer struct {
 		Token string
 		After time.Duration
+		For   RequestID // empty: for none
 	}
 	// Follow asks discovery for changes from now on.
 	Follow struct{}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,7 +54,8 @@
 func (b *Balancer) ask() {
 	b.asks++
 	wait := min(b.set.Rules.AskWithin/4, 250*time.Millisecond<<min(b.asks, 5))
-	b.out = append(b.out, SetTimer{"ask", time.Duration((0.5 + b.rng.Float64()) * float64(wait))})
+	after := time.Duration((0.5 + b.rng.Float64()) * float64(wait))
+	b.out = append(b.out, SetTimer{Token: "ask", After: after})
 }
 
 func (b *Balancer) list(e ServerList) {
@@ -290,7 +291,7 @@
 		b.answer(r, Overloaded)
 		return
 	}
-	b.out = append(b.out, SetTimer{"end " + string(q.ID), max(0, q.Left-2*b.set.Round)})
+	b.out = append(b.out, SetTimer{"end " + string(q.ID), max(0, q.Left-2*b.set.Round), q.ID})
 	b.place(r)
 }
 
@@ -390,7 +391,7 @@
 		return
 	}
 	b.waits = append(b.waits, r)
-	b.out = append(b.out, SetTimer{"hold " + string(r.ID), hold})
+	b.out = append(b.out, SetTimer{"hold " + string(r.ID), hold, r.ID})
 }
 
 func (b *Balancer) probed(e ProbeResult) {
--- a/choice/message.go
+++ b/choice/message.go
@@ -192,7 +192,7 @@
 		b.out = append(b.out, Tell{to, q.encode()})
 	}
 	if _, waits := b.asked[q.token]; waits {
-		b.out = append(b.out, SetTimer{"mute " + strconv.FormatUint(uint64(q.token), 10), muteAfter})
+		b.out = append(b.out, SetTimer{Token: "mute " + strconv.FormatUint(uint64(q.token), 10), After: muteAfter})
 	}
 }
 
--- a/choice/step.go
+++ b/choice/step.go
@@ -13,7 +13,7 @@
 	b.recent = fade(b.rate, b.now-b.rateAt, rateMemory)
 	if !b.started {
 		b.started = true // phases differ by seed, so that nodes do not steer in step
-		b.out = append(b.out, SetTimer{"tick", time.Duration(b.rng.Float64() * float64(tick))})
+		b.out = append(b.out, SetTimer{Token: "tick", After: time.Duration(b.rng.Float64() * float64(tick))})
 		if b.set.Subscribe {
 			b.out = append(b.out, Follow{})
 		}
@@ -83,7 +83,7 @@
 	switch {
 	case token == "tick":
 		b.steer()
-		b.out = append(b.out, SetTimer{"tick", tick})
+		b.out = append(b.out, SetTimer{Token: "tick", After: tick})
 	case token == "ask":
 		b.out = append(b.out, Follow{})
 	case kind == "mute":
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -245,6 +245,19 @@
 
 func (c *Core) tell(e choice.Event) { c.events = append(c.events, e) }
 
+// withdraw takes a request back of which the module has not heard yet.
+func (c *Core) withdraw(id choice.RequestID) bool {
+	i := slices.IndexFunc(c.events, func(e choice.Event) bool {
+		q, ok := e.(choice.Request)
+		return ok && q.ID == id
+	})
+	if i < 0 {
+		return false
+	}
+	c.events = slices.Delete(c.events, i, i+1)
+	return true
+}
+
 // Flush hands the module what has happened and carries out its answer, until nothing is left. The loop calls it
 // after each callback.
 func (c *Core) Flush() {
@@ -300,7 +313,7 @@
 			r.move()
 		}
 	case choice.SetTimer:
-		c.o.Clock.At(now.Add(a.After), func() { c.tell(choice.TimerFired{Token: a.Token}) })
+		c.setTimer(a, now)
 	case choice.Tell:
 		if c.o.Tell != nil {
 			c.o.Tell(a.To, a.Data)
@@ -312,6 +325,14 @@
 	}
 }
 
+// setTimer sets a timer of the module's. One that is for a request goes with it: a client may name a patience of an hour.
+func (c *Core) setTimer(a choice.SetTimer, now time.Time) {
+	stop := c.o.Clock.At(now.Add(a.After), func() { c.tell(choice.TimerFired{Token: a.Token}) })
+	if r := c.requests[a.For]; r != nil && a.For != "" {
+		r.timers = append(r.timers, stop)
+	}
+}
+
 func (c *Core) probe(id choice.ServerID, now time.Time) {
 	h := c.hosts[id]
 	done := false
@@ -458,6 +479,7 @@
 	lent     bool // off the loop: another process may have it
 	class    choice.Class
 	stop     func()
+	timers   []func()    // stop those that the module has set for it
 	parting  *LocalReply // the core has the module answer it: with whatever it answers, this goes along
 
 	committed bool // bytes of a host have reached the client: no other host can take over
@@ -668,10 +690,21 @@
 	if r.over && r.attempt == nil && r.core.requests[r.ID] == r {
 		delete(r.core.requests, r.ID)
 	}
-	if r.over && r.stop != nil {
+	if r.over {
+		r.cancelTimers()
+	}
+}
+
+// cancelTimers ends what was set for a request that has its answer.
+func (r *Request) cancelTimers() {
+	if r.stop != nil {
 		r.stop()
 		r.stop = nil
 	}
+	for _, stop := range r.timers {
+		stop()
+	}
+	r.timers = nil
 }
 
 // Broken says that the client broke the protocol and its front has answered it so.
@@ -695,7 +728,7 @@
 		r.observe(Left)
 	}
 	// A second request under the id of another is not the module's, and must not end the first one there.
-	if !r.open && r.core.requests[r.ID] == r {
+	if !r.open && r.core.requests[r.ID] == r && !r.core.withdraw(r.ID) {
 		r.core.tell(choice.ClientGone{ID: r.ID})
 	}
 	if r.attempt != nil {
@@ -840,10 +873,7 @@
 	if a.stop != nil {
 		a.stop()
 	}
-	if r.stop != nil {
-		r.stop()
-		r.stop = nil
-	}
+	r.cancelTimers()
 	if r.At != "" {
 		a.Number = 0
 		r.core.tell(choice.OpenConnection{Request: r.event(), Server: r.At})
