--- a/internal/lab/soak/host.go
+++ b/internal/lab/soak/host.go
@@ -34,6 +34,7 @@
 	judge    *Judge
 	listen   *net.TCPListener
 	proxy    *proxy
+	silent   bool // it reports nothing
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -169,10 +170,10 @@
 	switch {
 	case state != "SERVING" || m == full || h.holds() >= bears*6/5:
 		h.judge.done(y, "BUSY", true)
-		fmt.Fprint(c, "BUSY\r\n")
+		fmt.Fprintf(c, "BUSY%s\r\n", h.report(" "))
 	case m == errs:
 		h.judge.done(y, "ERR", false)
-		fmt.Fprint(c, "ERR\r\n")
+		fmt.Fprintf(c, "ERR%s\r\n", h.report(" "))
 	case m == resets:
 		h.judge.lost(y)
 		reset(c)
@@ -248,10 +249,7 @@
 			h.wait(r)
 			return
 		}
-		h.mu.Lock()
-		load := float64(h.held) / (bears * h.share(time.Now()))
-		h.mu.Unlock()
-		if _, err := fmt.Fprintf(c, "PONG latency_ms=1,util=%.3f,x0=%.3f\r\n", min(1, load), load); err != nil || m == closesIdle {
+		if _, err := fmt.Fprintf(c, "PONG%s\r\n", h.report(" ")); err != nil || m == closesIdle {
 			return
 		}
 		if _, err := r.ReadString('\n'); err != nil {
@@ -260,6 +258,17 @@
 	}
 }
 
+// report is the host's load report, behind a separator; empty where the deployment has none.
+func (h *host) report(separator string) string {
+	if h.silent {
+		return ""
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	load := float64(h.held) / (bears * h.share(time.Now()))
+	return fmt.Sprintf("%slatency_ms=1,util=%.3f,x0=%.3f", separator, min(1, load), load)
+}
+
 // count holds a cold host's calls against the budget of all nodes.
 func (h *host) count(id string, y *try) {
 	r := h.judge.find(id)
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -81,7 +81,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"name": n.name, "listen": n.addr, "discovery": n.doors[n.door], "seed": fmt.Sprintf("%x", n.lab.o.Seed*1000+uint64(n.index)),
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "peer_listen": n.peer, "peers": peers,
-		"known": json.RawMessage(standin.EncodeList(1, known)), "settings": settingsJSON(len(n.lab.nodes), n.index, len(n.lab.hosts), n.zone)})
+		"known": json.RawMessage(standin.EncodeList(1, known)), "settings": settingsJSON(n.lab.deployment, len(n.lab.nodes), n.index, len(n.lab.hosts), n.zone)})
 	if err != nil {
 		return err
 	}
@@ -242,7 +242,11 @@
 	n.mu.Lock()
 	p := n.process
 	p.expected = true
+	withFiles := (n.index+n.run)%3 == 0
 	n.mu.Unlock()
+	if withFiles { // two signals at once
+		n.reload()
+	}
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	end := time.After(killAfter)
 	time.Sleep(noticeAfter)
@@ -412,7 +416,10 @@
 				by = t
 			}
 		}
-		if by = by.Add(toldWithin); told.IsZero() || by.Before(told) {
+		if !n.lab.deployment.pushed { // what an agent has counts as told
+			by = by.Add(toldWithin)
+		}
+		if told.IsZero() || by.Before(told) {
 			told = by
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -56,7 +56,8 @@
 
 // lab is one run.
 type lab struct {
-	o         Options
+	o Options
+	deployment
 	judge     *Judge
 	library   string
 	hosts     []*host
@@ -86,7 +87,7 @@
 	if o.Nodes < 2 || o.Nodes > MostNodes {
 		return Report{}, fmt.Errorf("%d nodes: 2 to %d are played", o.Nodes, MostNodes)
 	}
-	l := &lab{o: o, judge: newJudge(), done: make(chan struct{})}
+	l := &lab{o: o, deployment: drawDeployment(o.Seed), judge: newJudge(), done: make(chan struct{})}
 	err := l.build()
 	if err == nil {
 		l.play(ctx)
@@ -108,6 +109,7 @@
 		if err != nil {
 			return err
 		}
+		h.silent = l.reports == "off"
 		l.hosts = append(l.hosts, h)
 	}
 	l.discovery = newDiscovery(l.hosts)
@@ -195,6 +197,7 @@
 		defer l.wait.Done()
 		l.arrivals(rand.New(rand.NewPCG(l.o.Seed, 1)))
 	}()
+	l.troubles = append(l.troubles, fmt.Sprintf("deployment: reports %s, lists pushed %v, peers %v", l.reports, l.pushed, l.peers))
 	l.pause(ctx, calmBefore)
 	l.trouble(ctx, rand.New(rand.NewPCG(l.o.Seed, 2)))
 	l.heal()
--- a/internal/lab/soak/trouble.go
+++ b/internal/lab/soak/trouble.go
@@ -229,13 +229,16 @@
 
 func (l *lab) badDiscovery(rng *rand.Rand, until time.Time) string {
 	s := services[rng.IntN(len(services))]
+	if l.pushed && s != chunked { // an agent is silent while discovery is down
+		s = silent
+	}
 	l.discovery.behave(s)
 	l.after(until, func() { l.discovery.behave(up) })
 	return string(s)
 }
 
 func (l *lab) failingCalls(rng *rand.Rand, until time.Time) string {
-	part := []float64{0.002, 0.01, 0.05, 0.2}[rng.IntN(4)]
+	part := []float64{0.002, 0.01, 0.05, 0.2, 0.7}[rng.IntN(5)]
 	var failing []shim.Kind
 	for k := range shim.Kinds {
 		if rng.IntN(2) == 0 {
