--- a/internal/loop/failing_test.go
+++ b/internal/loop/failing_test.go
@@ -15,6 +15,7 @@
 	mu     sync.Mutex
 	accept []error
 	write  []error
+	short  int // writes that take one byte
 }
 
 // next is the error with which a call fails now; nil: it doesn't.
@@ -38,6 +39,12 @@
 	if err := k.next(&k.write); err != nil {
 		return -1, err
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.short > 0 {
+		k.short--
+		p = p[:1]
+	}
 	return k.Linux.Write(fd, p)
 }
 
@@ -104,3 +111,19 @@
 		t.Errorf("the other side got %q", got)
 	}
 }
+
+// TestEvictedGetsItsWholeAnswer has the kernel take a part of the answer to a client whose place another one needs: the rest follows.
+func TestEvictedGetsItsWholeAnswer(t *testing.T) {
+	k := &failing{}
+	l := runOn(t, k)
+	_, peer := pair(t, l, func(c *Conn) Handler { return &resting{record(), c} })
+	on(l, func() {
+		k.mu.Lock()
+		k.short = 1
+		k.mu.Unlock()
+		l.MakeRoom(0)
+	})
+	if got, err := io.ReadAll(peer); string(got) != "BUSY" || err != nil {
+		t.Errorf("it got %q, %v", got, err)
+	}
+}
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 
-	"github.com/panjf2000/gnet/v2/pkg/netpoll"
 	"golang.org/x/sys/unix"
 
 	"go.uber.org/zap"
@@ -95,7 +94,7 @@
 		return err
 	}
 	k.Addr = addrPort(sa) // of a Unix socket: none
-	if err := k.l.poller.AddRead(&netpoll.PollAttachment{FD: k.fd}, false); err != nil {
+	if err := k.l.kernel.Watch(k.l.poller, k.fd, 0, watchRead); err != nil {
 		return err
 	}
 	k.on = true
