An evicted client's answer is written whole; a start that fails gives back what it got

Change: giveWay leaves a connection whose answer the kernel has not taken whole to its end, and MakeRoom passes it over; a failed start closes the link, the sockets and what else was lent and is not on its loop. Asking the running process goes on after EINTR, a full queue and short writes. The soak asks the last door that a process opened, and knows the one that it killed.

--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -37,8 +37,8 @@
 type process struct {
 	cmd      *exec.Cmd
 	gone     chan struct{}
-	expected bool // it is to end
-	door     chan string
+	expected bool     // it is to end
+	door     string   // of operators; a start that is tried again has another one
 	last     []string // lines of its log
 }
 
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{cmd: cmd, gone: make(chan struct{}), door: make(chan string, 1)}
+	p := &process{cmd: cmd, gone: make(chan struct{})}
 	if err := cmd.Start(); err != nil {
 		file.Close()
 		return nil, fmt.Errorf("node program %s: %w", n.lab.o.Program, err)
@@ -156,10 +156,9 @@
 	switch line.Event {
 	case "listening":
 		if line.Protocol == "operators" {
-			select {
-			case p.door <- line.Address:
-			default:
-			}
+			n.mu.Lock()
+			p.door = line.Address
+			n.mu.Unlock()
 		}
 	case "invariant_broken":
 		n.lab.judge.broken(Guard, "%s: %s for %s at %s", n.name, line.Rule, line.Request, line.Host)
@@ -331,6 +330,9 @@
 	if !n.awaitReady(next) {
 		n.lab.judge.broken(Start, "%s: the process started beside the running one is not ready", n.name)
 		n.expect(next)
+		n.mu.Lock()
+		n.killed = append(n.killed, time.Now())
+		n.mu.Unlock()
 		next.cmd.Process.Kill()
 		<-next.gone
 		return
@@ -360,22 +362,20 @@
 	p.expected = true
 }
 
+// awaitReady waits until a process says that it is ready.
 func (n *node) awaitReady(p *process) bool {
-	var door string
-	select {
-	case door = <-p.door:
-	case <-p.gone:
-		return false
-	case <-time.After(readyWithin + readySlack):
-		return false
-	}
 	call := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(readyWithin + readySlack); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if r, err := call.Get("http://" + door + "/api/ready"); err == nil {
-			r.Body.Close()
-			if r.StatusCode == http.StatusOK {
-				return true
-			}
+		n.mu.Lock()
+		door := p.door
+		n.mu.Unlock()
+		r, err := call.Get("http://" + door + "/api/ready")
+		if err != nil {
+			continue
+		}
+		r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			return true
 		}
 	}
 	return false
--- a/internal/loop/datagram.go
+++ b/internal/loop/datagram.go
@@ -58,6 +58,7 @@
 	_, family := sockaddr(ap)
 	d := &Datagrams{l: l, fd: fd, family: family}
 	if err := d.Hear(true); err != nil {
+		delete(l.fds, fd)
 		unix.Close(fd)
 		return nil, ap, fmt.Errorf("datagrams at %s: %w", ap, err)
 	}
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -263,7 +263,9 @@
 	if c.closed || len(c.out) > 0 {
 		return errors.New("the connection is not free")
 	}
-	n, err := unix.SendmsgN(c.fd, p, unix.UnixRights(fds...), nil, unix.MSG_NOSIGNAL)
+	n, err := uninterrupted(func() (int, error) {
+		return unix.SendmsgN(c.fd, p, unix.UnixRights(fds...), nil, unix.MSG_NOSIGNAL)
+	})
 	if err == nil {
 		c.Write(p[n:])
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -126,6 +126,9 @@
 	return err
 }
 
+// Serves reports whether a descriptor is one of the loop's.
+func (l *Loop) Serves(fd int) bool { return l.fds[fd] != nil }
+
 // Close closes all that the loop served, as the process's end would. It is called once Run has returned.
 func (l *Loop) Close() {
 	delete(l.fds, l.posts.fd)
--- a/internal/loop/room.go
+++ b/internal/loop/room.go
@@ -95,7 +95,7 @@
 func (l *Loop) MakeRoom(open int) {
 	for e := l.idle.Front(); e != nil && l.open > open; {
 		c := e.Value.(*Conn)
-		if c.away { // another process may have it already
+		if c.away || c.ending && len(c.out) > 0 { // another process may have it already; the rest of its answer goes out yet
 			e = e.Next()
 			continue
 		}
@@ -113,6 +113,9 @@
 	}
 	if s, ok := c.h.(Stranger); ok && !c.ending {
 		s.Leave()
+		if len(c.out) > 0 { // the rest of its answer is written first
+			return
+		}
 	}
 	c.close()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,9 @@
 	p := newProgram(l)
 	if err := p.assemble(getenv, operator, newVoter); err != nil {
 		p.Close() // files that were begun
+		if p.beside.lent != nil {
+			p.beside.lent.GiveBack(p.loop.Serves)
+		}
 		return nil, err
 	}
 	return p, nil
--- a/internal/operate/handover/handover.go
+++ b/internal/operate/handover/handover.go
@@ -47,6 +47,22 @@
 	carry     int // form of the connections that the running process gives; 0: it gives none
 }
 
+// GiveBack closes what was lent and is not served by this process: its start has failed, and the running one must not take it to be there.
+func (l *Lent) GiveBack(serves func(fd int) bool) {
+	all := []int{l.fd}
+	for _, fd := range l.Sockets {
+		all = append(all, fd)
+	}
+	if l.Datagrams >= 0 {
+		all = append(all, l.Datagrams)
+	}
+	for _, fd := range all {
+		if !serves(fd) {
+			unix.Close(fd)
+		}
+	}
+}
+
 // line is one message, as JSON on a line of its own.
 type line struct {
 	Kind      string        `json:"kind"` // hello, lent, ready, room
@@ -107,11 +123,10 @@
 	if err := wait(unix.SO_SNDTIMEO); err != nil {
 		return nil, err
 	}
-	if err := unix.Connect(fd, &unix.SockaddrUnix{Name: path}); err != nil {
+	if err := connectBy(fd, path, until); err != nil {
 		return nil, os.NewSyscallError("connect", err)
 	}
-	hello := line{Kind: "hello", Version: version, Carry: carryForm}.bytes()
-	if err := unix.Sendto(fd, hello, unix.MSG_NOSIGNAL, nil); err != nil {
+	if err := sendWhole(fd, line{Kind: "hello", Version: version, Carry: carryForm}.bytes()); err != nil {
 		return nil, os.NewSyscallError("send", err)
 	}
 	var got []byte
@@ -151,6 +166,31 @@
 	return l, nil
 }
 
+const connectPause = 5 * time.Millisecond
+
+// connectBy connects, also where a signal interrupts it, or where the queue of the running process is full for a moment.
+func connectBy(fd int, path string, until time.Time) error {
+	for {
+		err := unix.Connect(fd, &unix.SockaddrUnix{Name: path})
+		if err != unix.EINTR && err != unix.EAGAIN || time.Now().After(until) {
+			return err
+		}
+		time.Sleep(connectPause)
+	}
+}
+
+// sendWhole sends p whole, whatever the kernel takes at once.
+func sendWhole(fd int, p []byte) error {
+	for len(p) > 0 {
+		n, err := unix.SendmsgN(fd, p, nil, nil, unix.MSG_NOSIGNAL)
+		if err != nil && err != unix.EINTR {
+			return err
+		}
+		p = p[max(n, 0):]
+	}
+	return nil
+}
+
 // parseLent reads what is lent and puts names to descriptors.
 func parseLent(first []byte, rights []int) (*Lent, error) {
 	var m line
