--- a/internal/lab/explore/node.go
+++ b/internal/lab/explore/node.go
@@ -12,6 +12,7 @@
 	"spurwinch/internal/edge"
 	"spurwinch/internal/failover"
 	"spurwinch/internal/failover/agent"
+	"spurwinch/internal/invariant"
 	"spurwinch/internal/lab/faults"
 )
 
@@ -127,6 +128,11 @@
 	return nil
 }
 
+// objects notes what the core's guard kept it from.
+func (n *node) objects(v invariant.Violation) {
+	n.w.note(faults.Event{Kind: faults.KindGuard, ID: v.Request, Node: n.name, Zone: n.zone, To: v.Host, Detail: v.Rule.String()})
+}
+
 // startCore makes the node's core, which knows all hosts.
 func (n *node) startCore() error {
 	w := n.w
@@ -135,7 +141,7 @@
 		return err
 	}
 	n.core, err = edge.New(edge.Options{Clock: n, Settings: told.Settings, Seed: w.o.Seed*4099 + uint64(n.i)*7 + uint64(n.born), Prober: n,
-		Follow: func() {}})
+		Follow: func() {}, Monitor: &invariant.Monitor{Broken: n.objects}})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"spurwinch/internal/failover"
+	"spurwinch/internal/invariant"
 	"spurwinch/internal/membership"
 )
 
@@ -197,6 +198,8 @@
 		}
 	case KindTried:
 		delete(c.out, e.ID)
+	case KindGuard: // also where no harm was done: a node that needs its guard has a fault
+		c.broken(guardedRule(e.Detail), e.At, "request %s: %s's guard objected: %s", e.ID, e.Node, e.Detail)
 	case KindDrain:
 		if _, ok := c.drains[e.Node+" "+e.To]; !ok {
 			c.drains[e.Node+" "+e.To] = e.At
@@ -217,3 +220,20 @@
 		}
 	}
 }
+
+// guardedRules are the checker's names of rules that a node's guard knows.
+var guardedRules = map[string]string{
+	invariant.TooManyAttempts.String(): "placement: attempts",
+	invariant.SecondCopy.String():      "placement: two at once",
+	invariant.HostLeaving.String():     "placement: drains",
+	invariant.LateAnswer.String():      "placement: in time",
+	invariant.SecondAnswer.String():    "placement: one answer",
+	invariant.Unanswered.String():      "placement: one answer",
+}
+
+func guardedRule(name string) string {
+	if rule, ok := guardedRules[name]; ok {
+		return rule
+	}
+	return "placement: " + name
+}
--- a/internal/lab/faults/check_test.go
+++ b/internal/lab/faults/check_test.go
@@ -41,6 +41,8 @@
 		{"a late answer", []Event{{Kind: KindAnswer, ID: "q", Zone: "z", Result: "up", Took: 5}}, "placement: in time", true},
 		{"two at once", []Event{{Kind: KindTry, ID: "q", To: "h"}, {Kind: KindTry, ID: "q", To: "i"}}, "placement: two at once", true},
 		{"five attempts", slices.Repeat([]Event{{Kind: KindTry, ID: "q", To: "h"}, {Kind: KindTried, ID: "q", To: "h"}}, 5), "placement: attempts", true},
+		{"a step that the guard kept from harm", []Event{{Kind: KindGuard, ID: "q", Node: "a", Detail: "too_many_attempts"}}, "placement: attempts", true},
+		{"another one", []Event{{Kind: KindGuard, ID: "q", Node: "a", Detail: "unsafe_repeat"}}, "placement: unsafe_repeat", true},
 		{"the laboratory was late", []Event{{Kind: KindLate, Value: 3}}, "", false},
 		{"it had no descriptor left", []Event{{Kind: KindCount, Detail: "out of descriptors", Value: 1}}, "", false},
 	} {
--- a/internal/lab/faults/history.go
+++ b/internal/lab/faults/history.go
@@ -44,6 +44,7 @@
 	KindAnswer  = "answer"  // ID, Node, Zone, Class, To the host's zone; Result: up, refused, failed, none; Took
 	KindTry     = "try"     // a host took the line of ID; To the host; Node
 	KindTried   = "tried"   // and has answered it, or seen its end
+	KindGuard   = "guard"   // a node's own guard kept it from a step that breaks a rule: detail has its name
 	KindDrain   = "drain"   // To a host, told to Node
 	KindLoan    = "loan"    // Node has been lent Value in zone To, from now on
 	KindPolicy  = "policy"  // Node has learned that policy Number with Digest is in force; Detail committed: a voter, as it was decided
--- a/internal/lab/faults/processlog.go
+++ b/internal/lab/faults/processlog.go
@@ -53,6 +53,8 @@
 			return
 		case "fleet_files_spoilt":
 			e = Event{Kind: KindCount, Detail: "files spoilt", Value: 1}
+		case "invariant_broken":
+			e = Event{Kind: KindGuard, ID: fields.Text("request"), To: fields.Text("host"), Detail: fields.Text("rule")}
 		case "fleet_log_conflict", "fleet_voter_broken":
 			e = Event{Kind: KindCount, Detail: event, Value: 1}
 		default:
