--- a/cmd/spurwinch/program_test.go
+++ b/cmd/spurwinch/program_test.go
@@ -82,6 +82,19 @@
 	return p
 }
 
+// ends waits for the end of a planned stop, with status 0.
+func (p *program) ends(t testing.TB) {
+	t.Helper()
+	select {
+	case err := <-p.done:
+		if err != nil {
+			t.Fatal("the program ended with ", err)
+		}
+	case <-time.After(60 * time.Second):
+		t.Fatal("the program does not end after SIGTERM")
+	}
+}
+
 // TestProgram starts the program as the platform does, has a connection served, and ends it as in a planned restart.
 func TestProgram(t *testing.T) {
 	bin := build(t)
@@ -117,14 +130,7 @@
 c < END
 s < END
 `)
-	select {
-	case err := <-run.done:
-		if err != nil {
-			t.Fatal("the program ended with ", err)
-		}
-	case <-time.After(60 * time.Second):
-		t.Fatal("the program does not end after SIGTERM")
-	}
+	run.ends(t)
 }
 
 // TestReload replaces the configuration of a started program, as the platform does: the watch moves to the new address
@@ -206,14 +212,7 @@
 c < MOVE
 c < END
 `[1:])
-	select {
-	case err := <-run.done:
-		if err != nil {
-			t.Fatal("the program ended with ", err)
-		}
-	case <-time.After(60 * time.Second):
-		t.Fatal("the program does not end after SIGTERM")
-	}
+	run.ends(t)
 }
 
 // TestBadStart checks that a start that can't be gives one line on standard error and a status other than 0.
--- a/cmd/spurwinch/shim_test.go
+++ b/cmd/spurwinch/shim_test.go
@@ -74,14 +74,7 @@
 c < END
 s < END
 `)
-	select {
-	case err := <-s.done:
-		if err != nil {
-			t.Error("the program ended with ", err)
-		}
-	case <-time.After(60 * time.Second):
-		t.Error("the program does not end after SIGTERM")
-	}
+	s.ends(t)
 }
 
 // TestScarceForAMoment has a process find no descriptors at all, at its start and for a new configuration: it starts, and the configuration is
--- a/cmd/spurwinch/soak_test.go
+++ b/cmd/spurwinch/soak_test.go
@@ -19,7 +19,7 @@
 		"everything":              {nil, []string{"requests", "repeats"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for try := range 3 {
+			for try := range 4 {
 				ctx, stop := context.WithTimeout(context.Background(), 2*time.Minute)
 				r, err := soak.Run(ctx, soak.Options{Program: bin, Dir: t.TempDir(), Seed: uint64(11 + try), Nodes: 6, Time: 6 * time.Second, Only: c.only})
 				stop()
@@ -40,7 +40,7 @@
 				}
 				return
 			}
-			t.Skip("this machine was late in each of three runs")
+			t.Error("not judged: this machine was late in each of four runs")
 		})
 	}
 }
