--- a/cmd/spurwinchctl/soak.go
+++ b/cmd/spurwinchctl/soak.go
@@ -39,6 +39,9 @@
 					return fmt.Errorf("--only %s: no such trouble: one of %s", name, strings.Join(soak.Troubles(), ", "))
 				}
 			}
+			if o.Nodes < 2 || o.Nodes > soak.MostNodes {
+				return fmt.Errorf("--nodes %d: 2 to %d are played", o.Nodes, soak.MostNodes)
+			}
 			if o.Program, err = nodeProgram(o.Program); err != nil {
 				return err
 			}
