--- a/internal/loop/failing_test.go
+++ b/internal/loop/failing_test.go
@@ -5,17 +5,22 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/panjf2000/gnet/v2/pkg/netpoll"
 	"golang.org/x/sys/unix"
 )
 
 // failing is a kernel whose next calls fail as they are told to.
 type failing struct {
 	Linux
-	mu     sync.Mutex
-	accept []error
-	write  []error
-	short  int // writes that take one byte
+	mu      sync.Mutex
+	accept  []error
+	socket  []error
+	connect []error
+	watch   []error
+	write   []error
+	short   int // writes that take one byte
 }
 
 // next is the error with which a call fails now; nil: it doesn't.
@@ -48,6 +53,30 @@
 	return k.Linux.Write(fd, p)
 }
 
+func (k *failing) Socket(family int) (int, error) {
+	if err := k.next(&k.socket); err != nil {
+		return -1, err
+	}
+	return k.Linux.Socket(family)
+}
+
+func (k *failing) Connect(fd int, to unix.Sockaddr) error {
+	err := k.next(&k.connect)
+	if err == nil || err == unix.EINTR { // one that is interrupted goes on
+		if made := k.Linux.Connect(fd, to); err == nil {
+			return made
+		}
+	}
+	return err
+}
+
+func (k *failing) Watch(p *netpoll.Poller, fd, had, want int) error {
+	if err := k.next(&k.watch); err != nil {
+		return err
+	}
+	return k.Linux.Watch(p, fd, had, want)
+}
+
 // runOn runs a loop on a kernel until the test ends.
 func runOn(t *testing.T, k Kernel) *Loop {
 	l, err := NewOn(k)
@@ -127,3 +156,47 @@
 		t.Errorf("it got %q, %v", got, err)
 	}
 }
+
+// TestDialFailsForAMoment has what a dial needs be short once, in each way that Linux documents: the connection comes up in its time.
+func TestDialFailsForAMoment(t *testing.T) {
+	for _, err := range []error{unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN, unix.EINTR} {
+		k := &failing{}
+		l := runOn(t, k)
+		addr := echo(t, l)
+		r := record()
+		on(l, func() {
+			k.mu.Lock()
+			if k.connect = []error{err}; isScarceSocket(err) {
+				k.socket, k.connect = k.connect, nil
+			}
+			k.mu.Unlock()
+			l.Dial(addr, l.Now().Add(10*time.Second), r)
+		})
+		select {
+		case <-r.up:
+		case ended := <-r.end:
+			t.Errorf("%v: the dial ended with %v", err, ended)
+		case <-time.After(20 * time.Second):
+			t.Errorf("%v: nothing came of the dial", err)
+		}
+	}
+}
+
+func isScarceSocket(err error) bool { return err == unix.ENFILE || err == unix.EMFILE }
+
+// TestWatchFailsForAMoment has epoll find no memory for a client's connection: the client is served.
+func TestWatchFailsForAMoment(t *testing.T) {
+	for _, err := range []error{unix.ENOMEM, unix.ENOSPC} {
+		k := &failing{}
+		l := runOn(t, k)
+		addr := echo(t, l)
+		on(l, func() {
+			k.mu.Lock()
+			k.watch = []error{err, err}
+			k.mu.Unlock()
+		})
+		if lost := served(addr); lost != nil {
+			t.Errorf("%v: the client got %v", err, lost)
+		}
+	}
+}
