Soak: troubles of single nodes by one function; what else stands twice is explained

Change: strike. Left as they are: import lists, the set-up of tests that start the program, and the accept loops of two stand-in hosts, which share ten lines and nothing of what follows them. Ruled out: one stand-in for both laboratories; they hold other promises.

--- a/internal/lab/soak/trouble.go
+++ b/internal/lab/soak/trouble.go
@@ -110,28 +110,25 @@
 	return s
 }
 
-func (l *lab) stopNodes(rng *rand.Rand, _ time.Time) string {
-	all := l.someNodes(rng, 0.2)
+// strike has something happen to some nodes, each by itself, and names them.
+func (l *lab) strike(rng *rand.Rand, part float64, what func(n *node)) string {
+	all := l.someNodes(rng, part)
 	for _, n := range all {
-		l.background(func() { n.stop(true) })
+		l.background(func() { what(n) })
 	}
 	return fmt.Sprint(names(all))
 }
 
+func (l *lab) stopNodes(rng *rand.Rand, _ time.Time) string {
+	return l.strike(rng, 0.2, func(n *node) { n.stop(true) })
+}
+
 func (l *lab) killNode(rng *rand.Rand, _ time.Time) string {
-	all := l.someNodes(rng, 0.1)
-	for _, n := range all {
-		l.background(n.kill)
-	}
-	return fmt.Sprint(names(all))
+	return l.strike(rng, 0.1, (*node).kill)
 }
 
 func (l *lab) holdNodes(rng *rand.Rand, until time.Time) string {
-	all := l.someNodes(rng, 0.3)
-	for _, n := range all {
-		l.background(func() { n.hold(until) })
-	}
-	return fmt.Sprint(names(all))
+	return l.strike(rng, 0.3, func(n *node) { n.hold(until) })
 }
 
 func (l *lab) reloadNodes(rng *rand.Rand, _ time.Time) string {
@@ -144,11 +141,7 @@
 }
 
 func (l *lab) upgradeNode(rng *rand.Rand, _ time.Time) string {
-	all := l.someNodes(rng, 0.1)
-	for _, n := range all {
-		l.background(n.upgrade)
-	}
-	return fmt.Sprint(names(all))
+	return l.strike(rng, 0.1, (*node).upgrade)
 }
 
 // someHosts are a part of the hosts.
