--- a/review/standin/xmpphost.go
+++ b/review/standin/xmpphost.go
@@ -120,24 +120,6 @@
 	return session
 }
 
-// deliver sends a message to a session, or keeps it for the resumption.
-func (h *xmppHost) deliver(id, body string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	session := h.heldSession(id)
-	if session == nil {
-		return false
-	}
-	stanza := fmt.Sprintf("<message from='market@%s' to='%s@%s'><body>%s</body></message>",
-		xmppName, session.user, xmppName, body)
-	if session.conn == nil {
-		session.waiting = append(session.waiting, stanza)
-		return true
-	}
-	_, err := session.conn.Write([]byte(stanza))
-	return err == nil
-}
-
 type hostStream struct {
 	host    *xmppHost
 	conn    net.Conn
