--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -42,8 +43,20 @@
 var (
 	nodesMu sync.Mutex
 	nodes   []*node
+	// starts runs functions on one thread that lives as long as this process: the kernel kills a child when the thread that
+	// started it ends (Pdeathsig).
+	starts = make(chan func())
 )
 
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for start := range starts {
+			start()
+		}
+	}()
+}
+
 // node is one process of the program under test.
 type node struct {
 	name string
@@ -65,7 +78,9 @@
 	}
 	n.cmd.Stderr = log
 	n.cmd.Stdout = log
-	if err := n.cmd.Start(); err != nil {
+	started := make(chan error)
+	starts <- func() { started <- n.cmd.Start() }
+	if err := <-started; err != nil {
 		cannotRun("start %s: %v", name, err)
 	}
 	nodesMu.Lock()
