--- a/review/standin/resumecrash.go
+++ b/review/standin/resumecrash.go
@@ -5,10 +5,10 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,6 +28,7 @@
 	comeAgain     = 150 * time.Millisecond
 	hostTakes     = 100 * time.Millisecond // at most, to answer a resumption
 	endOfOldAfter = 5 * time.Second
+	panicLines    = 12 // of a log that go into the record
 )
 
 // resumeCrash plays rounds until the rule is broken or the time is over. In each, a part of the clients vanish without a
@@ -163,6 +164,7 @@
 			rec.add("node %s: has not ended", first.name)
 		} else if !first.cmd.ProcessState.Success() {
 			rec.add("node %s: crashed: %v", first.name, first.cmd.ProcessState)
+			recordPanic(rec, filepath.Join(dir, first.name+".log"))
 			broken++
 		}
 		if second.ended() {
@@ -170,12 +172,24 @@
 			broken++
 		}
 	}
+	runtime.KeepAlive(clients) // their connections would be closed, which a client that has vanished does not do
 	for outcome, number := range outcomes {
 		rec.add("round %d: %d clients: %s", round, number, outcome)
 	}
 	return broken
 }
 
+// recordPanic copies the beginning of a panic from a process's log.
+func recordPanic(rec *record, path string) {
+	log, _ := os.ReadFile(path)
+	_, after, found := strings.Cut(string(log), "\npanic: ")
+	if !found {
+		return
+	}
+	lines := strings.Split(after, "\n")
+	rec.add("panic: %s", strings.Join(lines[:min(len(lines), panicLines)], "\n"))
+}
+
 const noAnswer = "came again, no final answer"
 
 // setupOutcome tells what a client that came again got.
@@ -185,8 +199,6 @@
 		return "came again, resumed"
 	case err == nil:
 		return "came again, bound anew"
-	case errors.Is(err, io.EOF) && strings.Contains(err.Error(), "stream error"):
-		return "came again, stream error"
 	case strings.Contains(err.Error(), "stream error"):
 		return "came again, stream error"
 	}
