--- a/review/standin/resumecrash.go
+++ b/review/standin/resumecrash.go
@@ -186,8 +186,13 @@
 	if !found {
 		return
 	}
-	lines := strings.Split(after, "\n")
-	rec.add("panic: %s", strings.Join(lines[:min(len(lines), panicLines)], "\n"))
+	text := "panic: "
+	for _, line := range strings.SplitN(after, "\n", panicLines) {
+		if !strings.HasPrefix(line, "\t") { // names of source files
+			text += line + "\n"
+		}
+	}
+	rec.add("%s", text)
 }
 
 const noAnswer = "came again, no final answer"
