xmpp: a session that is offered to a successor is not ended before the answer

What callers saw: an upgrade under which devices come again crashed the old process (status 2, nil pointer in edge.Request.Release). Clients in their set-up got no answer; standing TLS sessions were cut off without a word.

Cause: while a batch waits for the successor's answer, its connections belong to neither process. Request.migrate asks for that; the front's own way to end a session did not. When the host resumed the session on another connection, the earlier one was ended with conflict although it was detached: a write to a shared socket, and a request without its attempt, which Release (or Reattach, after a recall) then used.

TestSessionResumedWhileItsConnectionIsOffered holds the successor's loop while the device resumes; before this change it ended with the panic in Release, and TestSessionResumedWhileItsConnectionIsRecalled with one in Reattach. TestRejectedClientIsNotTransferred, the same cause on a client over its peer's limit, failed before ("got ok, want a refusal"). All three pass now.

Change: a session knows that it is detached; a stream error that comes then is pending until Reattach and dropped at Release, and a session with a pending error is not offered. Release keeps its hands off a record that another connection has taken. It holds because every stream error of a session goes through clientSession.fail.

Tests of node, xmpp, edge, session and operations pass under the race detector.

--- a/internal/lab/xmppserver/client.go
+++ b/internal/lab/xmppserver/client.go
@@ -54,6 +54,41 @@
 	return client.unlessFailed(resumed, err)
 }
 
+// Authenticate opens a stream and authenticates by LoginPlain before the deadline. The client has no session yet: see
+// Resume.
+func Authenticate(addr, user string, deadline time.Time) (*Client, error) {
+	client, err := dial(addr, deadline)
+	if err != nil {
+		return nil, err
+	}
+	const header = streamHeaderStart + streamHeaderEnd
+	_, err = client.Exchange(header, endOfFeatures)
+	if err == nil {
+		_, err = client.authenticate(header, plainCredentials(user), "")
+	}
+	client, _, err = client.unlessFailed(false, err)
+	return client, err
+}
+
+// Resume resumes the session with the given ID on an authenticated stream, and reports whether the server still has it.
+func (c *Client) Resume(id string) (resumed bool, err error) {
+	reply, err := c.Exchange(resumeRequest(id), ">")
+	if err != nil {
+		return false, err
+	}
+	if strings.Contains(reply, "<resumed") {
+		c.ID = id
+		return true, nil
+	}
+	_, err = c.Exchange("", "</failed>")
+	return false, err
+}
+
+// plainCredentials returns the initial response of PLAIN for a user.
+func plainCredentials(user string) string {
+	return base64.StdEncoding.EncodeToString([]byte("\x00" + user + "\x00secret"))
+}
+
 // ConnectTLS works like Connect but over TLS, either direct or by STARTTLS.
 func ConnectTLS(
 	addr, user, id string, method LoginMethod, config *tls.Config, direct bool, deadline time.Time,
@@ -115,7 +150,7 @@
 	if method == LoginPlainNamed {
 		header = streamHeaderStart + "from='" + user + "@" + domain + "' " + streamHeaderEnd
 	}
-	credentials := base64.StdEncoding.EncodeToString([]byte("\x00" + user + "\x00secret"))
+	credentials := plainCredentials(user)
 	if _, err := c.Exchange(header, endOfFeatures); err != nil {
 		return false, err
 	}
@@ -163,16 +198,7 @@
 	if id == "" {
 		return false, nil
 	}
-	reply, err := c.Exchange(resumeRequest(id), ">")
-	if err != nil {
-		return false, err
-	}
-	if strings.Contains(reply, "<resumed") {
-		c.ID = id
-		return true, nil
-	}
-	_, err = c.Exchange("", "</failed>")
-	return false, err
+	return c.Resume(id)
 }
 
 // bind binds a new session that can be resumed.
--- a/internal/node/helpers_test.go
+++ b/internal/node/helpers_test.go
@@ -189,6 +189,22 @@
 	}
 }
 
+// shortTempDir returns a temporary directory whose path doesn't contain the test's name. A longer path may not fit the
+// address of the Unix socket between the processes of a node.
+func shortTempDir(tb testing.TB) string {
+	tb.Helper()
+	dir, err := os.MkdirTemp("", "hr") //nolint:usetesting // TempDir has the test's name in the path
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() {
+		if err := os.RemoveAll(dir); err != nil {
+			tb.Error(err)
+		}
+	})
+	return dir
+}
+
 // writeTemp writes a file with the given name into a new temporary directory.
 func writeTemp(tb testing.TB, name, text string) (path string) {
 	tb.Helper()
--- a/internal/node/transfer_test.go
+++ b/internal/node/transfer_test.go
@@ -32,7 +32,7 @@
 // newRestartedNode sets up a node with both front ends and one server for each.
 func newRestartedNode(tb testing.TB, server string, sockets int) *restartedNode {
 	tb.Helper()
-	dir := tb.TempDir()
+	dir := shortTempDir(tb)
 	node := &restartedNode{
 		tb:           tb,
 		configPath:   filepath.Join(dir, "config.json"),
--- a/internal/xmpp/accept.go
+++ b/internal/xmpp/accept.go
@@ -76,7 +76,8 @@
 	if verdict != peerlimit.Admitted {
 		// The rejection is sent without TLS even on a TLS listener, because a handshake would cost the work that the
 		// limit saves.
-		f.loop.At(now, func() { session.reject(verdict) })
+		session.logRejection(verdict)
+		session.failNext(resourceConstraint, verdict.String())
 		return session
 	}
 	if security == DirectTLS {
@@ -110,11 +111,15 @@
 
 // reject ends the session of a client that is not admitted, with a stream error that names the reason.
 func (s *clientSession) reject(verdict peerlimit.Verdict) {
+	s.logRejection(verdict)
+	s.fail(resourceConstraint, verdict.String())
+}
+
+func (s *clientSession) logRejection(verdict peerlimit.Verdict) {
 	zap.L().Warn("client_rejected",
 		zap.Stringer("peer", s.socket.Peer),
 		zap.String("domain", s.domainName),
 		zap.Stringer("cause", verdict))
-	s.fail(resourceConstraint, verdict.String())
 }
 
 // wrapInTLS returns the server side of TLS on the socket. The caller must make it the socket's handler; the given
--- a/internal/xmpp/resumption.go
+++ b/internal/xmpp/resumption.go
@@ -187,9 +187,7 @@
 	}
 	if previous := front.connectedSessions[resumed.Key]; previous != nil && previous != s {
 		delete(front.connectedSessions, resumed.Key)
-		front.loop.At(front.loop.Now(), func() {
-			previous.fail(conflict, "resumed on another connection")
-		})
+		previous.failNext(conflict, "resumed on another connection")
 	}
 	s.key = resumed.Key
 	front.connectedSessions[resumed.Key] = s
--- a/internal/xmpp/session.go
+++ b/internal/xmpp/session.go
@@ -36,6 +36,9 @@
 	established bool
 	finished    bool
 	migrating   bool // the session ends after the server's current stanza
+	detached    bool // the sockets are offered to another process, which may already use them
+
+	pendingFailure *streamFailure // the stream error that ends the session next; nil: none
 
 	cancelTimer    func() // cancels the timer of the stream header or the migration; nil if none runs
 	headerDeadline time.Time
--- a/internal/xmpp/starttls_test.go
+++ b/internal/xmpp/starttls_test.go
@@ -13,6 +13,12 @@
 // startFront starts a front that listens for clients and serves the domain farm.example without a core. It returns the
 // listener's address.
 func startFront(t *testing.T, security Security) string {
+	t.Helper()
+	return startFrontWith(t, func(front *Front) func(*loop.Conn) loop.Handler { return front.AcceptWith(security) })
+}
+
+// startFrontWith is startFront with the function that accepts connections.
+func startFrontWith(t *testing.T, accept func(*Front) func(*loop.Conn) loop.Handler) string {
 	t.Helper()
 	eventLoop, err := loop.New()
 	if err != nil {
@@ -23,7 +29,7 @@
 		MaxConnections: 100, MaxResumable: 10,
 	}
 	front := New(eventLoop, map[string]Domain{"farm.example": {}}, limits, 1)
-	listener, err := eventLoop.Listen("127.0.0.1:0", front.AcceptWith(security))
+	listener, err := eventLoop.Listen("127.0.0.1:0", accept(front))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/xmpp/streamerror.go
+++ b/internal/xmpp/streamerror.go
@@ -62,11 +62,36 @@
 	s.fail(streamError.condition, streamError.text)
 }
 
-// fail ends the session with a stream error. It does nothing if the session is already finished.
+// streamFailure is a stream error that ends a session.
+type streamFailure struct {
+	condition condition
+	text      string
+}
+
+// failNext ends the session with a stream error after the current callback.
+func (s *clientSession) failNext(errorCondition condition, text string) {
+	s.pendingFailure = &streamFailure{errorCondition, text}
+	s.front.loop.At(s.front.loop.Now(), s.failPending)
+}
+
+// failPending ends the session with its pending stream error, if it has one. While the session is detached, the error
+// stays pending until Reattach or Release.
+func (s *clientSession) failPending() {
+	if failure := s.pendingFailure; failure != nil && !s.detached {
+		s.fail(failure.condition, failure.text)
+	}
+}
+
+// fail ends the session with a stream error. It does nothing if the session is already finished. A detached session
+// ends once it is reattached, because another process may use its sockets until then.
 func (s *clientSession) fail(errorCondition condition, text string) {
 	if s.finished {
 		return
 	}
+	if s.detached {
+		s.pendingFailure = &streamFailure{errorCondition, text}
+		return
+	}
 	markup := s.errorMarkup(errorCondition, text)
 	if s.upstream != nil && s.committed && !s.upstream.received.betweenStanzas() && s.upstream.partialStanzaForwarded {
 		markup = "" // the client is inside a stanza, which any further markup would corrupt
--- a/internal/xmpp/transfer.go
+++ b/internal/xmpp/transfer.go
@@ -90,7 +90,7 @@
 // to end.
 func (s *clientSession) Detach() (fds []int, state any, ok bool) {
 	server := s.upstream
-	if s.layered || s.finished || !s.established || s.migrating {
+	if s.layered || s.isEnding() || !s.established {
 		return nil, nil, false
 	}
 	if server == nil || server.finished || len(server.unforwarded) > 0 {
@@ -113,22 +113,32 @@
 		s.socket.Reattach()
 		return nil, nil, false
 	}
+	s.detached = true
 	return fds, connectionState, true
 }
 
-// Reattach adds a detached session to the event loop again.
+// isEnding reports whether the session has ended, or ends without any further event.
+func (s *clientSession) isEnding() bool { return s.finished || s.migrating || s.pendingFailure != nil }
+
+// Reattach adds a detached session to the event loop again. A stream error that became pending meanwhile ends it next.
 func (s *clientSession) Reattach() {
+	s.detached = false
 	s.socket.Reattach()
 	if s.upstream != nil {
 		s.upstream.conn.Reattach()
 	}
+	if s.pendingFailure != nil {
+		s.front.loop.At(s.front.loop.Now(), s.failPending)
+	}
 }
 
 // Release closes this process's descriptors of a detached session that another process has taken over.
 func (s *clientSession) Release() {
-	// From now on the other process keeps the record of the resumable session.
-	delete(s.front.connectedSessions, s.key)
-	s.front.resumable.Forget(s.key)
+	if s.front.connectedSessions[s.key] == s { // otherwise another connection has resumed the session meanwhile
+		// From now on the other process keeps the record of the resumable session.
+		delete(s.front.connectedSessions, s.key)
+		s.front.resumable.Forget(s.key)
+	}
 	s.key = resumable.Key{}
 	s.finish(trace.Transferred)
 	s.socket.Release()
@@ -156,7 +166,7 @@
 // Detach removes the connection from the event loop.
 func (i IdleConnection) Detach() (fds []int, state any, ok bool) {
 	session := i.session
-	if session.finished || session.request != nil || session.awaitsStartTLS || session.layered {
+	if session.isEnding() || session.request != nil || session.awaitsStartTLS || session.layered {
 		return nil, nil, false
 	}
 	fd, conn, ok := session.socket.Detach()
@@ -164,6 +174,7 @@
 		return nil, nil, false
 	}
 	session.stopTimer()
+	session.detached = true
 	return []int{fd}, ConnectionState{
 		Conn:           conn,
 		Received:       session.received.state(),
