platform: a client that waits for PONG is not offered to a successor

What callers saw: nothing yet; found on the paths beside the last fault. A client that sent PING before the node was ready waits for the answer. If it was offered to a successor in that time, the old process wrote PONG to a socket that another process may use already, or, once it was released, nobody answered.

Cause: Front.SetReady writes to every client that waits, and Detach knew nothing of the wait.

Evidence: TestClientAwaitingPongIsNotTransferred detaches such a client and has the node become ready; before this change Detach gave the connection away. It passes now, as do the other tests of the platform's packages.

Change: such a client stays with its process, which answers it or ends it with the shutdown, as in a planned stop.

--- a/internal/platform/downstream/client.go
+++ b/internal/platform/downstream/client.go
@@ -53,6 +53,7 @@
 	firstLineReader   line.Reader
 	openLine          []byte // as received; nil once the connection is established or closed
 	pinged            bool   // sent PING
+	awaitsReady       bool   // its PING is answered when the node becomes ready
 	request           *edge.Request
 	server            *upstream.Request
 	established       bool
@@ -161,12 +162,14 @@
 	if len(c.front.awaitingReady) < maxAwaitingReady {
 		c.cancelTimer()
 		c.stopTimer = c.front.loop.At(c.front.loop.Now().Add(readyTimeout), func() { c.drop(trace.ClientTimedOut) })
+		c.awaitsReady = true
 		c.front.awaitingReady = append(c.front.awaitingReady, c)
 	}
 }
 
 // sendPong replies to a PING.
 func (c *client) sendPong() {
+	c.awaitsReady = false
 	if !c.closed {
 		c.conn.Write(pongLine)
 	}
--- a/internal/platform/downstream/transfer.go
+++ b/internal/platform/downstream/transfer.go
@@ -144,11 +144,11 @@
 	return all
 }
 
-// Detach removes the connection from the loop, unless its client has sent a request or the connection is closed or
-// about to end.
+// Detach removes the connection from the loop, unless its client has sent a request or waits for the answer to a PING,
+// or the connection is closed or about to end.
 func (c IdleConnection) Detach() (fds []int, state any, ok bool) {
 	idle := c.client
-	if idle.closed || idle.request != nil {
+	if idle.closed || idle.request != nil || idle.awaitsReady {
 		return nil, nil, false
 	}
 	fd, conn, ok := idle.conn.Detach()
--- a/internal/platform/downstream/transfer_test.go
+++ b/internal/platform/downstream/transfer_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"spurwinch/internal/lab/transcript"
 )
 
 // TestIdleTransferWithSteppedClock transfers a connection whose client has sent nothing to a process whose wall clock
@@ -37,3 +39,24 @@
 		}
 	}
 }
+
+// TestClientAwaitingPongIsNotTransferred guards against a PONG on a socket that another process may already use: a
+// client that sent PING before the node was ready is offered to a successor, and then the node becomes ready.
+func TestClientAwaitingPongIsNotTransferred(t *testing.T) {
+	node := newTestNode(t, 1)
+	conn, client := node.dialClient()
+	if _, err := conn.Write([]byte("PING\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	transcript.WaitFor(t, "the PING is received", func() (received bool) {
+		node.onLoop(func() { received = client.pinged })
+		return received
+	})
+	node.onLoop(func() {
+		if _, _, ok := (IdleConnection{client}).Detach(); ok {
+			t.Error("Detach of a client that awaits PONG: got ok, want a refusal")
+		}
+		node.front.SetReady()
+	})
+	node.requireLine(conn, "PONG")
+}
