xmpp: a transferred connection does not end a newer one of its session

A device that had resumed its session on the new process during an upgrade lost that connection with conflict, when the old process transferred the earlier one.

Cause: the successor took each transferred connection for the newest of its session. The old process learns of the resumption only when it reads the successor's news, and may offer the earlier connection before that.

Evidence: TestLiveConnectionSurvivesTransferOfEarlierOne holds the old process while the device resumes at the successor and has its shutdown begin before it reads. Before this change the live connection ended and the earlier one stayed; it passes now.

Change: a connection that a client has made in this process stays, and the transferred one ends with conflict, without the end of the stream that would end the session at its server. It works since news and batches of one process come in order: what it knew of a later resumption on its own side has ended the connection here before the batch comes.

--- a/internal/lab/xmppserver/client.go
+++ b/internal/lab/xmppserver/client.go
@@ -55,7 +55,7 @@
 	return client.unlessFailed(resumed, err)
 }
 
-// Authenticate opens a stream and authenticates by LoginPlain before the deadline. If config is set, it uses direct TLS.
+// Authenticate opens a stream and authenticates by LoginPlain before the deadline, over direct TLS if config is set.
 // The client has no session yet: see Resume.
 func Authenticate(addr, user string, config *tls.Config, deadline time.Time) (*Client, error) {
 	client, err := dial(addr, deadline)
--- a/internal/node/transfer_resume_test.go
+++ b/internal/node/transfer_resume_test.go
@@ -97,3 +97,23 @@
 	device := &upgradeDevice{user: "ana", listener: directTLS, method: xmppserver.LoginPlain, client: crossing.later}
 	crossing.node.checkResumes(t, device)
 }
+
+// TestLiveConnectionSurvivesTransferOfEarlierOne guards against the loss of a live connection at the successor, when the
+// old process transfers an earlier connection of the same session that it doesn't know to be out of date.
+func TestLiveConnectionSurvivesTransferOfEarlierOne(t *testing.T) {
+	node := newRestartedXMPPNode(t, 1)
+	device := &upgradeDevice{user: "ana", listener: cleartext, method: xmppserver.LoginPlain}
+	node.connect(t, device)
+	earlier := device.client
+	node.successor = node.start()
+	settle(node.current, node.successor)
+	release := holdLoop(node.current)
+	node.checkResumes(t, device)
+	node.current.loop.Post(node.current.Shutdown) // runs before the loop reads the news of the resumption
+	release()
+	node.endRestart()
+	if _, err := device.client.Exchange(ping, "/>"); err != nil {
+		t.Errorf("live connection: %v", err)
+	}
+	checkEnds(t, "earlier", earlier, "conflict")
+}
--- a/internal/xmpp/resumption.go
+++ b/internal/xmpp/resumption.go
@@ -20,11 +20,15 @@
 	maxNameBytes           = 1023     // bytes of a session's identifier, or of a user name
 )
 
+// resumedElsewhere is the text of the stream error that ends the earlier connection of a resumed session.
+const resumedElsewhere = "resumed on another connection"
+
 // resumption is the state of a client's connection that concerns its current or previous resumable session.
 type resumption struct {
 	user       string        // the user name that the client claims; empty if not known yet
 	previousID string        // identifier of the session that the client asks to resume
 	key        resumable.Key // resumable session that uses this connection; zero if there is none
+	adopted    bool          // the predecessor has transferred this connection
 
 	openingBytes       []byte // bytes that the client sent before it authenticated; nil if none, or too many
 	authenticating     bool   // the front is receiving the client's first authentication
@@ -183,9 +187,17 @@
 	s.front.resumable.Connected(s.front.loop.Now(), resumed)
 }
 
-// recordAdopted records that this connection, which the predecessor has transferred, has a resumable session.
+// recordAdopted records that this connection, which the predecessor has transferred, has a resumable session. If the
+// session was resumed in this process while the predecessor still had the connection, the front ends the connection,
+// because the resumption is newer.
 func (s *clientSession) recordAdopted(resumed resumable.Session) {
 	s.user = resumed.User
+	s.adopted = true
+	if current := s.front.connectedSessions[resumed.Key]; current != nil && !current.adopted {
+		s.key = resumed.Key // the session continues, so the end of this connection must not end it at its server
+		s.failNext(conflict, resumedElsewhere)
+		return
+	}
 	s.takeOver(resumed.Key)
 	s.front.resumable.Adopted(s.front.loop.Now(), resumed)
 }
@@ -209,7 +221,7 @@
 func (f *Front) endConnection(key resumable.Key) {
 	if session := f.connectedSessions[key]; session != nil {
 		delete(f.connectedSessions, key)
-		session.failNext(conflict, "resumed on another connection")
+		session.failNext(conflict, resumedElsewhere)
 	}
 }
 
