--- a/internal/node/transfer_resume_test.go
+++ b/internal/node/transfer_resume_test.go
@@ -98,8 +98,8 @@
 	crossing.node.checkResumes(t, device)
 }
 
-// TestLiveConnectionSurvivesTransferOfEarlierOne guards against the loss of a live connection at the successor, when the
-// old process transfers an earlier connection of the same session that it doesn't know to be out of date.
+// TestLiveConnectionSurvivesTransferOfEarlierOne guards against the loss of a live connection at the successor when the
+// old process transfers an earlier connection of its session, which it doesn't know to be out of date.
 func TestLiveConnectionSurvivesTransferOfEarlierOne(t *testing.T) {
 	node := newRestartedXMPPNode(t, 1)
 	device := &upgradeDevice{user: "ana", listener: cleartext, method: xmppserver.LoginPlain}
@@ -116,4 +116,5 @@
 		t.Errorf("live connection: %v", err)
 	}
 	checkEnds(t, "earlier", earlier, "conflict")
+	node.checkResumes(t, device) // the end of the earlier connection has not ended the session at its server
 }
