--- a/deploy/verdict_test.go
+++ b/deploy/verdict_test.go
@@ -20,59 +20,75 @@
 
 // verdictTest is the output of a test run, the list of known failures and the expected verdict.
 type verdictTest struct {
-	output  string // of the test run
-	status  int    // of the test run
-	list    string // list of known failures
-	passes  bool   // whether the verdict accepts the run
-	message string // must be in the output of the verdict
+	output   string // of the test run
+	status   int    // of the test run
+	list     string // list of known failures
+	goScript string // added to the script that replaces the go command
+	passes   bool   // whether the verdict accepts the run
+	message  string // must be in the output of the verdict
 }
 
 func verdictTests() map[string]verdictTest {
 	const (
 		ok             = "ok  \tspurwinch/a\t0.1s\n"
 		failing        = "--- FAIL: TestA (0.00s)\n    a_test.go:1: no\nFAIL\nFAIL\tspurwinch/a\t0.1s\nFAIL\n"
-		known          = "spurwinch/a TestA | the server is asked twice | issue 34\n"
+		known          = "spurwinch/a TestA | go test -run TestA ./a, seed 3 | the server is asked twice | issue 34\n"
 		subtestFailing = "--- FAIL: TestA (0.00s)\n    --- FAIL: TestA/one (0.00s)\n        a_test.go:1: no\n" +
 			"FAIL\nFAIL\tspurwinch/a\t0.1s\n"
 		panicked    = "--- FAIL: TestA (0.00s)\npanic: oh [recovered]\nFAIL\tspurwinch/a\t0.1s\n"
 		timedOut    = "panic: test timed out after 10m0s\nFAIL\tspurwinch/a\t600s\n"
 		another     = "--- FAIL: TestB (0.00s)\n"
 		notBuilt    = "FAIL\tspurwinch/b [build failed]\n"
-		unknownTest = "spurwinch/a TestGone | cause | issue 1\n"
-		pattern     = "spurwinch/a Test.* | cause | issue 1\n"
+		unknownTest = "spurwinch/a TestGone | go test ./a, no seed | it hangs | issue 1\n"
+		pattern     = "spurwinch/a Test.* | go test ./a, no seed | it hangs | issue 1\n"
+		packages    = "spurwinch/... TestA | go test ./..., no seed | it hangs | issue 1\n"
+		earlierForm = "spurwinch/a TestA | the server is asked twice | issue 34\n"
+		noSeed      = "spurwinch/a TestA | go test ./a | it hangs | issue 1\n"
+		noCommand   = "spurwinch/a TestA |  | it hangs | issue 1\n"
+		nothingSeen = "spurwinch/a TestA | go test ./a, no seed |  | issue 1\n"
+		noIssue     = "spurwinch/a TestA | go test ./a, no seed | it hangs\n"
+		// The go command prints a line after the names of the tests, and fails if nobody reads it any more.
+		lateLine   = "sleep 0.2\nprintf 'ok\\tspurwinch/a\\t0.1s\\n' || exit 1\n"
+		cannotList = "exit 1\n"
 	)
 	inOtherPackage := strings.ReplaceAll(failing, "spurwinch/a", "spurwinch/b")
 	renamed := strings.Replace(failing, "TestA", "TestB", 1)
 	threeLines := knownLine(0) + knownLine(1) + knownLine(2)
 	return map[string]verdictTest{
-		"all tests pass":               {ok, 0, "", true, ""},
-		"failure with an empty list":   {failing, 1, "", false, "spurwinch/a TestA fails"},
-		"listed failure":               {failing + ok, 1, known, true, "known red: " + strings.TrimSpace(known)},
-		"subtest of listed test fails": {subtestFailing, 1, known, true, "known red"},
-		"unlisted failure":             {renamed, 1, known, false, "spurwinch/a TestB fails"},
-		"listed and unlisted failure":  {another + failing, 1, known, false, "spurwinch/a TestB fails"},
-		"same test in another package": {inOtherPackage, 1, known, false, "spurwinch/b TestA fails"},
-		"listed test passes":           {ok, 0, known, true, "passes and is due for removal"},
-		"build failure":                {failing + notBuilt, 1, known, false, "spurwinch/b [build failed]"},
-		"panic":                        {panicked, 1, known, false, "panic: oh"},
-		"timeout":                      {timedOut, 1, known, false, "timed out"},
-		"data race":                    {"WARNING: DATA RACE\n" + failing, 1, known, false, "DATA RACE"},
-		"package fails without a test": {"FAIL\tspurwinch/a\t0.1s\n", 1, known, false, "fails without a test"},
-		"nonzero status, no failure":   {ok, 1, "", false, "status 1"},
-		"failure without its package":  {"--- FAIL: TestA (0.00s)\n", 1, known, false, "in no package"},
-		"listed test doesn't exist":    {ok, 0, unknownTest, false, "no test TestGone"},
-		"listed without an issue":      {failing, 1, "spurwinch/a TestA | cause\n", false, "not 'PACKAGE TEST"},
-		"listed without a cause":       {failing, 1, "spurwinch/a TestA |  | issue 1\n", false, "not 'PACKAGE TEST"},
-		"listed by a pattern":          {failing, 1, pattern, false, "not 'PACKAGE TEST"},
-		"listed twice":                 {failing, 1, known + known, false, "listed twice"},
-		"list of three lines":          {ok, 0, threeLines, true, "due for removal"},
-		"list of four lines":           {ok, 0, threeLines + knownLine(3), false, "three at most"},
+		"all tests pass":                                {ok, 0, "", "", true, ""},
+		"failure with an empty list":                    {failing, 1, "", "", false, "spurwinch/a TestA fails"},
+		"listed failure":                                {failing + ok, 1, known, "", true, "known red: " + strings.TrimSpace(known)},
+		"subtest of listed test fails":                  {subtestFailing, 1, known, "", true, "known red"},
+		"unlisted failure":                              {renamed, 1, known, "", false, "spurwinch/a TestB fails"},
+		"listed and unlisted failure":                   {another + failing, 1, known, "", false, "spurwinch/a TestB fails"},
+		"same test in another package":                  {inOtherPackage, 1, known, "", false, "spurwinch/b TestA fails"},
+		"listed test passes":                            {ok, 0, known, "", true, "passes and is due for removal"},
+		"build failure":                                 {failing + notBuilt, 1, known, "", false, "spurwinch/b [build failed]"},
+		"panic":                                         {panicked, 1, known, "", false, "panic: oh"},
+		"timeout":                                       {timedOut, 1, known, "", false, "timed out"},
+		"data race":                                     {"WARNING: DATA RACE\n" + failing, 1, known, "", false, "DATA RACE"},
+		"package fails without a test":                  {"FAIL\tspurwinch/a\t0.1s\n", 1, known, "", false, "fails without a test"},
+		"nonzero status, no failure":                    {ok, 1, "", "", false, "status 1"},
+		"failure without its package":                   {"--- FAIL: TestA (0.00s)\n", 1, known, "", false, "in no package"},
+		"listed test doesn't exist":                     {ok, 0, unknownTest, "", false, "no test TestGone"},
+		"listed without an issue":                       {failing, 1, noIssue, "", false, "not 'PACKAGE TEST"},
+		"listed without what was seen":                  {failing, 1, nothingSeen, "", false, "not 'PACKAGE TEST"},
+		"listed without a command":                      {failing, 1, noCommand, "", false, "not 'PACKAGE TEST"},
+		"listed without a seed":                         {failing, 1, noSeed, "", false, "not 'PACKAGE TEST"},
+		"listed in the earlier form":                    {failing, 1, earlierForm, "", false, "not 'PACKAGE TEST"},
+		"go prints a line after the names of the tests": {failing, 1, known, lateLine, true, "known red"},
+		"tests can't be listed":                         {failing, 1, known, cannotList, false, "can't be listed"},
+		"listed by a pattern":                           {failing, 1, pattern, "", false, "not 'PACKAGE TEST"},
+		"listed in a pattern of packages":               {failing, 1, packages, "", false, "is a pattern"},
+		"listed twice":                                  {failing, 1, known + known, "", false, "listed twice"},
+		"list of three lines":                           {ok, 0, threeLines, "", true, "due for removal"},
+		"list of four lines":                            {ok, 0, threeLines + knownLine(3), "", false, "three at most"},
 	}
 }
 
 // knownLine returns a line of the list, for TestA if index is 0, TestB if it is 1 and so on.
 func knownLine(index int) string {
-	return fmt.Sprintf("spurwinch/a Test%c | cause | issue 1\n", 'A'+index)
+	return fmt.Sprintf("spurwinch/a Test%c | go test ./a, no seed | it hangs | issue 1\n", 'A'+index)
 }
 
 // check runs .ci/verdict and checks its result. A script replaces the go command and lists the tests TestA to TestD.
@@ -87,7 +103,7 @@
 		return path
 	}
 	write("go", "#!/bin/sh\n"+
-		"for n in TestA TestB TestC TestD; do case \"$3\" in \"^$n$\") echo $n;; esac; done\n", 0o755)
+		"for n in TestA TestB TestC TestD; do case \"$3\" in \"^$n$\") echo $n;; esac; done\n"+v.goScript, 0o755)
 	output := write("output", v.output, 0o600)
 	list := write("list", v.list, 0o600)
 	verdict := exec.Command("bash", "../.ci/verdict", output, strconv.Itoa(v.status), list)
