transcript: FreeAddr returns each address once

What was seen: a test of upgrades failed twice in some 60 runs with "connect: got \"\", then: EOF" after 2.5 s. Cause: two listeners of one node had the same port. FreeAddr closes its listener, so the kernel may choose the port again, and the node's listeners share an address with SO_REUSEPORT; a client in the clear then reached the WebSocket listener, which waited 2.5 s for an HTTP request. Evidence: with the two listeners at one address on purpose the test fails with the same words after the same time.

Ruled out: descriptors that are closed twice (none in 6 runs with each close checked), load (46 runs beside up to 16 busy processes had no failure).

--- a/internal/lab/transcript/server.go
+++ b/internal/lab/transcript/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -45,15 +46,23 @@
 	_, _ = io.Copy(connection, reader) // returns when either side closes the connection
 }
 
-// FreeAddr returns a loopback address on which nothing listens.
+// freeAddrs holds the addresses that FreeAddr has returned.
+var freeAddrs sync.Map
+
+// FreeAddr returns a loopback address on which nothing listens, and which it has not returned before in this program.
 func FreeAddr(tb testing.TB) string {
 	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close() // nothing was accepted
+		if _, returned := freeAddrs.LoadOrStore(address, true); !returned {
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }() // nothing was accepted
-	return listener.Addr().String()
 }
 
 // AdminRequest requests a path from an admin server. It returns the status and body of the response, or the status 0
