Upgrades: a batch waits until the link has room for its descriptors

When news of sessions, or learned state, had filled the link's buffer in the kernel without a byte left over, the next batch failed with EAGAIN. The old process took this for a successor that can't be reached and told all remaining clients to come again.

Cause: SuccessorAccepts asked whether all data was written, not whether the kernel takes more. A write may be taken whole and leave the socket's buffer full.

Evidence: TestBatchWaitsForRoomOnLink, whose successor reads nothing, failed before with "sendmsg: resource temporarily unavailable" and passes now.

Measured: the tests of hotrestart, loop and transcript pass under the race detector.

--- a/internal/loop/unix.go
+++ b/internal/loop/unix.go
@@ -75,6 +75,17 @@
 	return nil
 }
 
+// Writable reports whether all data was written to the kernel, and SendDescriptors would not fail for want of room in
+// the socket's buffer.
+func (c *Conn) Writable() bool {
+	if c.closed || !c.Sent() {
+		return false
+	}
+	watched := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLOUT}}
+	ready, err := unix.Poll(watched, 0)
+	return err == nil && ready == 1 && watched[0].Revents&unix.POLLOUT != 0
+}
+
 // OnDescriptors sets the function that gets the descriptors received on a Unix connection. fn must close them. If some
 // are lost because this process has no free descriptors, the connection fails.
 func (c *Conn) OnDescriptors(fn func(fds []int)) { c.onDescriptors = fn }
--- a/internal/operations/hotrestart/transfer_parent.go
+++ b/internal/operations/hotrestart/transfer_parent.go
@@ -37,13 +37,14 @@
 }
 
 // SuccessorAccepts reports whether there is a successor that accepts connections, and how many descriptors one batch
-// may have now. The number is 0 while another batch is in transfer or data to the successor is pending.
+// may have now. The number is 0 while another batch is in transfer, data to the successor is pending or the kernel's
+// buffer holds so much that it might not take the batch's descriptors.
 func (c *Coordinator) SuccessorAccepts() (accepts bool, descriptors int) {
 	successor := c.transferLink()
 	if successor == nil {
 		return false, 0
 	}
-	if successor.outgoing.done != nil || !successor.conn.Sent() {
+	if successor.outgoing.done != nil || !successor.conn.Writable() {
 		return true, 0
 	}
 	return true, min(successor.outgoing.freeDescriptors, loop.MaxDescriptorsPerMessage)
--- a/internal/operations/hotrestart/transfer_test.go
+++ b/internal/operations/hotrestart/transfer_test.go
@@ -341,3 +341,41 @@
 	default:
 	}
 }
+
+// TestBatchWaitsForRoomOnLink guards against a batch that can't be sent, so that all clients are migrated: the successor
+// reads nothing, and learned state has filled the link's buffer in the kernel.
+func TestBatchWaitsForRoomOnLink(t *testing.T) {
+	eventLoop, onLoop := startLoop(t)
+	path := socketPath(t)
+	var parent *Coordinator
+	onLoop(func() {
+		parent = NewCoordinator(
+			Options{Loop: eventLoop, Path: path, Changed: ignoreChange, Grant: grantDescriptors(9)}, nil)
+	})
+	successor := os.NewFile(uintptr(requestGrant(t, path).fd), "link")
+	t.Cleanup(func() { mustClose(t, successor) })
+	mustWrite(t, successor, `{"kind":"ready"}`+"\n"+`{"kind":"free","room":9}`+"\n")
+	descriptorsAccepted := func() int {
+		_, descriptors := parent.SuccessorAccepts()
+		return descriptors
+	}
+	waitFor(t, onLoop, "free descriptors", func() bool { return descriptorsAccepted() == 9 })
+	fd, _ := socketPair(t)
+	defer loop.CloseDescriptors([]int{fd})
+	onLoop(func() {
+		link := parent.successors[0]
+		state := make([]byte, 1000)
+		for link.conn.Sent() {
+			if descriptorsAccepted() > 0 {
+				if err := link.conn.SendDescriptors([]byte("x"), fd); err != nil {
+					t.Errorf("SendDescriptors while the successor accepts a batch: got error %v, want none", err)
+					return
+				}
+			}
+			parent.SendLearnedState(Successor, state)
+		}
+		if descriptorsAccepted() != 0 {
+			t.Error("descriptors for a batch while data is pending: got some, want 0")
+		}
+	})
+}
