Upgrades: the new process starts with its predecessor's lists of the operator's clusters

What callers saw: with discovery that answers 50 ms or later, clients whose sessions were transferred at an upgrade were not told when their host began to drain, and were cut off when it left. One that resumed before the list had come got resource-constraint or another host.

Cause: the grant carried the platform's list only. A session that was transferred before the first list got a server state that is in no table, and the list then made a second one, with which the drain found nobody.

Change: learned state has the lists of the operator's clusters, and a cluster with discovery starts with its predecessor's, as the platform's does. It works since a transferred session is then at a server of the table, and the first list of the new process's own discovery is compared with it.

--- a/internal/lab/xmppserver/client.go
+++ b/internal/lab/xmppserver/client.go
@@ -76,6 +76,9 @@
 	return client, err
 }
 
+// SetDeadline sets the time by which each further Exchange must end.
+func (c *Client) SetDeadline(deadline time.Time) { c.deadline = deadline }
+
 // Resume resumes the session with the given ID on an authenticated stream, and reports whether the server still has it.
 func (c *Client) Resume(id string) (resumed bool, err error) {
 	reply, err := c.Exchange(resumeRequest(id), ">")
--- a/internal/node/golden_hotrestart_test.go
+++ b/internal/node/golden_hotrestart_test.go
@@ -196,5 +196,6 @@
 	state.Connected = []int{1}
 	state.Ended = []resumable.Key{{Domain: "farm.example", ID: "sm-2"}}
 	state.AcceptsSessions = true
+	state.Lists = map[string][]listedServer{"k": {{Server: goldenOpen().Server, Addr: "10.1.0.18:3000"}}}
 	checkGolden(t, "learned-sessions", state, cbor.Unmarshal)
 }
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -29,6 +29,7 @@
 type hotRestart struct {
 	program     *Program
 	grant       *hotrestart.Grant       // from the running process; nil: there was none
+	predecessor learnedState            // from the grant
 	coordinator *hotrestart.Coordinator // nil: a successor can't find this process
 	listeners   map[string]*loop.Listener
 
@@ -56,6 +57,9 @@
 	case err != nil:
 		zap.L().Warn("hot_restart_grant_failed", zap.String("place", path), zap.Error(err))
 	default:
+		if len(grant.Learned) > 0 {
+			h.predecessor, _ = decodeLearnedState(grant.Learned) // after an error it is empty
+		}
 		zap.L().Info("hot_restart_grant_received", zap.Int("sockets", len(grant.Sockets)),
 			zap.Int("hosts", len(grant.List.Servers)), zap.Int("descriptors", grant.DescriptorQuota))
 	}
@@ -102,9 +106,8 @@
 // startCoordinator makes this process available to a successor. It is called once all parts are set up.
 func (h *hotRestart) startCoordinator(path string) {
 	h.sessions.init(h)
-	if h.grant != nil && len(h.grant.Learned) > 0 {
-		h.importLearnedState(h.grant.Learned) // first, since the coordinator may have received newer state
-	}
+	h.importLearnedState(h.predecessor) // first, since the coordinator may have received newer state
+	h.predecessor = learnedState{}
 	if path != "" {
 		h.coordinator = hotrestart.NewCoordinator(hotrestart.Options{
 			Loop:    h.program.loop,
@@ -145,10 +148,7 @@
 			grant.Datagrams = socket.FD()
 		}
 	}
-	grant.Learned = h.encodeLearnedState(h.sessions.forGrant())
-	if len(grant.Learned) > hotrestart.MaxLearnedBytes {
-		grant.Learned = h.encodeLearnedState(nil) // the sessions are sent after the grant in any case
-	}
+	grant.Learned = h.encodeForGrant()
 	spare := h.spareDescriptors(h.ownQuota())
 	grant.DescriptorQuota = spare - spare/grantDivisor
 	return grant
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	coreByCluster map[string]*edge.Core // by cluster name; platformCluster for the platform's core
 	platform      *platform             // nil: the node has only an operator's file
 	xmpp          *xmpp.Front           // nil: there is no operator's file with clusters
+	operator      *operatorFronts       // nil: as above
 	fleet         *fleet                // nil: the node belongs to no fleet
 	adminAddr     netip.AddrPort
 
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -57,6 +57,7 @@
 		watches:   map[string]*discovery.Watch{},
 		firstSeen: map[string]time.Time{},
 	}
+	program.operator = fronts
 	for i, entry := range file.Clusters {
 		if err := fronts.addCluster(file, entry, i); err != nil {
 			return nil, err
@@ -99,10 +100,19 @@
 		watch = discovery.New(o.program.loop, entry.Discovery, nil, watchMode(settings), seed, core.UpdateServers)
 		o.watches[entry.Name] = watch
 	}
-	o.program.startCore(entry.Name, core, entry.StaticServers(o.startedAt(entry.Name, time.Time{})))
+	o.program.startCore(entry.Name, core, o.initialServers(entry))
 	return nil
 }
 
+// initialServers returns a cluster's servers at the start. A cluster with discovery starts with the predecessor's list,
+// so that connections that are transferred before discovery answers are at known servers.
+func (o *operatorFronts) initialServers(entry config.Cluster) []edge.ServerEntry {
+	if entry.Discovery != "" {
+		return o.program.restart.predecessorList(entry.Name)
+	}
+	return entry.StaticServers(o.startedAt(entry.Name, time.Time{}))
+}
+
 // newXMPP sets up the XMPP front with its domains and limits.
 func (o *operatorFronts) newXMPP(file config.Operator) {
 	domains := map[string]xmpp.Domain{}
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -30,7 +30,7 @@
 func (h *hotRestart) transferAll() {
 	h.transfer.active = true
 	h.transfer.started = h.program.loop.Now()
-	h.coordinator.SendLearnedState(hotrestart.Successor, h.encodeLearnedState(nil))
+	h.coordinator.SendLearnedState(hotrestart.Successor, h.learnedState().encode())
 	h.transferRepeatedly()
 }
 
--- a/internal/node/upgrade_sessions_test.go
+++ b/internal/node/upgrade_sessions_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +36,28 @@
 
 func newRestartedXMPPNode(t *testing.T, servers int) *restartedXMPPNode {
 	t.Helper()
+	return newRestartedXMPPNodeWith(t, servers, staticCluster)
+}
+
+// staticCluster returns the servers as the static servers of a cluster in the operator's file.
+func staticCluster(servers []*xmppserver.Server) string {
+	hosts := ""
+	for i, server := range servers {
+		hosts += fmt.Sprintf("[[cluster.host]]\nid = \"h%d\"\naddr = %q\n", i, server.Addr)
+	}
+	return hosts
+}
+
+// startsXMPPNode is held while a node's free addresses are chosen and opened, so that parallel tests choose others.
+var startsXMPPNode sync.Mutex
+
+// newRestartedXMPPNodeWith is newRestartedXMPPNode with a function that returns the rest of the cluster's table.
+func newRestartedXMPPNodeWith(
+	t *testing.T, servers int, cluster func([]*xmppserver.Server) string,
+) *restartedXMPPNode {
+	t.Helper()
+	startsXMPPNode.Lock()
+	defer startsXMPPNode.Unlock()
 	dir := shortTempDir(t)
 	node := &restartedXMPPNode{
 		restartedNode: &restartedNode{
@@ -42,7 +65,6 @@
 		},
 		addrs: map[xmppListener]string{},
 	}
-	hosts := ""
 	for i := range servers {
 		server, err := xmppserver.Listen(fmt.Sprint("h", i))
 		if err != nil {
@@ -50,8 +72,8 @@
 		}
 		t.Cleanup(server.Close)
 		node.servers = append(node.servers, server)
-		hosts += fmt.Sprintf("[[cluster.host]]\nid = \"h%d\"\naddr = %q\n", i, server.Addr)
 	}
+	clusterText := cluster(node.servers) // before the free addresses are chosen, since it may open a listener
 	for _, listener := range []xmppListener{cleartext, startTLS, directTLS, webSocket} {
 		node.addrs[listener] = transcript.FreeAddr(t)
 	}
@@ -67,9 +89,9 @@
 		"[[listener]]\naddr = %q\nprotocol = \"xmpp\"\ntls = \"direct\"\n"+
 		"[[listener]]\naddr = %q\nprotocol = \"xmpp-websocket\"\n"+
 		"[[certificate]]\ncert = %q\nkey = %q\n[[class]]\nname = \"c\"\n"+
-		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n%s",
+		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\nleave = \"1s\"\n%s",
 		node.addrs[cleartext], node.addrs[startTLS], node.addrs[directTLS], node.addrs[webSocket],
-		certificate, key, hosts))
+		certificate, key, clusterText))
 	node.current = node.start()
 	return node
 }
--- a/internal/operations/hotrestart/transfer_test.go
+++ b/internal/operations/hotrestart/transfer_test.go
@@ -342,8 +342,8 @@
 	}
 }
 
-// TestBatchWaitsForRoomOnLink guards against a batch that can't be sent, so that all clients are migrated: the successor
-// reads nothing, and learned state has filled the link's buffer in the kernel.
+// TestBatchWaitsForRoomOnLink guards against a batch that can't be sent, so that all clients are migrated: the
+// successor reads nothing, and learned state has filled the link's buffer in the kernel.
 func TestBatchWaitsForRoomOnLink(t *testing.T) {
 	eventLoop, onLoop := startLoop(t)
 	path := socketPath(t)
