Upgrades: a static server that came in on SIGHUP keeps its start time

Cause: when a static server came in is known to the running process only (operatorFronts.firstSeen). The new one took the server for started long ago; the table of sessions compares start times and dropped the records.

Evidence: TestStartOfStaticServerSurvivesUpgrade failed before: no start time in the new process, and AcceptsNew false for the start that sessions there have. It passes now, over two upgrades.

Change: the new process takes the start from the list of the grant where the file has none.

--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -107,12 +107,23 @@
 // initialServers returns a cluster's servers at the start. A cluster with discovery starts with the predecessor's list,
 // so that connections that are transferred before discovery answers are at known servers.
 func (o *operatorFronts) initialServers(entry config.Cluster) []edge.ServerEntry {
+	inherited := o.program.restart.predecessorList(entry.Name)
 	if entry.Discovery != "" {
-		return o.program.restart.predecessorList(entry.Name)
+		return inherited
 	}
+	o.inheritFirstSeen(entry.Name, inherited)
 	return entry.StaticServers(o.startedAt(entry.Name, time.Time{}))
 }
 
+// inheritFirstSeen records when the predecessor first saw the static servers of a cluster.
+func (o *operatorFronts) inheritFirstSeen(cluster string, inherited []edge.ServerEntry) {
+	for _, server := range inherited {
+		if server.Started > 0 {
+			o.firstSeen[serverKey(cluster, string(server.ID))] = time.Unix(0, int64(server.Started))
+		}
+	}
+}
+
 // newXMPP sets up the XMPP front with its domains and limits.
 func (o *operatorFronts) newXMPP(file config.Operator) {
 	domains := map[string]xmpp.Domain{}
--- a/internal/node/upgrade_list_test.go
+++ b/internal/node/upgrade_list_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -182,3 +183,42 @@
 		return got >= version
 	})
 }
+
+// TestStartOfStaticServerSurvivesUpgrade guards against a server that counts as started long ago after an upgrade,
+// because only the old process knows when it came into the file: the new process would overload it, and forget the
+// sessions at it.
+func TestStartOfStaticServerSurvivesUpgrade(t *testing.T) {
+	var servers []*xmppserver.Server
+	node := newRestartedXMPPNodeWith(t, 2, func(all []*xmppserver.Server) string {
+		servers = all
+		return staticCluster(all[:1])
+	})
+	starts := func() map[string]time.Duration {
+		started := map[string]time.Duration{}
+		node.current.runOn(func() {
+			for _, entry := range node.current.coreByCluster["k"].Servers() {
+				started[string(entry.ID)] = entry.Started
+			}
+		})
+		return started
+	}
+	node.edit(node.operatorPath, func(text string) string {
+		return strings.Replace(text, staticCluster(servers[:1]), staticCluster(servers), 1)
+	})
+	node.current.runOn(node.current.Reload)
+	want := starts()
+	if want["h0"] != 0 || want["h1"] == 0 {
+		t.Fatalf("start times after the reload: got %v, want none of h0 and one of h1", want)
+	}
+	for range 2 {
+		node.restart()
+		if got := starts(); !maps.Equal(got, want) {
+			t.Errorf("start times after an upgrade: got %v, want %v", got, want)
+		}
+		node.current.runOn(func() { // what the front asks before it sends a session there
+			if !node.current.coreByCluster["k"].AcceptsNew("h1", want["h1"]) {
+				t.Error("AcceptsNew after an upgrade: got false for the start that sessions at the server have, want true")
+			}
+		})
+	}
+}
