--- a/internal/node/upgrade_list_test.go
+++ b/internal/node/upgrade_list_test.go
@@ -217,7 +217,7 @@
 		}
 		node.current.runOn(func() { // what the front asks before it sends a session there
 			if !node.current.coreByCluster["k"].AcceptsNew("h1", want["h1"]) {
-				t.Error("AcceptsNew after an upgrade: got false for the start that sessions at the server have, want true")
+				t.Error("AcceptsNew after an upgrade: got false for the start that sessions there have, want true")
 			}
 		})
 	}
