Upgrades: tests for paths that were only read; one guard of a detached session, not two

Change: clientSession.fail holds the guard alone. What stood twice in tests (trust in a certificate, a parent of a hot restart) stands once; some names are plainer. TestBatchWaitsForRoomOnLink is TestBatchWaitsForLinkBuffer. The program is the same but for the guard, a map that was a function, and comments.

--- a/cmd/spurwinch/compat_xmpp_test.go
+++ b/cmd/spurwinch/compat_xmpp_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"net/http"
 	"os"
@@ -52,11 +51,7 @@
 	node.addr = transcript.FreeAddr(t)
 	node.tlsAddr = transcript.FreeAddr(t)
 	cert, key := transcript.WriteCertificate(t, dir, time.Now().Add(certificateValid), "farm.example")
-	pool := x509.NewCertPool()
-	if raw, err := os.ReadFile(cert); err != nil || !pool.AppendCertsFromPEM(raw) {
-		t.Fatal(err)
-	}
-	node.trusted = &tls.Config{RootCAs: pool, ServerName: "farm.example", NextProtos: []string{"xmpp-client"}}
+	node.trusted = transcript.TrustCertificate(t, cert, "farm.example")
 	writeFile(t, node.operatorFile, fmt.Sprintf("[[listener]]\naddr = %q\nprotocol = \"xmpp\"\n"+
 		"[[listener]]\naddr = %q\nprotocol = \"xmpp\"\ntls = \"direct\"\n[[certificate]]\ncert = %q\nkey = %q\n"+
 		"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n%s",
@@ -115,8 +110,8 @@
 	return resumed
 }
 
-// replace starts a program beside the running one, which then stops. It checks that devices over TLS are told to come
-// again, and returns how many of them have resumed their sessions.
+// replace starts a program beside the running one, which then stops. It checks that devices over TLS are asked to
+// reconnect, and returns how many of them have resumed their sessions.
 func (n *compatXMPPNode) replace(t *testing.T, program string, overTLS []*compatDevice) (resumed int) {
 	t.Helper()
 	successor := n.start(t, program)
@@ -124,7 +119,7 @@
 	for _, device := range overTLS {
 		got, err := device.client.Exchange("", "</stream:stream>")
 		if err == nil || !strings.Contains(got+err.Error(), "system-shutdown") {
-			t.Errorf("%s: got %q, error %v, want to be told to come again", device.user, got, err)
+			t.Errorf("%s: got %q, error %v, want to be asked to reconnect", device.user, got, err)
 		}
 		if n.connect(t, device) {
 			resumed++
--- a/internal/lab/transcript/certificate.go
+++ b/internal/lab/transcript/certificate.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -62,3 +63,15 @@
 		tb.Fatal(err)
 	}
 }
+
+// TrustCertificate returns the configuration of an XMPP client that trusts a certificate of WriteCertificate, whose
+// first name is given.
+func TrustCertificate(tb testing.TB, certificate, name string) *tls.Config {
+	tb.Helper()
+	raw, err := os.ReadFile(certificate)
+	pool := x509.NewCertPool()
+	if err != nil || !pool.AppendCertsFromPEM(raw) {
+		tb.Fatal("read the certificate: ", err)
+	}
+	return &tls.Config{RootCAs: pool, ServerName: name, NextProtos: []string{"xmpp-client"}}
+}
--- a/internal/lab/xmppserver/client.go
+++ b/internal/lab/xmppserver/client.go
@@ -55,9 +55,8 @@
 	return client.unlessFailed(resumed, err)
 }
 
-// Authenticate opens a stream and authenticates by LoginPlain before the deadline, over direct TLS if config is set.
-// The client has no session yet: see Resume.
-func Authenticate(addr, user string, config *tls.Config, deadline time.Time) (*Client, error) {
+// Open opens a stream before the deadline, over direct TLS if config is set. The client is not authenticated yet.
+func Open(addr string, config *tls.Config, deadline time.Time) (*Client, error) {
 	client, err := dial(addr, deadline)
 	if err != nil {
 		return nil, err
@@ -65,17 +64,19 @@
 	if config != nil {
 		err = client.secure(config, true)
 	}
-	const header = streamHeaderStart + streamHeaderEnd
 	if err == nil {
-		_, err = client.Exchange(header, endOfFeatures)
-	}
-	if err == nil {
-		_, err = client.authenticate(header, plainRequest(user), "")
+		_, err = client.Exchange(streamHeaderStart+streamHeaderEnd, endOfFeatures)
 	}
 	client, _, err = client.unlessFailed(false, err)
 	return client, err
 }
 
+// Authenticate authenticates an open stream by LoginPlain. The client has no session yet: see Resume.
+func (c *Client) Authenticate(user string) error {
+	_, err := c.authenticate(streamHeaderStart+streamHeaderEnd, plainRequest(user), "")
+	return err
+}
+
 // SetDeadline sets the time by which each further Exchange must end.
 func (c *Client) SetDeadline(deadline time.Time) { c.deadline = deadline }
 
--- a/internal/node/learnedstate.go
+++ b/internal/node/learnedstate.go
@@ -19,7 +19,7 @@
 	Connected []int               `cbor:"3,keyasint,omitempty"`
 	Ended     []resumable.Key     `cbor:"4,keyasint,omitempty"`
 
-	// Lists has the endpoint lists of the clusters of the operator's file, by cluster name.
+	// Lists has the endpoint lists of the clusters of the operator's file, by cluster name. Only a grant has them.
 	Lists map[string][]listedServer `cbor:"6,keyasint,omitempty"`
 
 	// AcceptsSessions is set by a process that its successor may send Sessions, Connected and Ended.
--- a/internal/node/sessionsync.go
+++ b/internal/node/sessionsync.go
@@ -36,12 +36,10 @@
 	}
 }
 
-// peers returns each other process of the node, by its name in the table.
-func peers() map[resumable.Process]hotrestart.Peer {
-	return map[resumable.Process]hotrestart.Peer{
-		resumable.Predecessor: hotrestart.Parent,
-		resumable.Successor:   hotrestart.Successor,
-	}
+// peers has each other process of the node, by its name in the table.
+var peers = map[resumable.Process]hotrestart.Peer{
+	resumable.Predecessor: hotrestart.Parent,
+	resumable.Successor:   hotrestart.Successor,
 }
 
 // followLinks makes the table track the processes that accept changes, and no others.
@@ -50,7 +48,7 @@
 		return
 	}
 	sessions := s.front.Sessions()
-	for process, peer := range peers() {
+	for process, peer := range peers {
 		number, _ := s.restart.coordinator.LearnedStateLink(peer)
 		if !s.accepts(process) {
 			number = 0
@@ -85,7 +83,7 @@
 	if s.front == nil || s.restart.coordinator == nil {
 		return
 	}
-	for process, peer := range peers() {
+	for process, peer := range peers {
 		if _, writable := s.restart.coordinator.LearnedStateLink(peer); writable {
 			s.sendTo(process, peer)
 		}
--- a/internal/node/tls_test.go
+++ b/internal/node/tls_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
 	"io"
 	"os"
@@ -45,12 +44,7 @@
 // trust returns a client configuration that trusts the node's current certificate.
 func (n *tlsNode) trust(t *testing.T) *tls.Config {
 	t.Helper()
-	pool := x509.NewCertPool()
-	raw, err := os.ReadFile(n.certificate)
-	if err != nil || !pool.AppendCertsFromPEM(raw) {
-		t.Fatal(err)
-	}
-	return &tls.Config{RootCAs: pool, ServerName: "farm.example", NextProtos: []string{"xmpp-client"}}
+	return transcript.TrustCertificate(t, n.certificate, "farm.example")
 }
 
 // connectTLS connects to one of the two listeners.
--- a/internal/node/transfer_resume_test.go
+++ b/internal/node/transfer_resume_test.go
@@ -9,22 +9,22 @@
 	"spurwinch/internal/lab/xmppserver"
 )
 
-// resumeCrossing is a hot restart in which a session is resumed on another connection of the old process, while the old
+// resumeRace is a hot restart in which a session is resumed on another connection of the old process, while the old
 // process has offered the session's earlier connection to the successor.
-type resumeCrossing struct {
+type resumeRace struct {
 	node    *restartedXMPPNode
 	earlier *xmppserver.Client // has the session before the hot restart
 	later   *xmppserver.Client // authenticated before the hot restart; resumes the session
 }
 
-// newResumeCrossing starts a node and connects both clients. The later one uses the given listener.
-func newResumeCrossing(t *testing.T, listener xmppListener) *resumeCrossing {
+// newResumeRace starts a node and connects both clients. The later one uses the given listener.
+func newResumeRace(t *testing.T, listener xmppListener) *resumeRace {
 	t.Helper()
 	node := newRestartedXMPPNode(t, 1)
-	crossing := &resumeCrossing{node: node}
+	race := &resumeRace{node: node}
 	deadline := time.Now().Add(testTimeout)
 	var err error
-	crossing.earlier, _, err = xmppserver.Connect(node.addrs[cleartext], "ana", "", xmppserver.LoginPlain, deadline)
+	race.earlier, _, err = xmppserver.Connect(node.addrs[cleartext], "ana", "", xmppserver.LoginPlain, deadline)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,16 +32,19 @@
 	if listener == directTLS {
 		config = node.trusted
 	}
-	crossing.later, err = xmppserver.Authenticate(node.addrs[listener], "ana", config, deadline)
+	race.later, err = xmppserver.Open(node.addrs[listener], config, deadline)
+	if err == nil {
+		err = race.later.Authenticate("ana")
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	return crossing
+	return race
 }
 
 // play makes the old process offer the earlier connection to a successor that doesn't answer, resumes the session on
 // the later connection, and lets the successor run again after the given time.
-func (c *resumeCrossing) play(t *testing.T, pause time.Duration) {
+func (c *resumeRace) play(t *testing.T, pause time.Duration) {
 	t.Helper()
 	held := make(chan func(), 1)
 	c.node.beginRestart(func() { held <- holdLoop(c.node.successor) })
@@ -66,11 +69,11 @@
 // TestSessionResumedWhileItsConnectionIsOffered guards against the crash of the old process when a session is resumed
 // while its earlier connection is offered to the successor, which then accepts it.
 func TestSessionResumedWhileItsConnectionIsOffered(t *testing.T) {
-	crossing := newResumeCrossing(t, cleartext)
-	crossing.play(t, 0)
-	crossing.node.endRestart()
-	checkEnds(t, "earlier", crossing.earlier, "conflict")
-	if _, err := crossing.later.Exchange(ping, "/>"); err != nil {
+	race := newResumeRace(t, cleartext)
+	race.play(t, 0)
+	race.node.endRestart()
+	checkEnds(t, "earlier", race.earlier, "conflict")
+	if _, err := race.later.Exchange(ping, "/>"); err != nil {
 		t.Errorf("later connection, transferred to the new process: %v", err)
 	}
 }
@@ -79,23 +82,23 @@
 // the connection must end only after the old process has taken it back.
 func TestSessionResumedWhileItsConnectionIsRecalled(t *testing.T) {
 	const longerThanBatchTimeout = 1500 * time.Millisecond
-	crossing := newResumeCrossing(t, cleartext)
-	crossing.play(t, longerThanBatchTimeout)
-	checkEnds(t, "earlier", crossing.earlier, "conflict")
-	checkEnds(t, "later", crossing.later, "system-shutdown")
-	crossing.node.endRestart()
+	race := newResumeRace(t, cleartext)
+	race.play(t, longerThanBatchTimeout)
+	checkEnds(t, "earlier", race.earlier, "conflict")
+	checkEnds(t, "later", race.later, "system-shutdown")
+	race.node.endRestart()
 }
 
 // TestSessionResumedOverTLSWhileItsConnectionIsOffered guards against an earlier connection that the successor keeps
 // because it never learns of the later one, which can't be transferred.
 func TestSessionResumedOverTLSWhileItsConnectionIsOffered(t *testing.T) {
-	crossing := newResumeCrossing(t, directTLS)
-	crossing.play(t, 0)
-	checkEnds(t, "earlier", crossing.earlier, "conflict")
-	checkEnds(t, "later", crossing.later, "system-shutdown")
-	crossing.node.endRestart()
-	device := &upgradeDevice{user: "ana", listener: directTLS, method: xmppserver.LoginPlain, client: crossing.later}
-	crossing.node.checkResumes(t, device)
+	race := newResumeRace(t, directTLS)
+	race.play(t, 0)
+	checkEnds(t, "earlier", race.earlier, "conflict")
+	checkEnds(t, "later", race.later, "system-shutdown")
+	race.node.endRestart()
+	device := &upgradeDevice{user: "ana", listener: directTLS, method: xmppserver.LoginPlain, client: race.later}
+	race.node.checkResumes(t, device)
 }
 
 // TestLiveConnectionSurvivesTransferOfEarlierOne guards against the loss of a live connection at the successor when the
--- a/internal/node/upgrade_list_test.go
+++ b/internal/node/upgrade_list_test.go
@@ -77,9 +77,9 @@
 type lateListTest struct {
 	delay    time.Duration // of the list after the start of the first new process
 	upgrades int
-	// leaves makes server 0 leave, in the list that the new process gets first, or in the next one.
-	leaves     func(*listService)
-	beforeList bool // server 0 leaves before the new process has its first list
+	// changeList changes server 0, in the list that the new process gets first or in the next one.
+	changeList func(*listService)
+	beforeList bool // the change is in the first list
 }
 
 // drains makes server 0 drain.
@@ -125,21 +125,21 @@
 		return fmt.Sprintf("discovery = %q\n", strings.TrimPrefix(service.URL, "http://"))
 	})
 	awaitServers(t, node.current)
-	atLeaving := connectToServer(t, node, "h0-", 3)
+	atServer0 := connectToServer(t, node, "h0-", 3)
 	service.mu.Lock()
 	service.silence = time.Now().Add(l.delay)
 	service.mu.Unlock()
 	for range l.upgrades {
 		node.restart()
 	}
-	leaver := atLeaving[0]
-	node.checkResumes(t, leaver) // also before the list: its session is at a known server
+	returning := atServer0[0]
+	node.checkResumes(t, returning) // also before the list: its session is at a known server
 	if !l.beforeList {
 		awaitVersion(t, node.current, 1)
 	}
-	service.update(func() { l.leaves(service) })
+	service.update(func() { l.changeList(service) })
 	deadline := time.Now().Add(l.delay + 4*time.Second)
-	for _, device := range atLeaving {
+	for _, device := range atServer0 {
 		device.client.SetDeadline(deadline)
 		checkEnds(t, device.user, device.client, "system-shutdown")
 	}
--- a/internal/node/upgrade_sessions_test.go
+++ b/internal/node/upgrade_sessions_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -78,11 +76,7 @@
 		node.addrs[listener] = transcript.FreeAddr(t)
 	}
 	certificate, key := transcript.WriteCertificate(t, dir, time.Now().Add(certificateLifetime), "farm.example")
-	pool := x509.NewCertPool()
-	if raw, err := os.ReadFile(certificate); err != nil || !pool.AppendCertsFromPEM(raw) {
-		t.Fatal(err)
-	}
-	node.trusted = &tls.Config{RootCAs: pool, ServerName: "farm.example", NextProtos: []string{"xmpp-client"}}
+	node.trusted = transcript.TrustCertificate(t, certificate, "farm.example")
 	writeFile(t, node.operatorPath, fmt.Sprintf("[limits]\nconnections = 1000\n"+
 		"[[listener]]\naddr = %q\nprotocol = \"xmpp\"\n"+
 		"[[listener]]\naddr = %q\nprotocol = \"xmpp\"\ntls = \"starttls\"\n"+
@@ -122,7 +116,7 @@
 	user     string
 	listener xmppListener
 	method   xmppserver.LoginMethod
-	vanishes bool // the device says nothing before it comes again, and reads nothing
+	vanishes bool // the device says nothing before it reconnects, and reads nothing
 	client   *xmppserver.Client
 }
 
@@ -171,12 +165,12 @@
 	return devices
 }
 
-// checkTold checks that a device is told to come again, and makes it do so.
-func (n *restartedXMPPNode) checkTold(t *testing.T, device *upgradeDevice) {
+// checkReconnectsWhenAsked checks that a device is asked to reconnect, and makes it do so.
+func (n *restartedXMPPNode) checkReconnectsWhenAsked(t *testing.T, device *upgradeDevice) {
 	t.Helper()
 	got, err := device.client.Exchange("", "</stream:stream>")
 	if err == nil || !strings.Contains(got+err.Error(), "system-shutdown") {
-		t.Errorf("%s: got %q, error %v, want to be told to come again", device.user, got, err)
+		t.Errorf("%s: got %q, error %v, want to be asked to reconnect", device.user, got, err)
 	}
 	n.checkResumes(t, device)
 }
@@ -201,7 +195,7 @@
 	node.current.loop.Post(node.current.Shutdown)
 	for _, device := range devices {
 		if !device.vanishes && device.listener != cleartext {
-			node.checkTold(t, device)
+			node.checkReconnectsWhenAsked(t, device)
 		}
 	}
 	node.endRestart()
--- a/internal/operations/hotrestart/message.go
+++ b/internal/operations/hotrestart/message.go
@@ -28,7 +28,7 @@
 	// The parent sends these.
 	kindGrant          messageKind = "lent"    // the answer to a hello, sent with the descriptors of the sockets
 	kindQuotaRaised    messageKind = "room"    // has the new descriptor quota of the successor
-	kindLearnedState   messageKind = "learned" // the payload that follows is the learned state of the parent
+	kindLearnedState   messageKind = "learned" // the payload that follows is learned state; a successor may send it too
 	kindBatchOffered   messageKind = "batch"   // the payload that follows is the batch, sent with its descriptors
 	kindBatchCommitted messageKind = "given"   // the parent has closed its copies; the successor owns the batch
 	kindBatchRecalled  messageKind = "back"    // the parent owns the batch again
--- a/internal/operations/hotrestart/transfer_test.go
+++ b/internal/operations/hotrestart/transfer_test.go
@@ -45,14 +45,21 @@
 	}
 }
 
-func (c parentCase) run(t *testing.T) {
+// startParent starts a parent that grants 9 descriptors. It also returns the function that runs code on the parent's
+// loop, and the path at which successors connect.
+func startParent(t *testing.T) (parent *Coordinator, onLoop func(func()), path string) {
+	t.Helper()
 	eventLoop, onLoop := startLoop(t)
-	path := socketPath(t)
-	var parent *Coordinator
+	path = socketPath(t)
 	onLoop(func() {
 		parent = NewCoordinator(
 			Options{Loop: eventLoop, Path: path, Changed: ignoreChange, Grant: grantDescriptors(9)}, nil)
 	})
+	return parent, onLoop, path
+}
+
+func (c parentCase) run(t *testing.T) {
+	parent, onLoop, path := startParent(t)
 	grant := requestGrant(t, path)
 	if grant.transferVersion != transferVersion {
 		t.Fatalf("transfer version of the grant: got %d, want %d", grant.transferVersion, transferVersion)
@@ -342,16 +349,10 @@
 	}
 }
 
-// TestBatchWaitsForRoomOnLink guards against a batch that can't be sent, so that all clients are migrated: the
+// TestBatchWaitsForLinkBuffer guards against a batch that can't be sent, so that all clients are migrated: the
 // successor reads nothing, and learned state has filled the link's buffer in the kernel.
-func TestBatchWaitsForRoomOnLink(t *testing.T) {
-	eventLoop, onLoop := startLoop(t)
-	path := socketPath(t)
-	var parent *Coordinator
-	onLoop(func() {
-		parent = NewCoordinator(
-			Options{Loop: eventLoop, Path: path, Changed: ignoreChange, Grant: grantDescriptors(9)}, nil)
-	})
+func TestBatchWaitsForLinkBuffer(t *testing.T) {
+	parent, onLoop, path := startParent(t)
 	successor := os.NewFile(uintptr(requestGrant(t, path).fd), "link")
 	t.Cleanup(func() { mustClose(t, successor) })
 	mustWrite(t, successor, `{"kind":"ready"}`+"\n"+`{"kind":"free","room":9}`+"\n")
--- a/internal/session/changes_test.go
+++ b/internal/session/changes_test.go
@@ -158,3 +158,54 @@
 		t.Error("Find after the resume time: got a session, want none")
 	}
 }
+
+// TestTransferredSessionIsNotReportedAgain guards against a change that was made before a session's connection was
+// transferred and is sent after it: the successor would end the connection as out of date.
+func TestTransferredSessionIsNotReportedAgain(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	table := New(10)
+	table.Track(Successor)
+	transferred := Key{testDomain, "0"}
+	other := Key{testDomain, "1"}
+	for _, key := range []Key{transferred, other} {
+		table.Connected(now, Session{Key: key, Server: "a", ResumeTime: time.Minute})
+	}
+	table.Transferred(transferred)
+	update := table.NextChanges(now, Successor, 1<<10)
+	if len(update.Sessions) != 1 || update.Sessions[0].Key != other || len(update.Ended) != 0 {
+		t.Errorf("NextChanges after the transfer of session 0: got %+v, want session 1 only", update)
+	}
+}
+
+// TestLatestSessionOfUserIsTheSameInSuccessor guards against a successor that takes another session for a user's latest
+// one, because sessions with and without a stream are sent in an order of their own.
+func TestLatestSessionOfUserIsTheSameInSuccessor(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	first := Key{testDomain, "0"}
+	second := Key{testDomain, "1"}
+	for name, change := range map[string]func(*Table){
+		"without a stream": func(table *Table) { table.Disconnected(now, first) },
+		"with a stream": func(table *Table) {
+			table.Disconnected(now, first)
+			table.Connected(now, sessionOfUser(second))
+		},
+	} {
+		old := New(10)
+		successor := New(10)
+		old.Connected(now, sessionOfUser(first))
+		old.Connected(now, sessionOfUser(second))
+		change(old)
+		old.Track(Successor)
+		successor.Merge(now, Predecessor, old.NextChanges(now, Successor, 1<<10))
+		want, _ := old.FindByUser(now, testDomain, "u")
+		if got, _ := successor.FindByUser(now, testDomain, "u"); got != want {
+			t.Errorf("latest session %s, in the successor: got %v, want %v as in the old process",
+				name, got.Key, want.Key)
+		}
+	}
+}
+
+// sessionOfUser returns a session of the user u.
+func sessionOfUser(key Key) Session {
+	return Session{Key: key, User: "u", Server: choice.ServerID("h" + key.ID), ResumeTime: time.Minute}
+}
--- a/internal/xmpp/streamerror.go
+++ b/internal/xmpp/streamerror.go
@@ -74,16 +74,15 @@
 	s.front.loop.At(s.front.loop.Now(), s.failPending)
 }
 
-// failPending ends the session with its pending stream error, if it has one. While the session is detached, the error
-// stays pending until Reattach or Release.
+// failPending ends the session with its pending stream error, if it has one.
 func (s *clientSession) failPending() {
-	if failure := s.pendingFailure; failure != nil && !s.detached {
+	if failure := s.pendingFailure; failure != nil {
 		s.fail(failure.condition, failure.text)
 	}
 }
 
-// fail ends the session with a stream error. It does nothing if the session is already finished. A detached session
-// ends once it is reattached, because another process may use its sockets until then.
+// fail ends the session with a stream error. It does nothing if the session is already finished. The error of a
+// detached session stays pending until Reattach or Release, because another process may use its sockets until then.
 func (s *clientSession) fail(errorCondition condition, text string) {
 	if s.finished {
 		return
