Compile the fault injection library on arm64 as well

The library that TestSoak, TestTemporaryDescriptorShortage and TestSignalAfterInterruptedWake preload compiled on x86-64 only. On arm64 it now has its own system call gate, reads the trapped registers from uc_mcontext.regs, traps epoll_pwait in place of epoll_wait, and redirects __kernel_clock_gettime with a jump through x16. The preprocessed text for x86-64 is unchanged (compared without the system headers).

--- a/internal/lab/shim/shim.go
+++ b/internal/lab/shim/shim.go
@@ -1,6 +1,6 @@
 // Package shim injects failures of system calls into a running process and steps its wall clock. It compiles a small C
 // library with the machine's C compiler. The library is preloaded into the process and reads a control file that the
-// process shares with the laboratory. The package works on Linux x86-64 only.
+// process shares with the laboratory. The package works on Linux on x86-64 and arm64 only.
 package shim
 
 import (
--- a/internal/lab/shim/source/shim.c
+++ b/internal/lab/shim/source/shim.c
@@ -2,8 +2,8 @@
 // in ways that Linux documents, and steps the wall clock of the process. The process shares the control file with the
 // laboratory. A system call filter (seccomp) redirects the calls that may fail to a signal handler in the process
 // itself, which makes the calls or lets them fail. Programs read clocks without a system call; therefore the library
-// redirects clock_gettime in the process's own vDSO page to a function of its own. The library works on x86-64 Linux
-// only and changes nothing outside the process.
+// redirects clock_gettime in the process's own vDSO page to a function of its own. The library works on x86-64 and
+// arm64 Linux only and changes nothing outside the process.
 
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -46,7 +46,24 @@
 static volatile uint64_t random_count; // random numbers drawn so far
 static volatile unsigned char dialled[65536]; // whether the process has opened the descriptor's connection itself
 
+// The names that differ between the architectures: the system call that waits for events, and the vDSO's clock_gettime.
+#ifdef __aarch64__
+#define WAIT_CALL SYS_epoll_pwait
+#define VDSO_CLOCK "__kernel_clock_gettime"
+#else
+#define WAIT_CALL SYS_epoll_wait
+#define VDSO_CLOCK "__vdso_clock_gettime"
+#endif
+
 // raw_syscall makes a system call. It is alone in its page, and the filter allows all calls that come from this page.
+#ifdef __aarch64__
+__attribute__((visibility("hidden"))) long raw_syscall(long nr, long a, long b, long c, long d, long e, long f);
+__asm__(
+	".pushsection .gate, \"ax\", %progbits\n .balign 4096\n .globl raw_syscall\n .hidden raw_syscall\n"
+	" .type raw_syscall, %function\nraw_syscall:\n"
+	" mov x8, x0\n mov x0, x1\n mov x1, x2\n mov x2, x3\n mov x3, x4\n mov x4, x5\n mov x5, x6\n svc #0\n ret\n"
+	" .balign 4096\n .size raw_syscall, . - raw_syscall\n .popsection\n");
+#else
 __attribute__((naked, noinline, aligned(4096), section(".gate"))) static long
 raw_syscall(long nr, long a, long b, long c, long d, long e, long f)
 {
@@ -54,6 +71,7 @@
 		"mov %rdi, %rax\n mov %rsi, %rdi\n mov %rdx, %rsi\n mov %rcx, %rdx\n"
 		"mov %r8, %r10\n mov %r9, %r8\n mov 8(%rsp), %r9\n syscall\n ret\n .balign 4096\n");
 }
+#endif
 
 // next_random returns the next number of a sequence that the seed determines (SplitMix64).
 static uint64_t next_random(void)
@@ -169,7 +187,7 @@
 		return read_call(nr, a);
 	case SYS_write:
 		return write_call(nr, a);
-	case SYS_epoll_wait:
+	case WAIT_CALL:
 		return should_fail(WAIT) ? -EINTR : pass_through(nr, a);
 	case SYS_epoll_ctl: // 2 is EPOLL_CTL_DEL, for which the library injects no failure
 		return a[1] != 2 && file_type(a[2]) == S_IFSOCK && should_fail(WATCH) ? RANDOM_ERROR(ENOMEM, ENOSPC)
@@ -184,10 +202,17 @@
 // handle_sigsys handles a call that the filter has trapped, and sets its result.
 static void handle_sigsys(int sig, siginfo_t *info, void *context)
 {
+#ifdef __aarch64__
+	unsigned long long *r = ((ucontext_t *)context)->uc_mcontext.regs;
+	long a[6] = {r[0], r[1], r[2], r[3], r[4], r[5]};
+	(void)sig;
+	r[0] = handle_call(info->si_syscall, a);
+#else
 	greg_t *r = ((ucontext_t *)context)->uc_mcontext.gregs;
 	long a[6] = {r[REG_RDI], r[REG_RSI], r[REG_RDX], r[REG_R10], r[REG_R8], r[REG_R9]};
 	(void)sig;
 	r[REG_RAX] = handle_call(info->si_syscall, a);
+#endif
 }
 
 // sigaction replaces the C library's function and keeps the program's runtime from installing its own SIGSYS handler.
@@ -214,9 +239,16 @@
 
 static void write_jump(char *code, void *to)
 {
+#ifdef __aarch64__
+	uint32_t jump[4] = {0x58000050, 0xd61f0200}; // ldr x16, #8; br x16; the address
+	memcpy(jump + 2, &to, sizeof to);
+	memcpy(code, jump, sizeof jump);
+	__builtin___clear_cache(code, code + sizeof jump);
+#else
 	unsigned char jump[12] = {0x48, 0xb8, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xe0}; // movabs $to, %rax; jmp *%rax
 	memcpy(jump + 2, &to, sizeof to);
 	memcpy(code, jump, sizeof jump);
+#endif
 }
 
 // redirect_vdso_clock makes the vDSO's clock_gettime jump to offset_clock_gettime.
@@ -247,7 +279,7 @@
 		return -1;
 	int found = 0;
 	for (Elf64_Sym *s = symbols + 1; (char *)(s + 1) <= names; s++)
-		if (s->st_value && strcmp(names + s->st_name, "__vdso_clock_gettime") == 0) {
+		if (s->st_value && strcmp(names + s->st_name, VDSO_CLOCK) == 0) {
 			write_jump(base + s->st_value, (void *)offset_clock_gettime);
 			found = 1;
 		}
@@ -259,7 +291,7 @@
 static int install_filter(void)
 {
 	uint64_t page = (uint64_t)(uintptr_t)raw_syscall;
-	static const int calls[] = {SYS_accept4, SYS_socket, SYS_connect, SYS_read, SYS_recvfrom, SYS_write, SYS_epoll_wait,
+	static const int calls[] = {SYS_accept4, SYS_socket, SYS_connect, SYS_read, SYS_recvfrom, SYS_write, WAIT_CALL,
 		SYS_epoll_ctl, SYS_openat};
 	enum { N = sizeof calls / sizeof *calls };
 	struct sock_filter code[N + 12];
