--- a/choice/admission.go
+++ b/choice/admission.go
@@ -22,11 +22,6 @@
 	throttle     throttle
 }
 
-// update adjusts the pass rate at each tick: up if headroom is positive, down if it is negative.
-func (a *admissionControl) update(headroom float64) {
-	a.passRate = clamp(a.passRate*math.Exp(passRateGain*headroom*tick.Seconds()), minPassRate, 1)
-}
-
 // observe adds the priority of a request to the mean.
 func (a *admissionControl) observe(priority float64) {
 	a.meanPriority += (priority - a.meanPriority) / priorityMemory
--- a/choice/math.go
+++ b/choice/math.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"strings"
-	"time"
 )
 
 // Arithmetic helpers.
@@ -29,11 +28,6 @@
 // uniformFromHash converts a hash to a number between 0 and 1, both excluded.
 func uniformFromHash(hash uint64) float64 { return (float64(mix(hash)>>11) + 0.5) / (1 << 53) }
 
-// decay returns a value after exponential decay over the elapsed time.
-func decay(value float64, elapsed, timeConstant time.Duration) float64 {
-	return value * math.Exp(-float64(elapsed)/float64(timeConstant))
-}
-
 func finite(value float64) bool { return !math.IsNaN(value) && !math.IsInf(value, 0) }
 
 func compareID(server *serverEntry, id ServerID) int {
