--- a/choice/exp_other.go
+++ b/choice/exp_other.go
@@ -26,27 +26,26 @@
 	maxExp   = 700 // for arguments beyond plus or minus this, exp uses math.Exp
 )
 
-// exp returns e to the power of x. math.Exp uses another algorithm on each architecture, and the results differ in the
+// exp returns e to the given power. math.Exp uses another algorithm on each architecture, and the results differ in the
 // last bit. So that decisions are the same everywhere, exp takes the steps that math.Exp takes on amd64.
-func exp(x float64) float64 {
-	if math.IsNaN(x) || math.Abs(x) > maxExp {
-		return math.Exp(x)
+func exp(power float64) float64 {
+	if math.IsNaN(power) || math.Abs(power) > maxExp {
+		return math.Exp(power)
 	}
-	exponent := math.RoundToEven(x * math.Log2E)
-	x = math.FMA(-exponent, ln2Upper, x)
-	x = math.FMA(-exponent, ln2Lower, x)
-	x /= 16
+	exponent := math.RoundToEven(power * math.Log2E)
+	rest := math.FMA(-exponent, ln2Upper, power)
+	rest = math.FMA(-exponent, ln2Lower, rest) / 16
 
-	// The Taylor series of (e^x - 1) / x.
+	// The Taylor series of (e^rest - 1) / rest.
 	series := 1.0 / 40320
 	for _, coefficient := range [...]float64{1.0 / 5040, 1.0 / 720, 1.0 / 120, 1.0 / 24, 1.0 / 6, 0.5, 1} {
-		series = math.FMA(series, x, coefficient)
+		series = math.FMA(series, rest, coefficient)
 	}
-	x *= series // e^x - 1
+	result := rest * series // less 1
 
-	// Each step squares e^x; the last one adds the 1.
+	// Each step squares the result; the last one adds the 1.
 	for range 3 {
-		x *= x + 2
+		result *= result + 2
 	}
-	return math.Ldexp(math.FMA(x+2, x, 1), int(exponent))
+	return math.Ldexp(math.FMA(result+2, result, 1), int(exponent))
 }
