Hold back the start of a host's unfinished line, so that MOVE needs no invented line end

Cause: the node forwarded the start of a line at once, and sendMove ended it with a line end of its own, since MOVE directly behind it would have been a part of the line. Leaving out the line end was ruled out: at a planned stop a client that is cut off without MOVE is lost too.

Change: upstream.Request forwards whole lines. The start of an unfinished one, which it buffered already to find LOAD, is held back until the end comes, or until the host ends or resets. MOVE then always stands between two lines. At an upgrade the held-back bytes are at the end of the bytes that wait to be written, where an earlier release forwards them, and the new field HeldBackBytes says how many they are.

The soak's clients took a cut line before MOVE as moved; it is now a violation. platform-front.cbor, the golden form of released versions, is unchanged and still read.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -304,7 +304,7 @@
 	case got == line:
 		c.checkLineTime(served, connection, time.Since(sentAt))
 		return true
-	case got == lineMove || c.isMoveAfterPartialLine(line, got):
+	case got == lineMove:
 		c.checker.count("clients moved")
 		return false
 	}
@@ -312,16 +312,6 @@
 	return false
 }
 
-// isMoveAfterPartialLine reports whether a node has ended the server's unfinished line and then sent MOVE as a separate
-// line.
-func (c *client) isMoveAfterPartialLine(line, got string) bool {
-	if !strings.HasPrefix(line, strings.TrimRight(got, "\r\n")) {
-		return false
-	}
-	next, err := c.reader.ReadString('\n')
-	return err == nil && next == lineMove
-}
-
 // checkLineTime checks how long a line took to come back, unless the server or its proxy may have delayed the line.
 func (c *client) checkLineTime(served *request, connection *attempt, took time.Duration) {
 	if took <= lineTimeout {
--- a/internal/node/golden_hotrestart_test.go
+++ b/internal/node/golden_hotrestart_test.go
@@ -142,18 +142,22 @@
 	}
 }
 
-// TestGoldenFrontStates checks the encoding of each front's state of a connection.
+// TestGoldenFrontStates checks the encoding of each front's state of a connection. The file platform-front.cbor is of a
+// release that forwards the start of a line at once.
 func TestGoldenFrontStates(t *testing.T) {
 	toClient := loop.ConnectionState{Out: []byte("to the client"), Paused: true}
 	toHost := loop.ConnectionState{Out: []byte("to the host"), Paused: true}
-	checkGolden(t, "platform-front", downstream.ConnectionState{
+	platformState := downstream.ConnectionState{
 		Conn: toClient, PartialServerLineBytes: 11,
 		Server: &upstream.ConnectionState{
 			Conn: toHost, PartialServerLine: []byte("of the host"), PartialClientLineBytes: 12, ClosingLine: 1,
 			AwaitingReplySince: 1796234567000000001, AwaitingReplyFor: 13,
 		},
 		FirstLine: []byte("of the client"), Pinged: true, FirstLineDeadline: 1796234567000000002, FirstLineTimeLeft: 14,
-	}, hotrestart.Decode)
+	}
+	checkEncoding(t, "platform-front", platformState, hotrestart.Decode)
+	platformState.HeldBackBytes = 6
+	checkGolden(t, "platform-front-held-back", platformState, hotrestart.Decode)
 	session := goldenSession()
 	checkGolden(t, "xmpp-front", xmpp.ConnectionState{
 		Conn: toClient, Received: goldenStream("<client"), Domain: "farm.example",
--- a/internal/platform/downstream/client.go
+++ b/internal/platform/downstream/client.go
@@ -38,11 +38,10 @@
 
 // Lines that are written to clients.
 var (
-	errorLine       = []byte("ERR\r\n")
-	pongLine        = []byte("PONG\r\n")
-	plainBusyLine   = []byte("BUSY\r\n")
-	moveLine        = []byte("MOVE\r\n")
-	midLineMoveLine = []byte("\r\nMOVE\r\n") // ends the server's unfinished line first
+	errorLine     = []byte("ERR\r\n")
+	pongLine      = []byte("PONG\r\n")
+	plainBusyLine = []byte("BUSY\r\n")
+	moveLine      = []byte("MOVE\r\n")
 )
 
 // client is one client's connection. It waits for the first line, then for the reply, and is then established. It
@@ -58,8 +57,7 @@
 	server            *upstream.Request
 	established       bool
 	closed            bool
-	serverLines       line.Scanner // scans the bytes forwarded to the client
-	migrating         bool         // MOVE is sent at the end of the server's current line
+	migrating         bool // MOVE is sent at the end of the server's current line
 	stopTimer         func()
 	firstLineDeadline time.Time
 }
--- a/internal/platform/downstream/relay.go
+++ b/internal/platform/downstream/relay.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"spurwinch/internal/invariant"
-	"spurwinch/internal/platform/line"
 	"spurwinch/internal/trace"
 
 	"go.uber.org/zap"
@@ -39,7 +38,7 @@
 // Served forwards the server's reply to a request that it completed without establishing a connection.
 func (c *client) Served(reply []byte) { c.finish(reply, invariant.ByServer, trace.ServerServed) }
 
-// Forward forwards the server's bytes to the client.
+// Forward forwards the server's bytes to the client. They end with a line, unless the server's connection has ended.
 func (c *client) Forward(data []byte) {
 	if c.closed {
 		return
@@ -48,14 +47,11 @@
 		// Forward only the rest of the current line, because MOVE must come between two lines.
 		if end := bytes.IndexByte(data, '\n'); end >= 0 {
 			c.conn.Write(data[:end+1])
-			c.serverLines = line.Scanner{}
 			c.sendMove()
 			return
 		}
 	}
 	c.conn.Write(data)
-	// The upstream request has scanned the same bytes and closes the connection if a line is too long.
-	_ = c.serverLines.Count(data, func() {})
 	c.throttle()
 }
 
@@ -101,14 +97,27 @@
 }
 
 // Migrate asks the client to reconnect. If the server is in the middle of a line, Migrate waits for the end of the
-// line, but at most until the given time.
+// line, but at most until the given time. A line that is still unfinished then is dropped.
 func (c *client) Migrate(by time.Time) {
 	if c.closed {
 		return
 	}
-	if c.serverLines.MidLine() {
+	if c.server.MidLine() {
 		c.migrating = true
-		c.stopTimer = c.front.loop.At(by, c.sendMove)
+		c.stopTimer = c.front.loop.At(by, c.endMidLine)
+		return
+	}
+	c.sendMove()
+}
+
+// endMidLine ends a connection whose server has not finished its line in time. The client gets MOVE, unless an earlier
+// release of the program has sent it the start of that line. Then nothing can be sent, because it would be read as a
+// part of the line, and a line must not be ended for the server.
+func (c *client) endMidLine() {
+	if !c.closed && c.server.MidForwardedLine() {
+		c.server.End(false)
+		c.close(invariant.ByNode, trace.NodeMigratedClient)
+		c.conn.End()
 		return
 	}
 	c.sendMove()
@@ -120,11 +129,7 @@
 		return
 	}
 	c.server.End(false)
-	lastLine := moveLine
-	if c.migrating && c.serverLines.MidLine() { // MOVE directly after an unfinished line would be part of it
-		lastLine = midLineMoveLine
-	}
 	c.close(invariant.ByNode, trace.NodeMigratedClient)
-	c.conn.Write(lastLine)
+	c.conn.Write(moveLine)
 	c.conn.End()
 }
--- a/internal/platform/downstream/transfer.go
+++ b/internal/platform/downstream/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"spurwinch/internal/edge"
 	"spurwinch/internal/loop"
@@ -31,6 +32,10 @@
 	// FirstLineTimeLeft use it.
 	FirstLineDeadline int64 `cbor:"6,keyasint,omitempty"`
 	FirstLineTimeLeft int64 `cbor:"7,keyasint,omitempty"` // nanoseconds until that deadline
+	// HeldBackBytes is the number of bytes at the end of Conn.Out that belong to the server's unfinished line and are to
+	// be held back until the line is complete. Releases without HeldBackBytes forward the start of a line at once, so
+	// for them the bytes are in Conn.Out.
+	HeldBackBytes int `cbor:"8,keyasint,omitempty"`
 }
 
 // check validates the state of a connection that was transferred with the given number of sockets.
@@ -47,10 +52,25 @@
 		return fmt.Errorf("%w: got %d, want %d", errSocketCount, sockets, expected)
 	case s.PartialServerLineBytes < 0 || s.PartialServerLineBytes > line.MaxBytes || len(s.FirstLine) > line.MaxBytes:
 		return errClientState
+	case s.HeldBackBytes < 0 || s.HeldBackBytes > min(len(s.Conn.Out), s.PartialServerLineBytes):
+		return errClientState
 	}
 	return nil
 }
 
+// holdBack appends the bytes of the server's unfinished line that the client has not received.
+func (s *ConnectionState) holdBack(heldBack []byte) {
+	s.Conn.Out = slices.Concat(s.Conn.Out, heldBack)
+	s.HeldBackBytes = len(heldBack)
+}
+
+// takeHeldBack undoes holdBack. It returns how many bytes of the server's unfinished line the client has received or
+// will receive without holding back.
+func (s *ConnectionState) takeHeldBack() (forwardedOfLine int) {
+	s.Conn.Out = s.Conn.Out[:len(s.Conn.Out)-s.HeldBackBytes]
+	return s.PartialServerLineBytes - s.HeldBackBytes
+}
+
 // Detach removes both sides of an established connection from the loop. A connection that is about to be migrated is
 // not detached.
 func (c *client) Detach() (fds []int, state any, ok bool) {
@@ -68,9 +88,10 @@
 	}
 	transferred := ConnectionState{
 		Conn:                   clientState,
-		PartialServerLineBytes: c.serverLines.PartialBytes(),
+		PartialServerLineBytes: len(serverState.PartialServerLine),
 		Server:                 &serverState,
 	}
+	transferred.holdBack(c.server.HeldBack())
 	return []int{clientFD, serverFD}, transferred, true
 }
 
@@ -116,10 +137,11 @@
 
 // restore resumes an established connection that another process has transferred.
 func (f *Front) restore(core *edge.Core, open edge.ConnectionState, state ConnectionState, fds []int) {
-	restored := &client{front: f, established: true, serverLines: line.NewScanner(state.PartialServerLineBytes)}
+	forwardedOfLine := state.takeHeldBack()
+	restored := &client{front: f, established: true}
 	request, attempt := core.Adopt(open, restored)
 	restored.request = request
-	restored.server = f.upstream.Restore(attempt, fds[1], *state.Server, restored)
+	restored.server = f.upstream.Restore(attempt, fds[1], *state.Server, forwardedOfLine, restored)
 	attempt.SetUpstream(restored.server)
 	restored.conn = f.loop.Restore(fds[0], state.Conn, restored)
 	// Reading resumes on each side unless bytes still wait to be written to the other side.
--- a/internal/platform/downstream/transfer_test.go
+++ b/internal/platform/downstream/transfer_test.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -60,3 +62,117 @@
 	})
 	node.requireLine(conn, "PONG")
 }
+
+// unfinishedLineNode is a node with an open connection whose server hangs in the middle of the line "COINS 1250000".
+type unfinishedLineNode struct {
+	*testNode
+
+	conn   net.Conn
+	client *client
+	server net.Conn
+}
+
+func newUnfinishedLineNode(t *testing.T) unfinishedLineNode {
+	t.Helper()
+	node := newTestNode(t, 1)
+	conn, client := node.dialClient()
+	send(conn, openLine+"\r\n")
+	server := node.acceptOnServer()
+	send(server, "UP 1\r\n")
+	node.requireLine(conn, "UP 1")
+	send(server, "COINS 12")
+	transcript.WaitFor(t, "the start of the line is received", func() (received bool) {
+		node.onLoop(func() { received = client.server.MidLine() })
+		return received
+	})
+	return unfinishedLineNode{testNode: node, conn: conn, client: client, server: server}
+}
+
+// transfer replaces the connection by one that another process has transferred with the changed state.
+func (n *unfinishedLineNode) transfer(change func(*ConnectionState)) {
+	n.t.Helper()
+	n.onLoop(func() {
+		open, isOpen := n.client.request.ConnectionState()
+		fds, state, ok := n.client.request.Detach()
+		transferred, isState := state.(ConnectionState)
+		if !isOpen || !ok || !isState {
+			n.t.Error("Detach of an open connection: got no ConnectionState or ok=false, want both")
+			return
+		}
+		var copies []int
+		for _, fd := range fds {
+			duplicate, err := unix.Dup(fd)
+			if err != nil {
+				n.t.Error(err)
+				return
+			}
+			copies = append(copies, duplicate)
+		}
+		n.client.request.Release()
+		change(&transferred)
+		n.front.restore(n.core, open, transferred, copies)
+	})
+}
+
+// migrateAtOnce migrates all connections and doesn't wait for the end of unfinished lines.
+func (n *unfinishedLineNode) migrateAtOnce() {
+	n.onLoop(func() { n.core.Drain(func() {}) })
+}
+
+// requireRest checks what the client receives until the connection ends.
+func (n *unfinishedLineNode) requireRest(want string) {
+	n.t.Helper()
+	if got, err := io.ReadAll(n.conn); string(got) != want || err != nil {
+		n.t.Errorf("reading at the client: got %q and error %v, want %q and no error", got, err, want)
+	}
+}
+
+// TestUnfinishedLineSurvivesTransfer guards against a line that loses its start, or an invented line, when a connection
+// changes its process in the middle of a line of its server.
+func TestUnfinishedLineSurvivesTransfer(t *testing.T) {
+	t.Parallel()
+	t.Run("line is finished", func(t *testing.T) {
+		t.Parallel()
+		node := newUnfinishedLineNode(t)
+		node.transfer(func(*ConnectionState) {})
+		send(node.server, "50000\r\n")
+		node.requireLine(node.conn, "COINS 1250000\r\n")
+	})
+	t.Run("server hangs", func(t *testing.T) {
+		t.Parallel()
+		node := newUnfinishedLineNode(t)
+		node.transfer(func(*ConnectionState) {})
+		node.migrateAtOnce()
+		node.requireRest("MOVE\r\n")
+	})
+}
+
+// TestUnfinishedLineOfEarlierRelease guards against a line that is invented or loses bytes when the other process runs
+// a release that forwards the start of a line at once. Such a process sends no HeldBackBytes, and ignores them.
+func TestUnfinishedLineOfEarlierRelease(t *testing.T) {
+	t.Parallel()
+	asEarlierRelease := func(t *testing.T) func(state *ConnectionState) {
+		t.Helper()
+		return func(state *ConnectionState) {
+			if got := string(state.Conn.Out); got != "COINS 12" || state.PartialServerLineBytes != len(got) {
+				t.Errorf("state for an earlier release: got %q to write and %d bytes counted, want COINS 12 and 8",
+					got, state.PartialServerLineBytes)
+			}
+			state.HeldBackBytes = 0
+		}
+	}
+	t.Run("line is finished", func(t *testing.T) {
+		t.Parallel()
+		node := newUnfinishedLineNode(t)
+		node.transfer(asEarlierRelease(t))
+		send(node.server, "50000\r\n")
+		node.requireLine(node.conn, "COINS 1250000\r\n")
+	})
+	t.Run("server hangs", func(t *testing.T) {
+		t.Parallel()
+		node := newUnfinishedLineNode(t)
+		node.transfer(asEarlierRelease(t))
+		node.migrateAtOnce()
+		node.requireRest("COINS 12") // anything more would be read as the end of the line
+	})
+}
--- a/internal/platform/upstream/relay.go
+++ b/internal/platform/upstream/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"spurwinch/choice"
@@ -10,9 +11,11 @@
 	"go.uber.org/zap"
 )
 
-// relay forwards the server's bytes to the client. For the core, it reads the load, the reply delay and the closing
-// line from them.
+// relay forwards the server's lines to the client. For the core, it reads the load, the reply delay and the closing line
+// from them. It holds back the start of an unfinished line: if the server hangs there, the client must still get MOVE
+// between two lines, and never a line that no server has sent.
 func (r *Request) relay(data []byte) {
+	heldBack := r.heldBack()
 	err := r.serverLines.Scan(data, r.onServerLine)
 	if err != nil && !r.closed {
 		zap.L().Warn("host_line_too_long", zap.String("host", string(r.attempt.Server.ID)))
@@ -21,8 +24,31 @@
 		r.attempt.Ended(choice.Reset, nil)
 		r.sink.ServerEnded(true)
 	}
-	if !r.closed {
-		r.sink.Forward(data)
+	lineEnd := bytes.LastIndexByte(data, '\n') + 1
+	if r.closed || lineEnd == 0 {
+		return
+	}
+	r.forwardedOfLine = 0
+	if len(heldBack) == 0 {
+		r.sink.Forward(data[:lineEnd])
+		return
+	}
+	r.sink.Forward(slices.Concat(heldBack, data[:lineEnd]))
+}
+
+// MidLine reports whether the server has begun a line and not finished it.
+func (r *Request) MidLine() bool { return r.serverLines.MidLine() }
+
+// MidForwardedLine reports whether the client has received the start of the server's unfinished line.
+func (r *Request) MidForwardedLine() bool { return r.forwardedOfLine > 0 }
+
+// heldBack returns the bytes of the server's unfinished line that the client has not received.
+func (r *Request) heldBack() []byte { return r.serverLines.Partial()[r.forwardedOfLine:] }
+
+// forwardUnfinishedLine forwards the start of a line that the server's end has cut off.
+func (r *Request) forwardUnfinishedLine() {
+	if heldBack := r.heldBack(); len(heldBack) > 0 {
+		r.sink.Forward(heldBack)
 	}
 }
 
--- a/internal/platform/upstream/request.go
+++ b/internal/platform/upstream/request.go
@@ -48,6 +48,7 @@
 	conn               *loop.Conn
 	openLine           []byte // the client's OPEN line
 	serverLines        line.Reader
+	forwardedOfLine    int // bytes of the server's unfinished line that another release has forwarded before a transfer
 	clientLines        line.Scanner
 	established        bool
 	closed             bool
@@ -195,6 +196,7 @@
 	}
 	switch {
 	case r.established:
+		r.forwardUnfinishedLine()
 		r.attempt.Ended(r.lastClosingLine.outcome(), nil)
 		r.sink.ServerEnded(!ended)
 	case loop.IsLocal(err):
--- a/internal/platform/upstream/transfer.go
+++ b/internal/platform/upstream/transfer.go
@@ -67,6 +67,9 @@
 	return fd, state, ok
 }
 
+// HeldBack returns the bytes of the server's unfinished line that the client has not received.
+func (r *Request) HeldBack() []byte { return r.heldBack() }
+
 // Reattach resumes a detached connection in this process.
 func (r *Request) Reattach() {
 	r.conn.Reattach()
@@ -79,8 +82,11 @@
 	r.conn.Release()
 }
 
-// Restore resumes an established connection that another process has transferred.
-func (c *Cluster) Restore(attempt *edge.Attempt, fd int, state ConnectionState, sink Sink) *Request {
+// Restore resumes an established connection that another process has transferred. The client has received the first
+// forwardedOfLine bytes of the server's unfinished line.
+func (c *Cluster) Restore(
+	attempt *edge.Attempt, fd int, state ConnectionState, forwardedOfLine int, sink Sink,
+) *Request {
 	restored := &Request{
 		cluster:         c,
 		attempt:         attempt,
@@ -88,6 +94,7 @@
 		established:     true,
 		lastClosingLine: closingLine(state.ClosingLine),
 		serverLines:     line.NewReader(state.PartialServerLine),
+		forwardedOfLine: min(forwardedOfLine, len(state.PartialServerLine)),
 		clientLines:     line.NewScanner(state.PartialClientLineBytes),
 	}
 	if state.AwaitingReplySince > 0 {
