XMPP: send each of a user's devices to the host of its own session

Callers saw: a phone and a tablet of one user at different hosts; the phone vanishes, comes again, authenticates by PLAIN and asks to resume.

Cause: the authentication names the user, not the device. session.Table.FindByUser gave the session used last, and the request to resume, which names the session, went to the same host.

Change: <resume/>, the first stanza after a login, is held back to its end. If its session is at another host that takes sessions, the login is repeated there (internal/xmpp/relogin.go) when it was one message, and that host's answers up to the features are dropped, since the client has them from the first host. A login with a challenge can't be repeated: the client gets the stream error reset, and its session is the first guess for its user, for 30 s and three times at most. A session without a stream is now a better guess than one with a stream. A drained host no longer hides the user's other sessions (stickyServer). choice may go back to a host that the request was redirected from, when that turns out to be the sticky one: without it, a client first greeted by the right host still failed in the case.

Tests: TestDevicesOfOneUserResume (PLAIN, PLAIN with the user in the header, SASL2 with the resumption inside and after it, SCRAM), ...AfterUpgrade, TestDevicesResumeBesideDrainingServer, TestRepeatedLoginFails, TestPipelinedResumption, TestRequestedSessionIsExpectedNext. TestTable's model now expects a session without a stream first and is compared as exactly as before.

--- a/choice/request.go
+++ b/choice/request.go
@@ -153,10 +153,16 @@
 	}
 }
 
+// setStickyServer makes a server the sticky one of a request in progress. The request may return to it: the front
+// learns step by step which session its client resumes, and may already have redirected it away from that server.
 func (b *Balancer) setStickyServer(event StickyServerFound) {
-	if request := b.requests[event.ID]; request != nil {
-		request.StickyServer = event.Server
+	request := b.requests[event.ID]
+	if request == nil {
+		return
 	}
+	request.StickyServer = event.Server
+	isSticky := func(server *serverEntry) bool { return server.ID == event.Server }
+	request.tried = slices.DeleteFunc(request.tried, isSticky)
 }
 
 // openConnectionsOn returns the open connections on a server, sorted by ID so that the iteration order of the map
--- a/internal/lab/xmppserver/client.go
+++ b/internal/lab/xmppserver/client.go
@@ -16,10 +16,11 @@
 
 // The login methods.
 const (
-	LoginPlain      LoginMethod = iota // SASL PLAIN, then resumption or bind
-	LoginPlainNamed                    // the same as LoginPlain, with the user's name in the stream header
-	LoginSASL2                         // SASL2 with Bind 2 or the resumption inline
-	LoginSCRAM                         // SASL SCRAM-SHA-1, whose proofs nobody checks; then as LoginPlain
+	LoginPlain         LoginMethod = iota // SASL PLAIN, then resumption or bind
+	LoginPlainNamed                       // the same as LoginPlain, with the user's name in the stream header
+	LoginSASL2                            // SASL2 with Bind 2 or the resumption inline
+	LoginSCRAM                            // SASL SCRAM-SHA-1, whose proofs nobody checks; then as LoginPlain
+	LoginSASL2Separate                    // SASL2, then resumption or bind in stanzas of their own
 )
 
 const (
@@ -104,6 +105,23 @@
 	return "<auth xmlns='" + saslNS + "' mechanism='PLAIN'>" + plainCredentials(user) + "</auth>"
 }
 
+// ConnectPipelined is Connect by LoginPlain for a client that sends the header of its restarted stream and the request
+// to resume the session at once.
+func ConnectPipelined(addr, user, id string, deadline time.Time) (client *Client, resumed bool, err error) {
+	client, err = Open(addr, nil, deadline)
+	if err != nil {
+		return nil, false, err
+	}
+	_, err = client.Exchange(plainRequest(user), "<success")
+	if err == nil {
+		_, err = client.Exchange(streamHeaderStart+streamHeaderEnd+resumeRequest(id), endOfFeatures)
+	}
+	if err == nil {
+		_, err = client.Exchange("", "<resumed")
+	}
+	return client.unlessFailed(err == nil, err)
+}
+
 // ConnectTLS works like Connect but over TLS, either direct or by STARTTLS.
 func ConnectTLS(
 	addr, user, id string, method LoginMethod, config *tls.Config, direct bool, deadline time.Time,
@@ -172,6 +190,9 @@
 	switch method {
 	case LoginSASL2:
 		resumed, done, err = c.authenticateInline(plainCredentials(user), id)
+	case LoginSASL2Separate:
+		resumed, err = c.authenticateSeparately(plainCredentials(user), id)
+		done = resumed
 	case LoginSCRAM:
 		resumed, err = c.authenticateSCRAM(header, user, id)
 		done = resumed
@@ -182,7 +203,7 @@
 	if err != nil || done {
 		return resumed, err
 	}
-	return false, c.bind()
+	return false, c.Bind()
 }
 
 // authenticateInline authenticates by SASL2. done reports whether a session, resumed or new, is established.
@@ -204,6 +225,16 @@
 	return false, !strings.Contains(reply, "<failed"), nil
 }
 
+// authenticateSeparately authenticates by SASL2 and then resumes the session with the given ID if the ID is set.
+func (c *Client) authenticateSeparately(credentials, id string) (resumed bool, err error) {
+	_, err = c.Exchange("<authenticate xmlns='"+sasl2NS+"' mechanism='PLAIN'><initial-response>"+credentials+
+		"</initial-response></authenticate>", endOfFeatures)
+	if err != nil || id == "" {
+		return false, err
+	}
+	return c.Resume(id)
+}
+
 // authenticateSCRAM does what authenticate does, with the messages of SCRAM (RFC 5802).
 func (c *Client) authenticateSCRAM(header, user, id string) (resumed bool, err error) {
 	first := base64.StdEncoding.EncodeToString([]byte("n,,n=" + user + ",r=clientnonce"))
@@ -230,8 +261,8 @@
 	return c.Resume(id)
 }
 
-// bind binds a new session that can be resumed.
-func (c *Client) bind() error {
+// Bind binds a new session that can be resumed, on an authenticated stream.
+func (c *Client) Bind() error {
 	if _, err := c.Exchange(bindRequest, "</iq>"); err != nil {
 		return err
 	}
--- a/internal/lab/xmppserver/server.go
+++ b/internal/lab/xmppserver/server.go
@@ -46,6 +46,8 @@
 	conns    map[net.Conn]bool   // open connections
 	count    Count
 	lastID   int
+
+	rejectsLogins bool
 }
 
 // Count holds the number of events of each kind that a server has seen.
@@ -106,6 +108,20 @@
 	clear(s.sessions)
 }
 
+// RejectLogins makes the server reject every further authentication by PLAIN or SCRAM.
+func (s *Server) RejectLogins() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejectsLogins = true
+}
+
+// acceptsLogins reports whether the server accepts authentications by PLAIN and SCRAM.
+func (s *Server) acceptsLogins() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.rejectsLogins
+}
+
 // Count returns the event counts so far.
 func (s *Server) Count() Count {
 	s.mu.Lock()
--- a/internal/lab/xmppserver/stream.go
+++ b/internal/lab/xmppserver/stream.go
@@ -128,6 +128,10 @@
 // answer answers a child of the stream. newStream reports whether the client now opens a new stream on the
 // connection.
 func (s *stream) answer(child *element) (newStream bool) {
+	if child.XMLName.Space == saslNS && !s.server.acceptsLogins() {
+		s.write("<failure xmlns='%s'><not-authorized/></failure>", saslNS)
+		return false
+	}
 	switch child.XMLName {
 	case xml.Name{Space: saslNS, Local: "auth"}:
 		if child.attribute("mechanism") == scramMechanism {
--- a/internal/session/table.go
+++ b/internal/session/table.go
@@ -9,6 +9,14 @@
 // maxPerUser is the maximum number of sessions of one user. A further session replaces the user's oldest one.
 const maxPerUser = 8
 
+const (
+	// maxRequests limits how often a client is asked to connect again for one session. It is more than 1 because the
+	// user's other devices may connect in between.
+	maxRequests = 3
+	// requestLifetime is the time within which a client that was asked to connect again is expected.
+	requestLifetime = 30 * time.Second
+)
+
 // userKey identifies a user. User names are unique only within a domain.
 type userKey struct{ domain, name string }
 
@@ -17,6 +25,30 @@
 	Session
 	process Process // the process that has the connected stream; without meaning if there is none
 	updated uint64  // number of the table's update that inserted the entry
+
+	requests      int       // calls of Request since then
+	requestedAt   time.Time // of the last of them
+	requestNumber uint64    // orders the requests of all sessions
+}
+
+// requested reports whether the session's client was asked to connect again to resume it, and is still expected.
+func (e *entry) requested(now time.Time) bool {
+	return e.requests > 0 && now.Before(e.requestedAt.Add(requestLifetime))
+}
+
+// expectedBefore reports whether the client of this session, rather than that of another session of the same user, is
+// expected to connect next. Clients that were asked to connect again are expected first, in that order, then those
+// without a stream.
+func (e *entry) expectedBefore(now time.Time, other *entry) bool {
+	switch requested := e.requested(now); {
+	case requested != other.requested(now):
+		return requested
+	case requested:
+		return e.requestNumber < other.requestNumber
+	case e.connected() != other.connected():
+		return !e.connected()
+	}
+	return e.updated > other.updated
 }
 
 // connectedIn reports whether the given process has the session's connected stream.
@@ -34,6 +66,7 @@
 	byKey    map[Key]*list.Element
 	byUser   map[userKey][]*list.Element // least recently updated first; excludes sessions of unknown users
 	updates  uint64                      // number of updates so far
+	requests uint64                      // number of requests so far
 
 	// Each element is in exactly one of the following lists of *entry, least recently updated first.
 
@@ -130,14 +163,39 @@
 // Find returns the session of a key, if it can be resumed.
 func (t *Table) Find(now time.Time, key Key) (Session, bool) { return resumable(now, t.byKey[key]) }
 
-// FindByUser returns a user's most recently updated session that can be resumed.
+// FindByUser returns the session of a user whose client is expected to connect next, if any can be resumed. Of sessions
+// about which nothing else is known, it is the most recently updated one.
 func (t *Table) FindByUser(now time.Time, domain, user string) (Session, bool) {
-	for _, element := range slices.Backward(t.byUser[userKey{domain, user}]) {
-		if session, ok := resumable(now, element); ok {
-			return session, true
+	var expected *entry
+	for _, element := range t.byUser[userKey{domain, user}] {
+		candidate := entryOf(element)
+		if candidate.expired(now) {
+			continue
 		}
+		if expected == nil || candidate.expectedBefore(now, expected) {
+			expected = candidate
+		}
+	}
+	if expected == nil {
+		return Session{}, false
+	}
+	return expected.Session, true
+}
+
+// Request records that the client of a session is asked to connect again, because it has asked a server for the session
+// that doesn't have it. FindByUser then returns the session for requestLifetime. Request returns false if this has
+// happened too often since the last update of the session.
+func (t *Table) Request(now time.Time, key Key) bool {
+	element := t.byKey[key]
+	if element == nil || entryOf(element).requests >= maxRequests {
+		return false
 	}
-	return Session{}, false
+	t.requests++
+	requested := entryOf(element)
+	requested.requests++
+	requested.requestedAt = now
+	requested.requestNumber = t.requests
+	return true
 }
 
 // Resumable returns at most limit sessions that have no stream and can be resumed, most recently updated first. They
--- a/internal/xmpp/clientstream.go
+++ b/internal/xmpp/clientstream.go
@@ -40,6 +40,7 @@
 // client may send no other stanza before it.
 func (s *clientSession) inspectStanza(token xmlToken) condition {
 	s.stanza = xmlToken{name: localName(token.name), attributes: token.attributes}
+	s.inspectAfterLogin(token)
 	s.inspectAuthentication(token)
 	isStartTLS := token.isElement("starttls", tlsNS)
 	switch {
--- a/internal/xmpp/resumption.go
+++ b/internal/xmpp/resumption.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"slices"
 	"strings"
 
 	"spurwinch/choice"
@@ -36,6 +37,7 @@
 	initialResponse    []byte // encoded initial response of the first authentication
 	authenticationSeen bool   // the first authentication has begun
 	dropServerGreeting bool   // don't forward the next server's greeting, because the client already has one
+	login              *login // nil: no authentication is complete yet, or the client has sent a further stanza
 }
 
 // domainKey returns the session's domain in lower case, as used in comparisons and keys.
@@ -44,20 +46,28 @@
 // stickyServer returns the server of the session that the client may want to resume. It returns an empty identifier if
 // the front knows no such session, or if its server accepts no new sessions.
 func (s *clientSession) stickyServer(domain Domain) choice.ServerID {
+	for {
+		known, ok := s.expectedSession()
+		if !ok {
+			return ""
+		}
+		if domain.Core.AcceptsNew(known.Server, known.ServerStarted) {
+			return known.Server
+		}
+		// The server is draining, is gone, or was restarted and doesn't know the session.
+		s.front.resumable.Discard(known.Key)
+	}
+}
+
+// expectedSession returns the session that the client may want to resume: the one that it has named, or else one of its
+// user.
+func (s *clientSession) expectedSession() (resumable.Session, bool) {
 	now := s.front.loop.Now()
-	known, ok := s.front.resumable.Find(now, resumable.Key{Domain: s.domainKey(), ID: s.previousID})
+	known, ok := s.front.resumable.Find(now, s.previousKey())
 	if !ok && s.user != "" {
 		known, ok = s.front.resumable.FindByUser(now, s.domainKey(), s.user)
 	}
-	if !ok {
-		return ""
-	}
-	if !domain.Core.AcceptsNew(known.Server, known.ServerStarted) {
-		// The server is draining, is gone, or was restarted and doesn't know the session.
-		s.front.resumable.Discard(known.Key)
-		return ""
-	}
-	return known.Server
+	return known, ok
 }
 
 // inspectAuthentication reads the user name and the session to resume from the client's first authentication. The front
@@ -102,6 +112,7 @@
 	canReplay := len(openingBytes) > 0 && len(authentication) <= maxAuthenticationBytes
 	if !ok || !canReplay || !s.request.MayRedirect(sticky) {
 		s.forward(authentication)
+		s.keepLogin(openingBytes, authentication)
 		return
 	}
 	zap.L().Debug("session_redirected",
@@ -109,7 +120,8 @@
 		zap.String("to", string(sticky)))
 	s.dropServerGreeting = s.committed
 	s.committed = false
-	s.replay = append(append([]byte(nil), openingBytes...), authentication...)
+	s.replay = slices.Concat(openingBytes, authentication)
+	s.keepLogin(openingBytes, authentication)
 	s.request.RedirectTo(sticky)
 }
 
--- a/internal/xmpp/serverstream.go
+++ b/internal/xmpp/serverstream.go
@@ -64,7 +64,7 @@
 	u.stanza = xmlToken{name: localName(token.name), attributes: token.attributes}
 	u.sasl2Bound = false
 	if token.isElement("success", saslNS) {
-		session.received.mayRestart = true
+		session.received.mayRestart = session.received.mayRestart || u.loginStep == notRepeating
 		u.received.mayRestart = true
 	}
 	if u.stanza.name == "success" {
@@ -97,6 +97,8 @@
 		}
 	case u.stanza.name == "error" && u.streamError != noCondition:
 		u.handleRejection()
+	case u.loginStep != notRepeating:
+		u.continueLogin()
 	case session.dropServerGreeting:
 		session.dropServerGreeting = false
 		u.unforwarded = u.unforwarded[:0]
@@ -108,11 +110,22 @@
 			session.front.Answers.Established++
 			u.attempt.Established()
 		}
+		u.recordLoginAnswers()
 		u.commit()
 		u.forward()
 	}
 }
 
+// recordLoginAnswers records with which stanzas the server has answered the client's login.
+func (u *upstreamRequest) recordLoginAnswers() {
+	switch u.stanza.name {
+	case "success":
+		u.loginSucceeded = true
+	case "features":
+		u.loginAnswered = u.loginSucceeded
+	}
+}
+
 // establishes reports whether the current stanza establishes the session, as the result of the resource binding or as a
 // resumption.
 func (u *upstreamRequest) establishes() bool {
--- a/internal/xmpp/session.go
+++ b/internal/xmpp/session.go
@@ -83,9 +83,17 @@
 }
 
 // collect appends a token to the accepted bytes and returns those that are still to be forwarded. It holds back the
-// client's first authentication until it is complete, because it determines the server.
+// client's first authentication and its request to resume a session until they are complete, because they determine the
+// server.
 func (s *clientSession) collect(accepted []byte, token xmlToken) []byte {
-	if !s.authenticating {
+	switch {
+	case s.holdsBackResumption():
+		s.forward(accepted)
+		if !s.finished && s.holdsBackResumption() {
+			s.collectResumption(token)
+		}
+		return nil
+	case !s.authenticating:
 		return append(accepted, token.raw...)
 	}
 	s.authentication = append(s.authentication, token.raw...)
@@ -104,6 +112,11 @@
 	if len(data) == 0 {
 		return
 	}
+	if s.repeatsLogin() {
+		s.holdBackForLogin(data)
+		return
+	}
+	s.recordRestart(data)
 	if !s.committed {
 		s.replay = append(s.replay, data...)
 		if len(s.replay) > s.front.limits.MaxReplayBytes {
@@ -123,6 +136,9 @@
 func (s *clientSession) Attempt(attempt *edge.Attempt) edge.UpstreamRequest {
 	s.attempt = attempt
 	s.upstream = &upstreamRequest{session: s, attempt: attempt, received: s.front.newScanner()}
+	if s.repeatsLogin() {
+		s.upstream.loginStep = awaitingSuccess
+	}
 	s.upstream.conn = s.front.loop.Dial(attempt.Server.Addr, attempt.ConnectBy(), s.upstream)
 	return s.upstream
 }
@@ -209,6 +225,7 @@
 	s.replay = nil
 	s.openingBytes = nil
 	s.authentication = nil
+	s.login = nil
 	s.stopTimer()
 }
 
--- a/internal/xmpp/upstream.go
+++ b/internal/xmpp/upstream.go
@@ -31,7 +31,10 @@
 	stanza                 xmlToken // local name and attributes of the server's current stanza
 	streamError            condition
 	redirect               []byte // address in the server's see-other-host
-	sasl2Bound             bool   // a SASL2 success binds the resource or resumes the session (XEP-0386, XEP-0198)
+	loginStep              loginStep
+	loginSucceeded         bool // the server has accepted the client's authentication
+	loginAnswered          bool // the client has all of the server's answers to its login
+	sasl2Bound             bool // a SASL2 success binds the resource or resumes the session (XEP-0386, XEP-0198)
 }
 
 // OnConnect sends the server all bytes that the client has sent so far.
