Discovery: hear answers that come after their call was given up

Cause: a call without a response at its deadline (2.5 s after the first silence) was closed and repeated, so each answer came after its call had ended. The deadlines can't grow: after an outage a call that began too early, the backoff and the next call have to fit into 6 s.

Change: the call is repeated as before, and its connection is kept (late.go): three such calls at most, for 10 s each. A response on one of them is taken like any other; where there are too many, the latest goes. This holds for long polls, full lists at the start and after SIGHUP, and calls to an agent. New log event discovery_answered_late.

Tests: TestSlowServiceIsHeard (answers of 2.7, 5 and 8 s; the change made as the 2nd to 4th call arrives), ...AfterReload, ...AtStart, TestSlowAgentIsHeard, TestLateCallsAreBounded.

--- a/internal/platform/discovery/outcome.go
+++ b/internal/platform/discovery/outcome.go
@@ -23,7 +23,7 @@
 )
 
 // OnConnect sends the request that waits for the connection.
-func (w *Watch) OnConnect() { w.conn.Write([]byte(w.call.request)) }
+func (w *Watch) OnConnect() { w.sendRequest() }
 
 // OnData handles bytes of the response. If no call is in flight, it closes the connection instead.
 func (w *Watch) OnData(data []byte) {
@@ -60,17 +60,13 @@
 
 // onResponse handles a complete response.
 func (w *Watch) onResponse() {
-	if w.call.response.status != http.StatusOK {
-		w.callFailed(fmt.Errorf("%w, got %d", errStatus, w.call.response.status))
+	list, servers, err := w.call.response.list()
+	switch {
+	case errors.Is(err, errStatus):
+		w.callFailed(err)
 		return
-	}
-	list, err := ParseList(w.call.response.body)
-	var servers []edge.ServerEntry
-	if err == nil {
-		servers, err = list.ServerEntries()
-	}
-	if err != nil {
-		w.responseUnreadable(fmt.Errorf("list: %w", err))
+	case err != nil:
+		w.responseUnreadable(err)
 		return
 	}
 	if list.Full && len(servers) == 0 && w.serversSeen {
@@ -82,9 +78,26 @@
 	w.update(list, servers)
 }
 
-// callSucceeded ends a call whose response has been decoded.
+// list decodes the list in a complete response.
+func (r *response) list() (*List, []edge.ServerEntry, error) {
+	if r.status != http.StatusOK {
+		return nil, nil, fmt.Errorf("%w, got %d", errStatus, r.status)
+	}
+	list, err := ParseList(r.body)
+	if err != nil {
+		return nil, nil, fmt.Errorf("list: %w", err)
+	}
+	servers, err := list.ServerEntries()
+	if err != nil {
+		return nil, nil, fmt.Errorf("list: %w", err)
+	}
+	return list, servers, nil
+}
+
+// callSucceeded ends a call whose response has been decoded. Late calls have nothing newer.
 func (w *Watch) callSucceeded() {
 	w.cancelTimer()
+	w.dropLateCalls()
 	w.polling = false
 	w.recovering = false
 	w.lastUnreadable = false
@@ -106,22 +119,17 @@
 		w.poll()
 		return
 	}
-	w.serversSeen = w.serversSeen || len(servers) > 0
-	w.version = list.Version
-	w.versionKnown = true
-	kind := choice.ListChange
-	if list.Full {
-		kind = choice.ListFull
-	}
-	w.notify(kind, servers)
+	w.acceptList(list, servers)
 	w.poll()
 }
 
-// onTimeout ends a call that got no response before its deadline. A long poll is repeated at once, because silence
+// onTimeout stops waiting for a call that got no response before its deadline, and keeps its connection in case the
+// response is only late. A long poll is repeated at once, because silence
 // indicates a broken connection rather than an overloaded service, which a backoff would relieve. If the repeated call
 // gets no response either, the service may be overloaded.
 func (w *Watch) onTimeout() {
 	w.stopTimer = nil
+	w.keepLateCall()
 	if !w.call.longPoll && !w.mode.Pushed {
 		w.callFailed(errTimeout)
 		return
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -18,7 +18,8 @@
 	rngStream = 2
 )
 
-// Watch polls the discovery service for its endpoint list. It has at most one call in flight and reuses one connection.
+// Watch polls the discovery service for its endpoint list. It waits for one call at a time and reuses one connection.
+// Some calls for which it no longer waits are kept, each on its own connection.
 type Watch struct {
 	loop   *loop.Loop
 	addr   string
@@ -31,10 +32,11 @@
 	versionKnown bool  // version was assigned by the discovery service at addr
 	serversSeen  bool  // some list has contained servers
 
-	conn      *loop.Conn // nil: not connected
-	polling   bool       // a call is in flight
-	call      call       // the call in flight, or the last call
-	stopTimer func()     // stops the timer of the call in flight or of the backoff; nil: no timer
+	conn      *loop.Conn  // nil: not connected
+	polling   bool        // a call is in flight
+	call      call        // the call in flight, or the last call
+	late      []*lateCall // calls that are kept after their deadline, oldest first
+	stopTimer func()      // stops the timer of the call in flight or of the backoff; nil: no timer
 
 	recovering     bool // the last call failed, timed out or had a response that could not be decoded
 	failures       int  // number of backoffs since the last response that could be decoded
@@ -45,6 +47,7 @@
 type call struct {
 	request    string // written once the connection is established
 	reusedConn bool   // sent on a connection on which an earlier call was served
+	sent       bool   // written to the connection
 	longPoll   bool   // the service may wait for a change before it responds
 	response   response
 	deadline   time.Time // when the call is abandoned
@@ -118,6 +121,7 @@
 	w.version = 0
 	w.versionKnown = false
 	w.close()
+	w.dropLateCalls()
 	w.cancelTimer()
 	w.poll()
 }
@@ -137,10 +141,16 @@
 	if w.conn == nil {
 		w.conn = w.loop.Dial(w.addr, now.Add(min(connectTimeout, timeout)), w)
 	} else {
-		w.conn.Write([]byte(w.call.request))
+		w.sendRequest()
 	}
 }
 
+// sendRequest writes the request of the call in flight to the established connection.
+func (w *Watch) sendRequest() {
+	w.call.sent = true
+	w.conn.Write([]byte(w.call.request))
+}
+
 // nextCall returns the path of the next call and its timeout.
 func (w *Watch) nextCall() (path string, timeout time.Duration) {
 	wait, responseTimeout := w.pollTimes()
