XMPP: search an unfinished tag on from where the last search ended

Cause: with each piece the scanner copied all that it held of the unfinished token, twice, and searched it for its end from the beginning; the work grows with the square of the size, which may be 256 KiB.

Change: the held part is extended in place, and tokenSearch remembers how far it was searched, for tags, CDATA sections and declarations.

Test: TestLongTagInSmallPieces, a tag of 256 KiB byte by byte.

--- a/internal/xmpp/scanner.go
+++ b/internal/xmpp/scanner.go
@@ -15,8 +15,9 @@
 // yields whole tokens with their bytes as received. It holds back an unfinished token, so that no part of forbidden
 // markup is forwarded.
 type scanner struct {
-	maxBytes    int      // limit of a stanza, and of a token
-	pending     []byte   // bytes of an unfinished token
+	maxBytes    int    // limit of a stanza, and of a token
+	pending     []byte // bytes of an unfinished token
+	search      tokenSearch
 	elements    []string // names of the open elements, the root first
 	prefix      string   // prefix of the stream's namespace, from the root element
 	stanzaBytes int      // bytes of the current stanza so far
@@ -29,7 +30,8 @@
 // that token. A condition other than noCondition tells why the stream can't continue, and feed must not be called again
 // after it.
 func (s *scanner) feed(data []byte, visit func(xmlToken) bool) (rest []byte, errorCondition condition) {
-	if len(s.pending) > 0 {
+	isOwned := len(s.pending) > 0 // data is the scanner's own buffer, which still begins with the unfinished token
+	if isOwned {
 		data = append(s.pending, data...)
 		s.pending = nil
 	}
@@ -42,9 +44,14 @@
 			if len(data) > s.maxBytes {
 				return nil, policyViolation
 			}
-			s.pending = bytes.Clone(data)
+			if !isOwned {
+				data = bytes.Clone(data)
+			}
+			s.pending = data
 			return nil, noCondition
 		}
+		s.search = tokenSearch{}
+		isOwned = false
 		if errorCondition := s.track(&next, size); errorCondition != noCondition {
 			return nil, errorCondition
 		}
@@ -69,9 +76,9 @@
 	case '?':
 		return s.nextDeclaration(data)
 	case '!':
-		return nextCDATA(data)
+		return s.nextCDATA(data)
 	}
-	end := tagEnd(data)
+	end := s.search.tagEnd(data)
 	if end < 0 {
 		return xmlToken{}, 0, noCondition
 	}
@@ -87,7 +94,7 @@
 }
 
 // nextCDATA reads a CDATA section, the only markup with "<!" that is allowed. Comments and DTDs yield restrictedXML.
-func nextCDATA(data []byte) (token xmlToken, size int, errorCondition condition) {
+func (s *scanner) nextCDATA(data []byte) (token xmlToken, size int, errorCondition condition) {
 	const opening, closing = "<![CDATA[", "]]>"
 	if len(data) < len(opening) && strings.HasPrefix(opening, string(data)) {
 		return xmlToken{}, 0, noCondition
@@ -95,7 +102,7 @@
 	if !bytes.HasPrefix(data, []byte(opening)) {
 		return xmlToken{}, 0, restrictedXML
 	}
-	contentEnd := bytes.Index(data, []byte(closing))
+	contentEnd := s.search.index(data, closing)
 	if contentEnd < 0 {
 		return xmlToken{}, 0, noCondition
 	}
@@ -119,7 +126,7 @@
 	if s.started && (!s.mayRestart || len(s.elements) != 1) {
 		return xmlToken{}, 0, restrictedXML
 	}
-	contentEnd := bytes.Index(data, []byte(closing))
+	contentEnd := s.search.index(data, closing)
 	if contentEnd < 0 {
 		return xmlToken{}, 0, noCondition
 	}
--- a/internal/xmpp/scanner_test.go
+++ b/internal/xmpp/scanner_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 )
 
 // scan feeds a stream to a scanner in pieces of pieceSize bytes. It returns the raw tokens, joined by |, and the
@@ -134,3 +135,31 @@
 	}
 	return token.kind != declarationToken && bytes.HasPrefix(token.raw, []byte("<?"))
 }
+
+// TestLongTagInSmallPieces guards against a client that occupies the loop by sending a long tag byte by byte: if the tag
+// is searched and copied from its beginning with each byte, the work grows with the square of its size.
+func TestLongTagInSmallPieces(t *testing.T) {
+	const (
+		tagBytes = 256 << 10
+		maxTime  = 5 * time.Second // a fraction of it on any machine, if the work grows with the size
+	)
+	read := scanner{maxBytes: 2 * tagBytes}
+	tag := "<a b='" + strings.Repeat(">", tagBytes) + "'>"
+	began := time.Now()
+	tokens := 0
+	for i := range len(tag) {
+		_, errorCondition := read.feed([]byte(tag[i:i+1]), func(xmlToken) bool {
+			tokens++
+			return true
+		})
+		if errorCondition != noCondition {
+			t.Fatalf("feed byte %d: got %s, want no error", i, errorCondition)
+		}
+		if time.Since(began) > maxTime {
+			t.Fatalf("read %d of %d bytes after %v, want all", i, len(tag), maxTime)
+		}
+	}
+	if tokens != 1 {
+		t.Errorf("tokens of one tag in pieces: got %d, want 1", tokens)
+	}
+}
--- a/internal/xmpp/token.go
+++ b/internal/xmpp/token.go
@@ -127,22 +127,40 @@
 	return false
 }
 
+// tokenSearch is the progress of the search for the end of markup that is received in pieces. Without it, a tag in many
+// small pieces would be searched from its beginning with each of them.
+type tokenSearch struct {
+	searched int  // bytes of the markup that don't contain its end
+	quote    byte // the quotation mark that is open after them; 0: none
+}
+
 // tagEnd returns the index of the ">" that ends a tag, ignoring any in quoted values. It returns -1 if the end has not
-// been received.
-func tagEnd(data []byte) int {
-	quote := byte(0)
-	for i, b := range data {
+// been received; the next call must then get the same bytes and those that follow.
+func (t *tokenSearch) tagEnd(data []byte) int {
+	for i := t.searched; i < len(data); i++ {
+		b := data[i]
 		switch {
-		case quote != 0:
-			if b == quote {
-				quote = 0
+		case t.quote != 0:
+			if b == t.quote {
+				t.quote = 0
 			}
 		case b == '"' || b == '\'':
-			quote = b
+			t.quote = b
 		case b == '>':
 			return i
 		}
 	}
+	t.searched = len(data)
+	return -1
+}
+
+// index returns the index of the closing markup, or -1 if it has not been received. It is used in the same way as tagEnd.
+func (t *tokenSearch) index(data []byte, closing string) int {
+	from := max(0, t.searched-len(closing)+1)
+	if offset := bytes.Index(data[from:], []byte(closing)); offset >= 0 {
+		return from + offset
+	}
+	t.searched = len(data)
 	return -1
 }
 
