XMPP: one limit for the unfinished input that all clients hold together

Cause: stanza_bytes bounds what one connection holds (256 KiB); nothing bounded the sum.

Change: the front counts what its clients hold: unfinished tokens, messages and frames, and what is kept for another host (memory.go). Together they may hold a sixteenth of memory_mb, or 24 MB where it isn't known. Above that the session that holds most ends with resource-constraint, so that clients with ordinary stanzas are served.

Test: TestManyUnfinishedStanzasFitIntoMemory, the built program with 500 clients of 240 KiB each, in the clear, over TLS and over WebSocket, while other clients log in; the bound is the 192 MB of a node.

--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -142,6 +142,7 @@
 		HandshakeTimeout: time.Duration(limits.HandshakeTimeout),
 		MaxConnections:   limits.Connections,
 		MaxResumable:     limits.Resumable,
+		MaxBufferedBytes: o.program.maxBufferedBytes(),
 	}, o.seed)
 	o.program.xmpp = o.xmpp
 	o.xmpp.Trace = &o.program.telemetry.trace
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -18,6 +18,9 @@
 
 	memoryLimitPercent = 60 // garbage collector's limit as a share of the node's memory
 	bytesPerMB         = 1 << 20
+	// bufferMemoryDivisor is the part of the memory that the XMPP front may use for unfinished input of clients. During
+	// an upgrade two processes share the memory.
+	bufferMemoryDivisor = 16
 )
 
 // nodeLimits contains the resources of the node, which all its processes share.
@@ -37,6 +40,12 @@
 	h.applyQuota()
 }
 
+// maxBufferedBytes returns how many bytes the XMPP front may hold for all its clients together, or 0 if the node's memory
+// is not known.
+func (p *Program) maxBufferedBytes() int {
+	return p.restart.limits.memoryMB * bytesPerMB / bufferMemoryDivisor
+}
+
 // groupQuota returns the number of descriptors that this process and its successors may hold.
 func (h *hotRestart) groupQuota() int {
 	switch {
--- a/internal/transport/websocket/conn.go
+++ b/internal/transport/websocket/conn.go
@@ -178,6 +178,15 @@
 	})
 }
 
+// Buffered returns the size in bytes of the buffers for messages that the client has not finished.
+func (c *Conn) Buffered() int { return cap(c.in) + cap(c.message) }
+
+// DropInput drops the received bytes of unfinished messages, on a connection that is about to end.
+func (c *Conn) DropInput() {
+	c.in = nil
+	c.message = nil
+}
+
 // Full reports whether so much data is pending that its source should pause.
 func (c *Conn) Full() bool { return c.transport.Full() }
 
--- a/internal/xmpp/accept.go
+++ b/internal/xmpp/accept.go
@@ -100,13 +100,14 @@
 	s.layered = true
 	messages := s.newMessageConn()
 	s.client = messages
+	accounted := &accountedWebSocket{Conn: messages.webSocket, session: s}
 	if directTLS {
-		tlsConn := s.wrapInTLS(s.front.loop.Now(), messages.webSocket, alpnHTTP)
+		tlsConn := s.wrapInTLS(s.front.loop.Now(), accounted, alpnHTTP)
 		messages.webSocket.SetTransport(tlsConn)
 		return tlsConn
 	}
 	messages.webSocket.SetTransport(s.socket)
-	return messages.webSocket
+	return accounted
 }
 
 // reject ends the session of a client that is not admitted, with a stream error that names the reason.
--- a/internal/xmpp/front.go
+++ b/internal/xmpp/front.go
@@ -54,6 +54,7 @@
 	HandshakeTimeout time.Duration // limit for a TLS handshake
 	MaxConnections   int           // connections to clients and servers; a session that would reach it is rejected
 	MaxResumable     int           // resumable sessions whose server the front remembers
+	MaxBufferedBytes int           // bytes held for all clients together; 0: defaultMaxBufferedBytes
 }
 
 // Front serves XMPP clients. Its methods must be called from the loop's goroutine.
@@ -70,6 +71,7 @@
 	admission         *peerlimit.Controller
 	resumable         *resumable.Table
 	connectedSessions map[resumable.Key]*clientSession // resumable sessions with a client connection in this process
+	buffers           *bufferBudget
 
 	channelBindingReported map[choice.ServerID]bool // servers already logged for offering channel binding
 }
@@ -94,6 +96,7 @@
 		admission:         peerlimit.NewController(peerlimit.Rules{}, nil, nil),
 		resumable:         resumable.New(limits.MaxResumable),
 		connectedSessions: map[resumable.Key]*clientSession{},
+		buffers:           newBufferBudget(limits.MaxBufferedBytes),
 
 		channelBindingReported: map[choice.ServerID]bool{},
 	}
--- a/internal/xmpp/session.go
+++ b/internal/xmpp/session.go
@@ -51,6 +51,11 @@
 
 // OnData handles bytes of the client. It forwards whole tokens to the server as they were received.
 func (s *clientSession) OnData(data []byte) {
+	s.handleData(data)
+	s.accountBuffers()
+}
+
+func (s *clientSession) handleData(data []byte) {
 	if s.finished {
 		return
 	}
@@ -219,6 +224,7 @@
 // finish marks the session as finished and frees its resources.
 func (s *clientSession) finish(reason trace.CloseReason) {
 	s.finished = true
+	s.front.buffers.set(s, 0)
 	s.recordClose(reason)
 	s.front.recordDisconnected(s, s.received.ended)
 	s.admission.Close()
--- a/internal/xmpp/transfer.go
+++ b/internal/xmpp/transfer.go
@@ -281,4 +281,5 @@
 	s.socket = s.front.loop.Restore(fd, state, s)
 	s.client = s.socket
 	s.admission = s.front.admission.Restore(s.front.loop.Now(), s.socket.Peer, configuredDomain)
+	s.accountBuffers()
 }
--- a/internal/xmpp/upstream.go
+++ b/internal/xmpp/upstream.go
@@ -88,6 +88,7 @@
 	}
 	session.committed = true
 	session.replay = nil
+	session.accountBuffers()
 	u.attempt.Commit()
 }
 
