--- a/cmd/spurwinch/xmpp_memory_test.go
+++ b/cmd/spurwinch/xmpp_memory_test.go
@@ -108,8 +108,9 @@
 	}
 }
 
-// TestManyUnfinishedStanzasFitIntoMemory guards against a node that is killed for its memory because hundreds of clients
-// each send a long header or stanza slowly and stop before its end. Meanwhile other clients must be served in time.
+// TestManyUnfinishedStanzasFitIntoMemory guards against a node that is killed for its memory because hundreds of
+// clients each send a long header or stanza slowly and stop before its end. Meanwhile other clients must be served in
+// time.
 func TestManyUnfinishedStanzasFitIntoMemory(t *testing.T) {
 	program := build(t)
 	dir := t.TempDir()
@@ -145,15 +146,15 @@
 				peak := peakMemoryMB(t, proc)
 				t.Logf("peak of resident memory: %d MB", peak)
 				if peak >= nodeMemoryMB {
-					t.Errorf("peak of resident memory: got %d MB, want less than the %d MB of a node", peak, nodeMemoryMB)
+					t.Errorf("peak of resident memory: got %d MB, want less than a node's %d MB", peak, nodeMemoryMB)
 				}
 			})
 		}
 	}
 }
 
-// holdUnfinished makes many clients send unfinished input. wait returns once all of them have sent it or were ended, and
-// stop ends them.
+// holdUnfinished makes many clients send unfinished input. wait returns once all of them have sent it or were ended,
+// and stop ends them.
 func holdUnfinished(t *testing.T, door xmppDoor, addr string, kind unfinishedInput) (wait, stop func()) {
 	t.Helper()
 	attributes := manyAttributes(unfinishedBytes)
--- a/internal/node/devices_test.go
+++ b/internal/node/devices_test.go
@@ -94,8 +94,8 @@
 	return nil, false
 }
 
-// checkDevicesResume checks that each of the devices that come again resumes its own session, whichever session was used
-// last.
+// checkDevicesResume checks that each of the devices that come again resumes its own session, whichever session was
+// used last.
 func checkDevicesResume(
 	t *testing.T, addr, user string, devices []*xmppserver.Client, method xmppserver.LoginMethod,
 ) {
@@ -197,8 +197,8 @@
 	return nil
 }
 
-// TestPipelinedResumption checks that a device which asks for its session before it has the answers to its login resumes
-// it nevertheless, if necessary on a further connection.
+// TestPipelinedResumption checks that a device which asks for its session before it has the answers to its login
+// resumes it nevertheless, if necessary on a further connection.
 func TestPipelinedResumption(t *testing.T) {
 	t.Parallel()
 	node := newXMPPNode(t, deviceCount, "")
--- a/internal/node/quota.go
+++ b/internal/node/quota.go
@@ -40,8 +40,8 @@
 	h.applyQuota()
 }
 
-// maxBufferedBytes returns how many bytes the XMPP front may hold for all its clients together, or 0 if the node's memory
-// is not known.
+// maxBufferedBytes returns how many bytes the XMPP front may hold for all its clients together, or 0 if the node's
+// memory is not known.
 func (p *Program) maxBufferedBytes() int {
 	return p.restart.limits.memoryMB * bytesPerMB / bufferMemoryDivisor
 }
--- a/internal/platform/discovery/late.go
+++ b/internal/platform/discovery/late.go
@@ -20,9 +20,9 @@
 	maxLateTime = 10 * time.Second
 )
 
-// lateCall is a call whose deadline has passed before any of its response was received. Its connection may be broken, so
-// the watch calls again on another one. But the service may as well be slow: if it takes longer for each response than
-// the watch waits, only the calls that the watch has stopped waiting for are ever answered.
+// lateCall is a call whose deadline has passed before any of its response was received. Its connection may be broken,
+// so the watch calls again on another one. But the service may as well be slow: if it takes longer for each response
+// than the watch waits, only the calls that the watch has stopped waiting for are ever answered.
 type lateCall struct {
 	watch     *Watch
 	conn      *loop.Conn
@@ -65,7 +65,8 @@
 // OnDrained does nothing, because a request is too short to be written in parts.
 func (l *lateCall) OnDrained() {}
 
-// OnData handles bytes of the response. A response that can't be decoded is ignored, because the watch has called again.
+// OnData handles bytes of the response. A response that can't be decoded is ignored, because the watch has called
+// again.
 func (l *lateCall) OnData(data []byte) {
 	complete, err := l.response.feed(data)
 	switch {
--- a/internal/platform/discovery/late_test.go
+++ b/internal/platform/discovery/late_test.go
@@ -16,8 +16,8 @@
 // drainGrace is the time for which a draining server may still get requests, in these tests.
 const drainGrace = 3 * time.Second
 
-// slowDiscovery is a discovery service that takes the same time for each response. A response has the list as it is when
-// it is written.
+// slowDiscovery is a discovery service that takes the same time for each response. A response has the list as it is
+// when it is written.
 type slowDiscovery struct {
 	addr    string
 	late    time.Duration
@@ -116,8 +116,8 @@
 	}
 }
 
-// TestSlowServiceIsHeardAfterReload checks that the first list of a new, slow discovery service is heard before it binds:
-// it counts as delivered 4 s after SIGHUP, and the drain grace follows.
+// TestSlowServiceIsHeardAfterReload checks that the first list of a new, slow discovery service is heard before it
+// binds: it counts as delivered 4 s after SIGHUP, and the drain grace follows.
 func TestSlowServiceIsHeardAfterReload(t *testing.T) {
 	t.Parallel()
 	for _, late := range []time.Duration{2700 * time.Millisecond, 5 * time.Second} {
--- a/internal/platform/downstream/transfer.go
+++ b/internal/platform/downstream/transfer.go
@@ -32,9 +32,9 @@
 	// FirstLineTimeLeft use it.
 	FirstLineDeadline int64 `cbor:"6,keyasint,omitempty"`
 	FirstLineTimeLeft int64 `cbor:"7,keyasint,omitempty"` // nanoseconds until that deadline
-	// HeldBackBytes is the number of bytes at the end of Conn.Out that belong to the server's unfinished line and are to
-	// be held back until the line is complete. Releases without HeldBackBytes forward the start of a line at once, so
-	// for them the bytes are in Conn.Out.
+	// HeldBackBytes is the number of bytes at the end of Conn.Out that belong to the server's unfinished line and are
+	// to be held back until the line is complete. Releases without HeldBackBytes forward the start of a line at once,
+	// so for them the bytes are in Conn.Out.
 	HeldBackBytes int `cbor:"8,keyasint,omitempty"`
 }
 
--- a/internal/platform/upstream/relay.go
+++ b/internal/platform/upstream/relay.go
@@ -11,9 +11,9 @@
 	"go.uber.org/zap"
 )
 
-// relay forwards the server's lines to the client. For the core, it reads the load, the reply delay and the closing line
-// from them. It holds back the start of an unfinished line: if the server hangs there, the client must still get MOVE
-// between two lines, and never a line that no server has sent.
+// relay forwards the server's lines to the client. For the core, it reads the load, the reply delay and the closing
+// line from them. It holds back the start of an unfinished line: if the server hangs there, the client must still get
+// MOVE between two lines, and never a line that no server has sent.
 func (r *Request) relay(data []byte) {
 	heldBack := r.heldBack()
 	err := r.serverLines.Scan(data, r.onServerLine)
--- a/internal/xmpp/memory.go
+++ b/internal/xmpp/memory.go
@@ -70,7 +70,8 @@
 
 // bufferedBytes returns the size of the buffers that the session's client fills.
 func (s *clientSession) bufferedBytes() int {
-	size := cap(s.received.pending) + cap(s.replay) + cap(s.openingBytes) + cap(s.authentication) + cap(s.initialResponse)
+	size := cap(s.received.pending) + cap(s.replay) + cap(s.openingBytes)
+	size += cap(s.authentication) + cap(s.initialResponse)
 	if s.login != nil {
 		size += cap(s.login.request) + cap(s.login.restart) + cap(s.login.pending)
 	}
--- a/internal/xmpp/relogin.go
+++ b/internal/xmpp/relogin.go
@@ -10,10 +10,10 @@
 )
 
 // A user may have several devices with sessions at different servers. The authentication then doesn't tell which
-// session the client is about to resume: only the <resume/> after it does. If its session is at another server than the
-// client's, the front repeats the login at that server, and the client doesn't notice. Where the login can't be repeated,
-// because its mechanism answers a challenge of the server, the client is asked to connect again, and is then placed at
-// the server of that session.
+// session the client is about to resume: only the <resume/> after it does. If its session is at another server than
+// the client's, the front repeats the login at that server, and the client doesn't notice. Where the login can't be
+// repeated, because its mechanism answers a challenge of the server, the client is asked to connect again, and is
+// then placed at the server of that session.
 
 // maxRestartBytes limits the bytes of a client between its authentication and its request to resume a session.
 const maxRestartBytes = 4 << 10
--- a/internal/xmpp/scanner_test.go
+++ b/internal/xmpp/scanner_test.go
@@ -136,8 +136,8 @@
 	return token.kind != declarationToken && bytes.HasPrefix(token.raw, []byte("<?"))
 }
 
-// TestLongTagInSmallPieces guards against a client that occupies the loop by sending a long tag byte by byte: if the tag
-// is searched and copied from its beginning with each byte, the work grows with the square of its size.
+// TestLongTagInSmallPieces guards against a client that occupies the loop by sending a long tag byte by byte: if the
+// tag is searched and copied from its beginning with each byte, the work grows with the square of its size.
 func TestLongTagInSmallPieces(t *testing.T) {
 	const (
 		tagBytes = 256 << 10
--- a/internal/xmpp/token.go
+++ b/internal/xmpp/token.go
@@ -154,7 +154,8 @@
 	return -1
 }
 
-// index returns the index of the closing markup, or -1 if it has not been received. It is used in the same way as tagEnd.
+// index returns the index of the closing markup, or -1 if it has not been received. It is used in the same way as
+// tagEnd.
 func (t *tokenSearch) index(data []byte, closing string) int {
 	from := max(0, t.searched-len(closing)+1)
 	if offset := bytes.Index(data[from:], []byte(closing)); offset >= 0 {
