WebSocket: release the frames that were read before an unfinished one

Cause: what is left of the received bytes after a frame was a part of the same buffer, so a connection held the memory of a long message for as long as its next frame was unfinished, and the limit of all clients' input counted only the rest.

Change: the rest is copied, once for each read that ends within a frame.

Test: TestUnfinishedFrameKeepsNoEarlierOnes failed before (some KiB held after 60 KiB and a byte, at most 64 bytes wanted).

--- a/internal/transport/websocket/conn.go
+++ b/internal/transport/websocket/conn.go
@@ -1,6 +1,7 @@
 package websocket
 
 import (
+	"bytes"
 	"errors"
 	"io"
 
@@ -93,13 +94,17 @@
 	if !c.established && !c.handshake() {
 		return
 	}
+	received := len(c.in)
 	for !c.closed && !c.paused && c.readFrame() {
 	}
 	if c.clientEnded && !c.closed && !c.paused {
 		c.finish(io.EOF)
 	}
-	if len(c.in) == 0 {
+	switch {
+	case len(c.in) == 0:
 		c.in = nil // an idle connection keeps no buffer
+	case len(c.in) < received:
+		c.in = bytes.Clone(c.in) // without the frames that were read
 	}
 }
 
--- a/internal/transport/websocket/conn_test.go
+++ b/internal/transport/websocket/conn_test.go
@@ -221,3 +221,22 @@
 		}
 	})
 }
+
+// TestUnfinishedFrameKeepsNoEarlierOnes guards against a connection that holds the memory of a long message, which it has
+// passed on, for as long as the next frame is unfinished.
+func TestUnfinishedFrameKeepsNoEarlierOnes(t *testing.T) {
+	const longMessage, maxHeld = 60 << 10, 64
+	handler, _ := start(2 * longMessage)
+	handler.conn.OnData([]byte(request))
+	text := frame(ws.OpText, true, strings.Repeat("x", longMessage))
+	next := frame(ws.OpText, true, "next")
+	handler.conn.OnData(append(text, next[0]))
+	if got := handler.conn.Buffered(); len(handler.messages) != 1 || got > maxHeld {
+		t.Errorf("after a long message and a byte: got %d messages and %d bytes held, want 1 and at most %d",
+			len(handler.messages), got, maxHeld)
+	}
+	handler.conn.OnData(next[1:])
+	if len(handler.messages) != 2 || handler.messages[1] != "next" {
+		t.Errorf("after the rest of the frame: got %d messages, want 2, the second of them next", len(handler.messages))
+	}
+}
