--- a/internal/transport/websocket/conn_test.go
+++ b/internal/transport/websocket/conn_test.go
@@ -222,8 +222,8 @@
 	})
 }
 
-// TestUnfinishedFrameKeepsNoEarlierOnes guards against a connection that holds the memory of a long message, which it has
-// passed on, for as long as the next frame is unfinished.
+// TestUnfinishedFrameKeepsNoEarlierOnes guards against a connection that holds the memory of a long message, which it
+// has passed on, for as long as the next frame is unfinished.
 func TestUnfinishedFrameKeepsNoEarlierOnes(t *testing.T) {
 	const longMessage, maxHeld = 60 << 10, 64
 	handler, _ := start(2 * longMessage)
