Check again that no connection of a late call is forgotten

Change: after the calls the watch ends all of them, and the loop has to be without connections within half of the time after which a forgotten call would end by itself. The memory test's type xmppDoor is xmppEntry.

--- a/cmd/spurwinch/xmpp_memory_test.go
+++ b/cmd/spurwinch/xmpp_memory_test.go
@@ -61,8 +61,8 @@
 	unfinishedStanza unfinishedInput = "stanza"
 )
 
-// xmppDoor is a listener and the way in which clients reach it.
-type xmppDoor struct {
+// xmppEntry is a listener and the way in which clients reach it.
+type xmppEntry struct {
 	name, listener string
 	dial           func(addr string) (net.Conn, error)
 	isWebSocket    bool
@@ -92,11 +92,11 @@
 }
 
 // sendUnfinished sends an unfinished header or stanza.
-func (d xmppDoor) sendUnfinished(conn net.Conn, kind unfinishedInput, attributes string) {
+func (e xmppEntry) sendUnfinished(conn net.Conn, kind unfinishedInput, attributes string) {
 	const header = "<stream:stream to='farm.example' version='1.0' xmlns='jabber:client' " +
 		"xmlns:stream='http://etherx.jabber.org/streams'"
 	switch {
-	case d.isWebSocket:
+	case e.isWebSocket:
 		frame := ws.MaskFrame(ws.NewTextFrame([]byte("<message" + attributes)))
 		var encoded strings.Builder
 		_ = ws.WriteFrame(&encoded, frame) // a Builder accepts all bytes
@@ -115,16 +115,16 @@
 	program := build(t)
 	dir := t.TempDir()
 	certificate, key := transcript.WriteCertificate(t, dir, time.Now().Add(time.Hour), "farm.example")
-	for _, door := range []xmppDoor{
+	for _, entry := range []xmppEntry{
 		{name: "clear", listener: "protocol = \"xmpp\"\n", dial: dialClear},
 		{name: "TLS", listener: "protocol = \"xmpp\"\ntls = \"direct\"\n", dial: dialTLS},
 		{name: "WebSocket", listener: "protocol = \"xmpp-websocket\"\n", dial: dialWebSocket, isWebSocket: true},
 	} {
 		for _, kind := range []unfinishedInput{unfinishedHeader, unfinishedStanza} {
-			if door.isWebSocket && kind == unfinishedHeader {
+			if entry.isWebSocket && kind == unfinishedHeader {
 				continue // a header is a short message
 			}
-			t.Run(door.name+", "+string(kind), func(t *testing.T) {
+			t.Run(entry.name+", "+string(kind), func(t *testing.T) {
 				server, err := xmppserver.Listen("h0")
 				if err != nil {
 					t.Fatal(err)
@@ -137,9 +137,9 @@
 					"[[certificate]]\ncert = %q\nkey = %q\n[[class]]\nname = \"c\"\n"+
 					"[[domain]]\nname = \"farm.example\"\ncluster = \"k\"\n[[cluster]]\nname = \"k\"\n"+
 					"sessions = 10000\n"+ // the host must not be full because of the unsound clients
-					"[[cluster.host]]\naddr = %q\n", addr, door.listener, clear, certificate, key, server.Addr))
+					"[[cluster.host]]\naddr = %q\n", addr, entry.listener, clear, certificate, key, server.Addr))
 				proc := start(t, program, nil, "-operator", path)
-				wait, stop := holdUnfinished(t, door, addr, kind)
+				wait, stop := holdUnfinished(t, entry, addr, kind)
 				defer stop()
 				checkServedMeanwhile(t, clear)
 				wait()
@@ -156,7 +156,7 @@
 
 // holdUnfinished makes many clients send unfinished input. wait returns once all of them have sent it or were ended,
 // and stop ends them.
-func holdUnfinished(t *testing.T, door xmppDoor, addr string, kind unfinishedInput) (wait, stop func()) {
+func holdUnfinished(t *testing.T, entry xmppEntry, addr string, kind unfinishedInput) (wait, stop func()) {
 	t.Helper()
 	attributes := manyAttributes(unfinishedBytes)
 	var sending sync.WaitGroup
@@ -166,7 +166,7 @@
 		sending.Add(1)
 		go func() {
 			defer sending.Done()
-			conn, err := door.dial(addr)
+			conn, err := entry.dial(addr)
 			if err != nil {
 				return // the node has no room for it
 			}
@@ -176,7 +176,7 @@
 			if err := conn.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
 				return
 			}
-			door.sendUnfinished(conn, kind, attributes)
+			entry.sendUnfinished(conn, kind, attributes)
 		}()
 	}
 	return sending.Wait, func() {
--- a/internal/platform/discovery/late_test.go
+++ b/internal/platform/discovery/late_test.go
@@ -172,12 +172,32 @@
 	times.initialBackoff = 2 * time.Millisecond
 	times.maxBackoff = 2 * time.Millisecond
 	watch, _ := startWatch(t, discovery.addr, &List{Version: 7}, Mode{}, times)
+	counts := func() (late, held, open int) {
+		counted := make(chan [3]int, 1)
+		watch.loop.Post(func() { counted <- [3]int{len(watch.late), watch.connections(), watch.loop.Open()} })
+		got := receive(t, counted)
+		return got[0], got[1], got[2]
+	}
 	for range 4 * maxLateCalls {
 		receive(t, discovery.calls)
-		held := make(chan [2]int, 1)
-		watch.loop.Post(func() { held <- [2]int{len(watch.late), watch.connections()} })
-		if got := receive(t, held); got[0] > maxLateCalls || got[1] > maxLateCalls+1 {
-			t.Fatalf("got %d late calls and %d connections, want at most %d and one more", got[0], got[1], maxLateCalls)
+		if late, held, _ := counts(); late > maxLateCalls || held > maxLateCalls+1 {
+			t.Fatalf("got %d late calls and %d connections, want at most %d and one more", late, held, maxLateCalls)
+		}
+	}
+	// Once the watch ends its calls, no connection is left that it has forgotten. Those that it ended before may still
+	// wait for the peer's FIN. A forgotten call would end after maxLateTime.
+	watch.loop.Post(func() {
+		watch.cancelTimer()
+		watch.close()
+		watch.dropLateCalls()
+	})
+	for end := time.Now().Add(maxLateTime / 2); ; time.Sleep(time.Millisecond) {
+		late, held, open := counts()
+		if late == 0 && held == 0 && open == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("after all calls: got %d late calls, %d connections held and %d open, want none", late, held, open)
 		}
 	}
 }
