--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -1,6 +1,13 @@
 package config
 
-import "errors"
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"spurwinch/internal/config/tomlfile"
+	"spurwinch/internal/simwire"
+)
 
 var (
 	// ErrNoConfigFile means that the environment doesn't name the node's configuration file.
@@ -35,3 +42,55 @@
 
 // Unwrap returns the error of another package that is the cause, or nil.
 func (e *KeyError) Unwrap() error { return e.Err }
+
+// InvalidKey returns the path of the key that the error of a configuration file is about, for example "settings.index"
+// or "cluster.0.discovery". Of several faults it returns the first. It returns "" if the error is about no key, for
+// example for a syntax error.
+func InvalidKey(err error) string {
+	var keyError *KeyError
+	var faults tomlfile.Faults
+	switch {
+	case errors.As(err, &keyError):
+		return keyError.Key
+	case errors.As(err, &faults):
+		return faults[0].Key
+	default:
+		return ""
+	}
+}
+
+// settingsKey is the key of the settings object, which package simwire decodes.
+const settingsKey = "settings"
+
+// keyPathError converts an error of a key table to a *KeyError.
+func keyPathError(err error) error {
+	var invalid *simwire.KeyPathError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	return &KeyError{Key: invalid.Key, Problem: invalid.Error(), Err: err}
+}
+
+// valueError converts the JSON decoder's error for a value of a wrong type to a *KeyError.
+func valueError(err error) error {
+	var invalid *json.UnmarshalTypeError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	problem := fmt.Sprintf("%s must be of type %s, got a JSON %s", invalid.Field, invalid.Type, invalid.Value)
+	return &KeyError{Key: invalid.Field, Problem: problem, Err: err}
+}
+
+// settingsError converts an error of simwire.DecodeSettings to a *KeyError.
+func settingsError(err error) error {
+	key := settingsKey
+	var invalid *simwire.SetupError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &invalid) && invalid.Key != "":
+		key += "." + invalid.Key
+	case errors.As(err, &wrongType) && wrongType.Field != "":
+		key += "." + wrongType.Field
+	}
+	return &KeyError{Key: key, Problem: settingsKey + ": " + err.Error(), Err: err}
+}
--- a/internal/config/golden_test.go
+++ b/internal/config/golden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -112,6 +113,7 @@
 			got.KnownServers.Version, got.KnownServers.Full)
 	}
 	got.KnownServers = nil
+	requireIncomplete(t, &got)
 	want := goldenNode()
 	requireEqual(t, "Node", got, want)
 	requireEqual(t, "Settings", got.Settings.Settings, want.Settings.Settings)
@@ -126,9 +128,21 @@
 	want.Name, want.Listen, want.Discovery, want.ManagementAddr =
 		"node-2", "127.0.0.1:3002", "127.0.0.1:8502", "127.0.0.1:9002"
 	got.KnownServers = nil
+	requireIncomplete(t, &got)
 	requireEqual(t, "Node by variables", got, want)
 }
 
+// requireIncomplete checks that testdata/config.json, which has only the keys that nodes use, lacks a key for a reload.
+// It then removes the error from the node, because goldenNode has none.
+func requireIncomplete(t *testing.T, node *Node) {
+	t.Helper()
+	var keyError *KeyError
+	if !errors.As(node.Incomplete, &keyError) || keyError.Key != "settings.clients" {
+		t.Errorf("Incomplete: got %v, want a KeyError of settings.clients", node.Incomplete)
+	}
+	node.Incomplete = nil
+}
+
 // goldenOperator returns the content of testdata/operator.toml.
 func goldenOperator() Operator {
 	const second = Duration(time.Second)
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -29,8 +29,8 @@
 	// their numbers, including this node's. Both are empty if nodes may not send messages to one another.
 	PeerListen string
 	Peers      []netip.AddrPort
-
-	keys keySet // keys of the file, to find those that a reloaded file lacks
+	// Incomplete names the first key that a file must have at a reload and that the file of the start lacks; nil: none.
+	Incomplete error
 }
 
 // nodeFile is the content of config.json. The tags are the platform's names.
@@ -51,92 +51,116 @@
 	Settings   json.RawMessage `json:"settings"`
 }
 
-// ReadNode reads the GW_* variables and the file that GW_CONFIG names. A variable overrides the file.
+// ReadNode reads the GW_* variables and the file that GW_CONFIG names. A variable overrides the file. At a start a file
+// needs only the keys that this program uses; Node.Incomplete tells whether a reload of it would be rejected.
 func ReadNode(getenv func(string) string) (Node, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Node{}, ErrNoConfigFile
 	}
-	return readNodeFile(path, func(file *nodeFile) {
-		file.Name = cmp.Or(getenv("GW_NAME"), file.Name)
-		file.Listen = cmp.Or(getenv("GW_LISTEN"), file.Listen)
-		file.Discovery = cmp.Or(getenv("GW_DISCOVERY"), file.Discovery)
-		file.Mgmt = cmp.Or(getenv("GW_MGMT"), file.Mgmt)
-	})
+	file, err := readNodeFile(path)
+	if err != nil {
+		return Node{}, err
+	}
+	incomplete := file.checkKeys()
+	file.Name = cmp.Or(getenv("GW_NAME"), file.Name)
+	file.Listen = cmp.Or(getenv("GW_LISTEN"), file.Listen)
+	file.Discovery = cmp.Or(getenv("GW_DISCOVERY"), file.Discovery)
+	file.Mgmt = cmp.Or(getenv("GW_MGMT"), file.Mgmt)
+	node, err := file.node()
+	if err != nil {
+		return node, &FileError{File: path, Err: err}
+	}
+	if incomplete != nil {
+		node.Incomplete = &FileError{File: path, Err: incomplete}
+	}
+	return node, nil
 }
 
 // ReloadNode reads the file again. current is the configuration in force. Variables don't override the file, because
-// their values date from the start of the process. ReloadNode checks the whole file. The file must have every key of
-// the configuration in force, because a file that was cut short lacks settings that its author meant to keep.
+// their values date from the start of the process. ReloadNode checks the whole file. The file must have every key that
+// nodeKeys requires, because a file that was cut short lacks settings that its author meant to keep. Which keys the
+// file in force had does not matter.
 func ReloadNode(path string, current Node) (Node, error) {
-	node, err := readNodeFile(path, func(file *nodeFile) {
-		file.Listen = cmp.Or(file.Listen, current.Listen) // a variable may have set it
-	})
+	file, err := readNodeFile(path)
 	if err != nil {
-		return node, err
+		return Node{}, err
 	}
-	if key := current.keys.firstMissing(node.keys, ""); key != "" {
-		return node, &FileError{File: path, Err: &KeyError{
-			Key: key, Problem: key + " is missing: the configuration in force has it",
-		}}
+	if err := file.checkKeys(); err != nil {
+		return Node{}, &FileError{File: path, Err: err}
+	}
+	file.Listen = cmp.Or(file.Listen, current.Listen) // an empty address may have been overridden by a variable
+	node, err := file.node()
+	if err != nil {
+		return node, &FileError{File: path, Err: err}
 	}
 	node.Settings = node.Settings.WithIndicesOf(current.Settings)
 	return node, nil
 }
 
-// readNodeFile reads a file and checks it completely. override replaces values of the file before the check.
-func readNodeFile(path string, override func(*nodeFile)) (Node, error) {
+// parsedFile is the JSON object of a config.json.
+type parsedFile struct {
+	nodeFile
+	object map[string]any // all keys of the file
+}
+
+// readNodeFile reads a file and parses it.
+func readNodeFile(path string) (*parsedFile, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Node{}, err
+		return nil, err
 	}
-	node, err := decodeNode(raw, override)
+	file, err := parseNodeFile(raw)
 	if err != nil {
-		return node, &FileError{File: path, Err: err}
+		return nil, &FileError{File: path, Err: err}
 	}
-	return node, nil
+	return file, nil
 }
 
-// decodeNode decodes the text of a file and checks it. It reports the first error, in the order of the checks: the
-// addresses and limits, the settings, the peers (which the settings may forbid), the known servers.
-func decodeNode(raw []byte, override func(*nodeFile)) (Node, error) {
-	file, keys, err := parseNodeFile(raw)
-	if err != nil {
-		return Node{}, err
-	}
-	override(&file)
-	node := Node{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, ManagementAddr: file.Mgmt, Seed: file.seed(),
-		Sockets: file.Limits.Sockets, MemoryMB: file.Limits.MemoryMB, KnownServers: file.Known, keys: keys,
+// parseNodeFile parses the text of a file.
+func parseNodeFile(raw []byte) (*parsedFile, error) {
+	if len(bytes.TrimSpace(raw)) == 0 {
+		return nil, ErrEmptyFile
 	}
-	if err := node.check(); err != nil {
-		return node, err
+	var value any
+	if err := json.Unmarshal(raw, &value); err != nil {
+		return nil, err
 	}
-	if node.Settings, err = simwire.DecodeSettings(file.Settings); err != nil {
-		return node, &KeyError{Key: "settings", Problem: "settings: " + err.Error(), Err: err}
+	object, ok := value.(map[string]any)
+	if !ok {
+		return nil, ErrNoObject
 	}
-	if err := node.setPeers(file); err != nil {
-		return node, err
+	file := &parsedFile{object: object}
+	if err := json.Unmarshal(raw, &file.nodeFile); err != nil {
+		return nil, valueError(err)
 	}
-	return node, node.checkKnownServers()
+	return file, nil
 }
 
-// parseNodeFile decodes the text of a file and returns its content and its keys.
-func parseNodeFile(raw []byte) (file nodeFile, keys keySet, err error) {
-	if len(bytes.TrimSpace(raw)) == 0 {
-		return file, nil, ErrEmptyFile
+// needsMessageKeys reports whether the settings allow messages between several nodes.
+func (f *parsedFile) needsMessageKeys() bool {
+	settings, err := simwire.DecodeSettings(f.Settings)
+	return err == nil && settings.Limits.PeerMessages && settings.Nodes > 1
+}
+
+// node checks the values of the file. It reports the first error, in the order of the checks: the addresses and limits,
+// the settings, the peers (which the settings may forbid), the known servers.
+func (f *parsedFile) node() (Node, error) {
+	node := Node{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, ManagementAddr: f.Mgmt, Seed: f.seed(),
+		Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, KnownServers: f.Known,
 	}
-	var value any
-	if err := json.Unmarshal(raw, &value); err != nil {
-		return file, nil, err
+	if err := node.check(); err != nil {
+		return node, err
 	}
-	if _, ok := value.(map[string]any); !ok {
-		return file, nil, ErrNoObject
+	var err error
+	if node.Settings, err = simwire.DecodeSettings(f.Settings); err != nil {
+		return node, settingsError(err)
 	}
-	if err := json.Unmarshal(raw, &file); err != nil {
-		return file, nil, err
+	if err := node.setPeers(f.nodeFile); err != nil {
+		return node, err
 	}
-	return file, keysOf(value), nil
+	return node, node.checkKnownServers()
 }
 
 func (n *Node) check() error {
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -105,6 +105,7 @@
 		"limits":      map[string]any{"cores": 1, "memory_mb": nodeMemory, "sockets": nodeDescriptors},
 		"peer_listen": n.peer,
 		"peers":       peers,
+		"peers_all":   n.peer,
 		"known":       fakeserver.EncodeList(1, known),
 		"settings":    settings,
 	})
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"spurwinch/internal/config"
 	"spurwinch/internal/failover/agent"
 	"spurwinch/internal/operations/hotrestart"
@@ -71,6 +73,10 @@
 	if err != nil {
 		return err
 	}
+	if node.Incomplete != nil {
+		zap.L().Warn("configuration_incomplete", zap.Error(node.Incomplete),
+			zap.String("remedy", "add the key, otherwise this file is rejected at SIGHUP"))
+	}
 	p.shutdownTime = platformShutdownTime
 	p.onShutdown = append(p.onShutdown, func() { platform.peers.logCounts(platform.core.DroppedPeerMessages()) })
 	p.reloaders = append(p.reloaders, p.platformReloader(platform, configuration.nodePath))
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -46,10 +47,20 @@
 		})
 	default:
 		p.telemetry.counters.ReloadsFailed++
-		zap.L().Error("reload_rejected", zap.Error(err))
+		zap.L().Error("reload_rejected", zap.Error(err), zap.String("key", rejectedKey(err)),
+			zap.String("kept", "all files in force, with their addresses of discovery"))
 	}
 }
 
+// rejectedKey returns the key whose value is missing or invalid, or "" if the error concerns no single key.
+func rejectedKey(err error) string {
+	var conflict *policyConflictError
+	if errors.As(err, &conflict) {
+		return conflict.key
+	}
+	return config.InvalidKey(err)
+}
+
 // readFiles reads and checks all files. It returns functions that apply them.
 func (p *Program) readFiles() (apply []func(), err error) {
 	for _, read := range p.reloaders {
