--- a/internal/config/admission.go
+++ b/internal/config/admission.go
@@ -105,13 +105,28 @@
 	}
 }
 
+// checkPaths reports the files that a [[certificate]] table at a path does not name.
+func (c Certificate) checkPaths(file *tomlfile.File, path string) (valid bool) {
+	if c.Cert == "" {
+		file.Fault(path+"cert", "[[certificate]] without cert: must name the PEM file of the certificate")
+	}
+	if c.Key == "" {
+		file.Fault(path+"key", "[[certificate]] without key: must name the PEM file of the private key")
+	}
+	return c.Cert != "" && c.Key != ""
+}
+
 // readCertificates reads the certificate files. A fault in one of them is reported as a fault of the operator's file.
 func (o *Operator) readCertificates(file *tomlfile.File) {
 	var pairs []tls.Pair
 	for i, certificate := range o.Certificates {
+		path := fmt.Sprintf("certificate.%d.", i)
+		if !certificate.checkPaths(file, path) {
+			return
+		}
 		pair := tls.Pair{Cert: certificate.Cert, Key: certificate.Key}
 		if _, err := tls.Read([]tls.Pair{pair}, ""); err != nil {
-			file.Fault(fmt.Sprintf("certificate.%d.cert", i), "%v", err)
+			file.Fault(path+"cert", "%v", err)
 			return
 		}
 		pairs = append(pairs, pair)
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -92,7 +92,8 @@
 	found.addIf(!validFallMultiple, "fall_multiple", "fall_multiple must be greater than 0")
 	found.addIf(c.Discovery != "" && len(c.Servers) > 0, "discovery",
 		"discovery and [[cluster.host]] are mutually exclusive")
-	found.addIf(c.Discovery == "" && len(c.Servers) == 0, "name", "must have either discovery or a [[cluster.host]]")
+	found.addIf(c.Discovery == "" && len(c.Servers) == 0, "discovery",
+		"must have either discovery or a [[cluster.host]]")
 	if c.Discovery != "" {
 		_, err := netip.ParseAddrPort(c.Discovery)
 		found.addIf(err != nil, "discovery", "discovery %q is not IP:PORT", c.Discovery)
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -85,6 +85,10 @@
 
 // readSecret reads the fleet's key, which is the text of the file without leading and trailing white space.
 func (c *Fleet) readSecret(file *tomlfile.File) {
+	if c.KeyFile == "" {
+		file.Fault("fleet.key_file", "[fleet] without key_file: must name the file with the fleet's key")
+		return
+	}
 	raw, err := os.ReadFile(c.KeyFile)
 	if err != nil {
 		file.Fault("fleet.key_file", "[fleet] key_file: %v", err)
--- a/internal/config/fleetlist.go
+++ b/internal/config/fleetlist.go
@@ -77,13 +77,13 @@
 	if l.Policy != nil {
 		l.Policy.check(file)
 	}
-	l.checkNodes(file)
+	validNodes := l.checkNodes(file)
 	for i, distance := range l.RegionDistances {
-		if !distance.isValid() {
-			file.Fault(fmt.Sprintf("far.%d", i), regionDistanceProblem)
-		}
+		distance.check(file, fmt.Sprintf("far.%d", i))
+	}
+	if validNodes {
+		l.buildList(file)
 	}
-	l.buildList(file)
 }
 
 func (p *FleetPlan) check(file *tomlfile.File) {
@@ -109,14 +109,34 @@
 	}
 }
 
-func (d RegionDistance) isValid() bool { return len(d.Between) == 2 && d.Cost >= 1 } // false if the cost is NaN
+// check reports each key that is missing or invalid; path is the path of the table.
+func (d RegionDistance) check(file *tomlfile.File, path string) {
+	d.checkRegions(file, path)
+	validCost := d.Cost >= 1 // false for NaN
+	if !validCost {
+		file.Fault(path+".cost", regionDistanceProblem)
+	}
+}
+
+func (d RegionDistance) checkRegions(file *tomlfile.File, path string) {
+	if len(d.Between) != 2 {
+		file.Fault(path+".between", regionDistanceProblem)
+	}
+}
 
-// checkNodes checks each node and the number of voters.
-func (l *FleetList) checkNodes(file *tomlfile.File) {
+// checkNodes checks each node and the number of voters. It reports whether every node has a name and a zone.
+func (l *FleetList) checkNodes(file *tomlfile.File) (valid bool) {
 	voters := 0
+	valid = true
 	seen := map[string]bool{}
 	for i, node := range l.NodeList {
 		path := fmt.Sprintf("node.%d.", i)
+		for key, value := range map[string]string{"name": node.Name, "zone": node.Zone} {
+			if value == "" {
+				file.Fault(path+key, "node %q: %s is missing: each node must have a name and a zone", node.Name, key)
+				valid = false
+			}
+		}
 		if _, err := netip.ParseAddrPort(node.Addr); err != nil {
 			file.Fault(path+"addr", "node %q: address %q is not IP:PORT", node.Name, node.Addr)
 		} else if seen[node.Addr] {
@@ -134,6 +154,7 @@
 	if voters != 3 && voters != 5 && voters != 7 && !singleVoterAllowed {
 		file.Fault("node", "%d voters: there must be 3, 5 or 7 nodes with voter = true, in different zones", voters)
 	}
+	return valid
 }
 
 // buildList numbers the nodes and sets List and Addr. Every node that reads the same file gets the same numbers.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -190,7 +190,7 @@
 
 func (o *Operator) checkListeners(file *tomlfile.File) {
 	if len(o.Listeners) == 0 {
-		file.Fault("", "no [[listener]]: at least one with addr and protocol is required")
+		file.Fault("listener", "no [[listener]]: at least one with addr and protocol is required")
 	}
 	for i, listener := range o.Listeners {
 		listener.check(file, fmt.Sprintf("listener.%d.", i), len(o.Certificates) > 0)
@@ -252,7 +252,7 @@
 
 func (o *Operator) checkDomains(file *tomlfile.File, clusters map[string]bool) {
 	if len(o.Domains) == 0 {
-		file.Fault("", "no [[domain]]: at least one with name and cluster is required")
+		file.Fault("domain", "no [[domain]]: at least one with name and cluster is required")
 	}
 	classes := map[string]bool{}
 	for _, class := range o.Classes {
--- a/internal/config/policy.go
+++ b/internal/config/policy.go
@@ -149,9 +149,7 @@
 	tomlfile.Fill(&p.Failover.RecoveryDelay, defaultRecoveryDelay)
 	tomlfile.Fill(&p.Failover.RecoveryRamp, defaultRecoveryRamp)
 	for i, distance := range p.RegionDistances {
-		if len(distance.Between) != 2 {
-			file.Fault(fmt.Sprintf("far.%d", i), regionDistanceProblem)
-		}
+		distance.checkRegions(file, fmt.Sprintf("far.%d", i))
 	}
 }
 
--- a/internal/config/policy_test.go
+++ b/internal/config/policy_test.go
@@ -68,7 +68,7 @@
 		},
 		{`stay = ["plain"]`, `stay = ["none"]`, `p:22: stay: no class "none"`, 0},
 		{"", "", `p:2: unknown key "over_share_worth"`, 1},
-		{`between = ["a", "b"]`, `between = ["a"]`, "p:23: [[far]]: between", 0},
+		{`between = ["a", "b"]`, `between = ["a"]`, "p:24: [[far]]: between", 0},
 	} {
 		_, err := ReadPolicy("p", []byte(strings.Replace(validPolicy, test.old, test.new, 1)), test.level)
 		if err == nil || !strings.Contains(err.Error(), test.want) {
--- a/internal/policy/document_test.go
+++ b/internal/policy/document_test.go
@@ -49,7 +49,7 @@
 				UtilizationLimit: 0.8, RecoveryRamp: 0.2, RecoveryDelay: time.Second, RegionalClasses: []string{"x"},
 			}
 		},
-		"far.0": func(d *Document) {
+		"far.0.cost": func(d *Document) {
 			d.Failover = &FailoverRules{
 				UtilizationLimit: 0.8, RecoveryRamp: 0.2, RecoveryDelay: time.Second, RegionDistances: distance,
 			}
--- a/internal/policy/validate.go
+++ b/internal/policy/validate.go
@@ -88,8 +88,11 @@
 	if !used {
 		return
 	}
-	found.addIf(d.Base.Attempts < 1 || d.Base.Deadline <= 0, "ground",
-		"a class with without = \"ground\" requires a [ground] table with attempts and patience")
+	noAttempts, noDeadline := d.Base.Attempts < 1, d.Base.Deadline <= 0
+	const problem = "a class with without = \"ground\" requires a [ground] table with attempts and patience"
+	found.addIf(noAttempts && noDeadline, "ground", problem)
+	found.addIf(noAttempts && !noDeadline, "ground.attempts", problem)
+	found.addIf(noDeadline && !noAttempts, "ground.patience", problem)
 	found.addIf(d.Base.Attempts > d.Attempts, "ground.attempts",
 		"[ground] attempts = %d: must be at most attempts = %d", d.Base.Attempts, d.Attempts)
 	for _, class := range d.Classes {
@@ -115,9 +118,11 @@
 		found.addIf(!classes[name], "plan.stay", "stay: no class %q", name)
 	}
 	for i, distance := range r.RegionDistances {
-		valid := distance.A != "" && distance.B != "" && distance.Cost >= minRegionCost // false for NaN
-		found.addIf(!valid, fmt.Sprintf("far.%d", i),
-			"[[far]]: between = [REGION, REGION] and a cost of 1 or more are required")
+		const problem = "[[far]]: between = [REGION, REGION] and a cost of 1 or more are required"
+		path := fmt.Sprintf("far.%d", i)
+		found.addIf(distance.A == "" || distance.B == "", path+".between", problem)
+		validCost := distance.Cost >= minRegionCost // false for NaN
+		found.addIf(!validCost, path+".cost", problem)
 	}
 }
 
