--- a/internal/config/admission.go
+++ b/internal/config/admission.go
@@ -101,7 +101,7 @@
 		err = o.Networks.AddList(path, raw, exempt)
 	}
 	if err != nil {
-		file.Fault(key, "%v", err)
+		file.FaultError(key, err)
 	}
 }
 
@@ -126,7 +126,7 @@
 		}
 		pair := tls.Pair{Cert: certificate.Cert, Key: certificate.Key}
 		if _, err := tls.Read([]tls.Pair{pair}, ""); err != nil {
-			file.Fault(path+"cert", "%v", err)
+			file.FaultError(path+"cert", err)
 			return
 		}
 		pairs = append(pairs, pair)
@@ -136,6 +136,6 @@
 	}
 	var err error
 	if o.Keys, err = tls.Read(pairs, o.ClientAuthorities); err != nil {
-		file.Fault("client_authorities", "%v", err)
+		file.FaultError("client_authorities", err)
 	}
 }
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"strings"
@@ -57,7 +58,7 @@
 	}
 	list, err := ReadFleetList(c.Nodes)
 	if err != nil {
-		file.Fault("fleet.nodes", "%v", err)
+		file.FaultError("fleet.nodes", err)
 		return
 	}
 	c.List = list
@@ -91,7 +92,7 @@
 	}
 	raw, err := os.ReadFile(c.KeyFile)
 	if err != nil {
-		file.Fault("fleet.key_file", "[fleet] key_file: %v", err)
+		file.FaultError("fleet.key_file", fmt.Errorf("[fleet] key_file: %w", err))
 		return
 	}
 	key := strings.TrimSpace(string(raw))
--- a/internal/config/tomlfile/fault.go
+++ b/internal/config/tomlfile/fault.go
@@ -12,6 +12,7 @@
 	Line    int    // counted from 1; 0: the fault has no line
 	Key     string // path with indices of array tables, for example "class.0.aim"; empty: the fault has no key
 	Problem string // the invalid value and what is allowed, for operators
+	Cause   error  // the error that caused the fault, for example of another file; nil: the file itself is invalid
 }
 
 // String returns the fault in one line, for operators.
@@ -35,6 +36,19 @@
 	return f[0].String()
 }
 
+// Unwrap returns the errors that caused the faults. It returns none if one of the faults has no such cause, because the
+// file is then invalid whatever becomes of the others.
+func (f Faults) Unwrap() []error {
+	var causes []error
+	for _, fault := range f {
+		if fault.Cause == nil {
+			return nil
+		}
+		causes = append(causes, fault.Cause)
+	}
+	return causes
+}
+
 // SizeError is the error for a file of more than MaxBytes.
 type SizeError struct {
 	File  string
--- a/internal/config/tomlfile/tomlfile.go
+++ b/internal/config/tomlfile/tomlfile.go
@@ -112,6 +112,14 @@
 	})
 }
 
+// FaultError adds a fault that an error causes, for example of a file that the key at path names. The error remains
+// visible to errors.Is and errors.As through the Faults.
+func (f *File) FaultError(path string, cause error) {
+	f.faults = append(f.faults, Fault{
+		File: f.Name, Line: f.Line(path), Key: path, Problem: cause.Error(), Cause: cause,
+	})
+}
+
 // Err returns a Faults with all faults sorted by line, or nil if there are none. For a file that can't be decoded it
 // has only the first error.
 func (f *File) Err() error {
