--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 
 	"spurwinch/internal/config/tomlfile"
 	"spurwinch/internal/simwire"
@@ -77,10 +78,26 @@
 	if !errors.As(err, &invalid) {
 		return err
 	}
-	problem := fmt.Sprintf("%s must be of type %s, got a JSON %s", invalid.Field, invalid.Type, invalid.Value)
+	problem := fmt.Sprintf("%s must be %s, got a JSON %s", invalid.Field, jsonType(invalid.Type), invalid.Value)
 	return &KeyError{Key: invalid.Field, Problem: problem, Err: err}
 }
 
+// jsonType returns the JSON type, with its article, that the decoder wants for a Go type.
+func jsonType(wanted reflect.Type) string {
+	switch wanted.Kind() {
+	case reflect.Struct, reflect.Map, reflect.Pointer:
+		return "an object"
+	case reflect.Slice:
+		return "a list"
+	case reflect.String:
+		return "a string"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	default:
+		return "of type " + wanted.String()
+	}
+}
+
 // settingsError converts an error of simwire.DecodeSettings to a *KeyError.
 func settingsError(err error) error {
 	key := settingsKey
--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -101,7 +101,8 @@
 // parsedFile is the JSON object of a config.json.
 type parsedFile struct {
 	nodeFile
-	object map[string]any // all keys of the file
+	object    map[string]any // all keys of the file
+	wrongType error          // a value has a wrong type, so that nodeFile is not complete; nil: none has
 }
 
 // readNodeFile reads a file and parses it.
@@ -122,18 +123,17 @@
 	if len(bytes.TrimSpace(raw)) == 0 {
 		return nil, ErrEmptyFile
 	}
-	var value any
-	if err := json.Unmarshal(raw, &value); err != nil {
+	file := &parsedFile{}
+	document, err := nodeKeys.Decode(raw, &file.nodeFile)
+	if document == nil && err != nil {
 		return nil, err
 	}
-	object, ok := value.(map[string]any)
+	object, ok := document.(map[string]any)
 	if !ok {
 		return nil, ErrNoObject
 	}
-	file := &parsedFile{object: object}
-	if err := json.Unmarshal(raw, &file.nodeFile); err != nil {
-		return nil, valueError(err)
-	}
+	file.object = object
+	file.wrongType = valueError(err)
 	return file, nil
 }
 
@@ -143,9 +143,12 @@
 	return err == nil && settings.Limits.PeerMessages && settings.Nodes > 1
 }
 
-// node checks the values of the file. It reports the first error, in the order of the checks: the addresses and limits,
-// the settings, the peers (which the settings may forbid), the known servers.
+// node checks the values of the file. It reports the first error, in the order of the checks: the types of values, the
+// addresses and limits, the settings, the peers (which the settings may forbid), the known servers.
 func (f *parsedFile) node() (Node, error) {
+	if f.wrongType != nil {
+		return Node{}, f.wrongType
+	}
 	node := Node{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, ManagementAddr: f.Mgmt, Seed: f.seed(),
 		Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, KnownServers: f.Known,
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -288,10 +291,12 @@
 	}{
 		{"limits", nil, "limits is missing"},
 		{"known", nil, "known is missing"},
-		{"known", []any{}, "known must be"},
+		{"known", []any{}, "known must be an object"},
 		{"settings", []any{}, "settings must be an object"},
 		{"settings", nil, "settings is missing"},
-		{"limits", 5, "limits must be"},
+		{"limits", 5, "limits must be an object"},
+		{"listen", 5, "listen must be a string, got a JSON number"},
+		{"peers", "a", "peers must be a list, got a JSON string"},
 		{"seed", nil, "seed is missing"},
 		{"mgmt", nil, ""},
 	} {
@@ -332,3 +337,38 @@
 		}
 	}
 }
+
+// TestNamesOfKeysAreCaseSensitive guards against an unknown key that is read in place of a known one because it differs
+// from it only in upper and lower case. It adds such a key beside each known one.
+func TestNamesOfKeysAreCaseSensitive(t *testing.T) {
+	document := fullConfig(t)
+	want, err := decodeNode([]byte(encodeDocument(t, document)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	withEachObject(document, "", 0, func(object map[string]any, path string, _ int) {
+		for _, name := range slices.Sorted(maps.Keys(object)) {
+			// encodeDocument sorts keys, and a decoder that ignores case takes the last one.
+			last := len(name) - 1
+			for _, similar := range []string{strings.ToUpper(name), name[:last] + strings.ToUpper(name[last:])} {
+				if _, known := object[similar]; known {
+					continue
+				}
+				object[similar] = "not known"
+				got, err := decodeNode([]byte(encodeDocument(t, document)))
+				delete(object, similar)
+				if err != nil || !reflect.DeepEqual(got, want) {
+					t.Errorf("file with %s.%s: got error %v, want the node of the file without it", path, similar, err)
+				}
+			}
+		}
+	})
+}
+
+// TestUnknownNumbersMayHaveAnySize checks that a number that fits no float64 is ignored under an unknown key.
+func TestUnknownNumbersMayHaveAnySize(t *testing.T) {
+	text := strings.Replace(completeConfig, `"seed"`, `"further":1e999,"seed"`, 1)
+	if _, err := reloadText(t, completeConfig, text); err != nil {
+		t.Errorf("reload with an unknown key of 1e999: got error %v, want none", err)
+	}
+}
--- a/internal/simwire/keytable.go
+++ b/internal/simwire/keytable.go
@@ -1,6 +1,8 @@
 package simwire
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -62,6 +64,57 @@
 	return nil
 }
 
+// Decode decodes the keys of a JSON document that the table lists into target, a pointer to a struct, and returns the
+// whole document as encoding/json decodes it to any, with numbers as json.Number. Names of keys are case-sensitive,
+// unlike those of json.Unmarshal, which would take an unknown key for a known one in other case. Decode doesn't check
+// that the document has all keys. The error is one of encoding/json.
+func (t KeyTable) Decode(raw []byte, target any) (document any, err error) {
+	var syntaxCheck json.RawMessage
+	if err := json.Unmarshal(raw, &syntaxCheck); err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber() // so that no number is changed or out of range before its key is known
+	if err := decoder.Decode(&document); err != nil {
+		return nil, err
+	}
+	known, err := json.Marshal(t.prune(document))
+	if err != nil {
+		return nil, err
+	}
+	return document, json.Unmarshal(known, target)
+}
+
+// prune returns a value without the keys that the table doesn't list. It returns a value that is no object as it is.
+func (t KeyTable) prune(value any) any {
+	object, ok := value.(map[string]any)
+	if !ok {
+		return value
+	}
+	known := map[string]any{}
+	for name, key := range t {
+		if inner, ok := object[name]; ok {
+			known[name] = key.prune(inner)
+		}
+	}
+	return known
+}
+
+func (k Key) prune(value any) any {
+	list, isList := value.([]any)
+	switch {
+	case k.Object != nil:
+		return k.Object.prune(value)
+	case k.List == nil || !isList:
+		return value
+	}
+	known := make([]any, len(list))
+	for i, element := range list {
+		known[i] = k.List.prune(element)
+	}
+	return known
+}
+
 func joinPath(path, name string) string {
 	if path == "" {
 		return name
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -23,16 +23,16 @@
 	if len(raw) == 0 {
 		return Settings{}, ErrNoSetup
 	}
-	var value any
-	if err := json.Unmarshal(raw, &value); err != nil {
-		return Settings{}, fmt.Errorf("setup: %w", err)
-	}
 	var decoded setup
+	value, decodeErr := usedKeys.Decode(raw, &decoded)
+	if value == nil && decodeErr != nil {
+		return Settings{}, fmt.Errorf("setup: %w", decodeErr)
+	}
 	if err := usedKeys.CheckKeys(value, ""); err != nil {
 		return Settings{}, setupError(err)
 	}
-	if err := json.Unmarshal(raw, &decoded); err != nil {
-		return Settings{}, fmt.Errorf("setup: %w", err)
+	if decodeErr != nil {
+		return Settings{}, fmt.Errorf("setup: %w", decodeErr)
 	}
 	if err := decoded.check(); err != nil {
 		return Settings{}, err
