--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -10,7 +10,6 @@
 	"spurwinch/choice"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/platform/discovery"
 	"spurwinch/internal/transport/tls"
 	"spurwinch/internal/xmpp"
 )
@@ -42,7 +41,7 @@
 	seed      uint64
 	xmpp      *xmpp.Front
 	addrs     []netip.AddrPort            // addresses of the listeners
-	watches   map[string]*discovery.Watch // by cluster name; only clusters that use discovery have one
+	clusters  map[string]*operatorCluster // by name
 	keys      tls.Keys
 	firstSeen map[string]time.Time // when a static server was added, by serverKey; zero: at the start of the node
 }
@@ -53,7 +52,7 @@
 		program:   program,
 		path:      path,
 		seed:      seed,
-		watches:   map[string]*discovery.Watch{},
+		clusters:  map[string]*operatorCluster{},
 		firstSeen: map[string]time.Time{},
 	}
 	program.operator = fronts
@@ -79,27 +78,27 @@
 
 // addCluster sets up the core of a cluster; number is the cluster's index in the file.
 func (o *operatorFronts) addCluster(file config.Operator, entry config.Cluster, number int) error {
-	settings := file.Settings(entry)
-	seed := o.seed + uint64(number)
+	cluster := &operatorCluster{name: entry.Name, settings: file.Settings(entry), seed: o.seed + uint64(number)}
+	settings := cluster.settings
 	observer, err := o.program.startCapture(file.Capture, entry.Name, settings, []string{sessionLoadField})
 	if err != nil {
 		return err
 	}
-	var core *edge.Core
-	var watch *discovery.Watch
-	options := o.program.coreOptions(settings, seed, observer)
-	options.HealthChecker = sessionLoad{func() *edge.Core { return core }, entry.Sessions / float64(entry.Nodes)}
-	options.WatchList = func() { watch.Follow() }
+	options := o.program.coreOptions(settings, cluster.seed, observer)
+	options.HealthChecker = sessionLoad{
+		func() *edge.Core { return cluster.core }, entry.Sessions / float64(entry.Nodes),
+	}
+	options.WatchList = cluster.followList
 	options.DrainPeriod = time.Duration(entry.DrainPeriod)
-	core, err = edge.New(options)
+	cluster.core, err = edge.New(options)
 	if err != nil {
 		return fmt.Errorf("%s: cluster %q: %w", o.path, entry.Name, err)
 	}
 	if entry.Discovery != "" {
-		watch = discovery.New(o.program.loop, entry.Discovery, nil, watchMode(settings), seed, core.UpdateServers)
-		o.watches[entry.Name] = watch
+		cluster.watchDiscovery(o.program.loop, entry.Discovery)
 	}
-	o.program.startCore(entry.Name, core, o.initialServers(entry))
+	o.clusters[entry.Name] = cluster
+	o.program.startCore(entry.Name, cluster.core, o.initialServers(entry))
 	return nil
 }
 
--- a/internal/node/operator_reload_test.go
+++ b/internal/node/operator_reload_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"spurwinch/internal/lab/transcript"
 	"spurwinch/internal/lab/xmppserver"
 )
 
@@ -55,6 +56,44 @@
 	return device
 }
 
+// TestReloadChangesWhereServersComeFrom guards against a cluster that gains or loses its discovery at a reload and goes
+// on with the servers of before: their sessions are not told to leave, and new ones go there.
+func TestReloadChangesWhereServersComeFrom(t *testing.T) {
+	var servers []*xmppserver.Server
+	node := newRestartedXMPPNodeWith(t, 2, func(all []*xmppserver.Server) string {
+		servers = all
+		return staticCluster(all[:1])
+	})
+	first := requireSessionAt(t, node, "first", "h0")
+	service := newListService(t, servers)
+	service.removeServer(0)
+	node.replaceCluster(t, discoveryKey(service))
+	awaitOnlyServer(t, node.current, "h1")
+	first.client.SetDeadline(time.Now().Add(testTimeout))
+	checkEnds(t, first.user, first.client, "system-shutdown")
+	second := requireSessionAt(t, node, "second", "h1")
+
+	node.replaceCluster(t, staticCluster(servers[:1]))
+	awaitOnlyServer(t, node.current, "h0")
+	second.client.SetDeadline(time.Now().Add(testTimeout))
+	checkEnds(t, second.user, second.client, "system-shutdown")
+	service.update(func() { service.servers[0].State = "DRAINING" })
+	transcript.WaitFor(t, "server h0, which counts as just started, takes a session", func() bool {
+		client, _, err := xmppserver.Connect(
+			node.addrs[cleartext], "third", "", xmppserver.LoginPlain, time.Now().Add(testTimeout))
+		if err != nil {
+			return false
+		}
+		closeAtEnd(t, client.Conn)
+		return strings.HasPrefix(client.ID, "h0-")
+	})
+	node.current.runOn(func() {
+		if node.current.operator.clusters["k"].watch != nil {
+			t.Error("cluster with static servers: got a watch of its former discovery, want none")
+		}
+	})
+}
+
 // TestOtherDiscoveryListsRunningServers guards against servers that count as just started because a cluster's discovery
 // has another address: sessions are refused there for the length of a slow start.
 func TestOtherDiscoveryListsRunningServers(t *testing.T) {
--- a/internal/node/operatorreload.go
+++ b/internal/node/operatorreload.go
@@ -8,7 +8,6 @@
 	"spurwinch/choice"
 	"spurwinch/internal/config"
 	"spurwinch/internal/edge"
-	"spurwinch/internal/platform/discovery"
 )
 
 // readFile reads and checks the current file. It returns a function that applies the file.
@@ -26,31 +25,21 @@
 		zap.L().Info("certificates_loaded", zap.Int("certificates", len(file.Certificates)))
 	}
 	for _, entry := range file.Clusters {
-		core := o.program.coreByCluster[entry.Name]
-		watch := o.watches[entry.Name]
+		cluster := o.clusters[entry.Name]
 		switch {
-		case core == nil || (watch != nil) != (entry.Discovery != ""):
+		case cluster == nil:
 			zap.L().Warn("reload_needs_restart", zap.String("cluster", entry.Name),
-				zap.String("cause", "the cluster is new, or its discovery address was added or removed"))
-		case watch != nil:
-			applyDiscoveryAddress(core, watch, entry)
+				zap.String("cause", "the cluster is new"))
+		case entry.Discovery != "":
+			o.forgetFirstSeen(entry.Name, nil)
+			cluster.setDiscovery(o.program.loop, entry.Discovery)
 		default:
-			o.applyStaticServers(core, entry)
+			cluster.removeDiscovery()
+			o.applyStaticServers(cluster.core, entry)
 		}
 	}
 }
 
-// applyDiscoveryAddress applies the address of a cluster's discovery.
-func applyDiscoveryAddress(core *edge.Core, watch *discovery.Watch, entry config.Cluster) {
-	if address, _ := watch.Position(); address == entry.Discovery {
-		return
-	}
-	zap.L().Info("discovery_address_changed", zap.String("cluster", entry.Name),
-		zap.String("address", entry.Discovery))
-	core.ListSourceChanged()
-	watch.SetAddress(entry.Discovery)
-}
-
 // applyStaticServers applies a cluster's static servers. A server that is removed and later added again counts as a new
 // server.
 func (o *operatorFronts) applyStaticServers(core *edge.Core, entry config.Cluster) {
@@ -59,11 +48,16 @@
 	for _, server := range servers {
 		listed[serverKey(entry.Name, string(server.ID))] = true
 	}
+	o.forgetFirstSeen(entry.Name, listed)
+	core.UpdateServers(choice.ListFull, servers)
+	zap.L().Info("hosts_reloaded", zap.String("cluster", entry.Name), zap.Int("hosts", len(servers)))
+}
+
+// forgetFirstSeen removes the entries of a cluster's servers from firstSeen, except those with the given keys.
+func (o *operatorFronts) forgetFirstSeen(cluster string, except map[string]bool) {
 	for key := range o.firstSeen {
-		if strings.HasPrefix(key, serverKey(entry.Name, "")) && !listed[key] {
+		if strings.HasPrefix(key, serverKey(cluster, "")) && !except[key] {
 			delete(o.firstSeen, key)
 		}
 	}
-	core.UpdateServers(choice.ListFull, servers)
-	zap.L().Info("hosts_reloaded", zap.String("cluster", entry.Name), zap.Int("hosts", len(servers)))
 }
--- a/internal/node/upgrade_list_test.go
+++ b/internal/node/upgrade_list_test.go
@@ -179,7 +179,7 @@
 func awaitVersion(t *testing.T, process *process, version int64) {
 	t.Helper()
 	awaitOn(t, process, "the process has a list of its discovery", func() bool {
-		_, got := process.operator.watches["k"].Position()
+		_, got := process.operator.clusters["k"].watch.Position()
 		return got >= version
 	})
 }
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -120,10 +120,17 @@
 	w.addr = addr
 	w.version = 0
 	w.versionKnown = false
+	w.Stop()
+	w.poll()
+}
+
+// Stop ends all calls and discards their responses. Unless SetAddress or Follow is called later, the watch makes no
+// further call.
+func (w *Watch) Stop() {
 	w.close()
 	w.dropLateCalls()
 	w.cancelTimer()
-	w.poll()
+	w.polling = false
 }
 
 // poll starts a call and the timer for its deadline.
