--- a/internal/config/node.go
+++ b/internal/config/node.go
@@ -31,6 +31,11 @@
 	Peers      []netip.AddrPort
 	// Incomplete names the first key that a file must have at a reload and that the file of the start lacks; nil: none.
 	Incomplete error
+	// RestartKeys are the keys of a reloaded file whose values differ from those of the start's file and are applied
+	// only at a restart.
+	RestartKeys []string
+
+	fixed fixedValues // of the start's file
 }
 
 // nodeFile is the content of config.json. The tags are the platform's names.
@@ -95,6 +100,8 @@
 		return node, &FileError{File: path, Err: err}
 	}
 	node.Settings = node.Settings.WithIndicesOf(current.Settings)
+	node.RestartKeys = current.fixed.changedIn(node.fixed)
+	node.fixed = current.fixed
 	return node, nil
 }
 
@@ -102,7 +109,8 @@
 type parsedFile struct {
 	nodeFile
 	object    map[string]any // all keys of the file
-	wrongType error          // a value has a wrong type, so that nodeFile is not complete; nil: none has
+	fixed     fixedValues
+	wrongType error // a value has a wrong type, so that nodeFile is not complete; nil: none has
 }
 
 // readNodeFile reads a file and parses it.
@@ -133,6 +141,7 @@
 		return nil, ErrNoObject
 	}
 	file.object = object
+	file.fixed = fixedValues{Name: file.Name, Listen: file.Listen, Mgmt: file.Mgmt, PeerListen: file.PeerListen}
 	file.wrongType = valueError(err)
 	return file, nil
 }
@@ -151,7 +160,7 @@
 	}
 	node := Node{
 		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, ManagementAddr: f.Mgmt, Seed: f.seed(),
-		Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, KnownServers: f.Known,
+		Sockets: f.Limits.Sockets, MemoryMB: f.Limits.MemoryMB, KnownServers: f.Known, fixed: f.fixed,
 	}
 	if err := node.check(); err != nil {
 		return node, err
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -38,6 +38,7 @@
 type operatorFronts struct {
 	program   *Program
 	path      string
+	file      config.Operator // of the start; a reload doesn't change it
 	seed      uint64
 	xmpp      *xmpp.Front
 	addrs     []netip.AddrPort            // addresses of the listeners
@@ -51,6 +52,7 @@
 	fronts := &operatorFronts{
 		program:   program,
 		path:      path,
+		file:      file,
 		seed:      seed,
 		clusters:  map[string]*operatorCluster{},
 		firstSeen: map[string]time.Time{},
--- a/internal/node/operatorreload.go
+++ b/internal/node/operatorreload.go
@@ -18,6 +18,7 @@
 
 // apply applies the per-peer limits, the certificates, the static servers and the discovery addresses of a file.
 func (o *operatorFronts) apply(file config.Operator) {
+	logRestartKeys(o.path, o.file.RestartKeys(&file))
 	o.xmpp.SetAdmissionRules(file.AdmissionRules())
 	if file.Keys != nil {
 		o.keys.Use(file.Keys)
@@ -27,9 +28,7 @@
 	for _, entry := range file.Clusters {
 		cluster := o.clusters[entry.Name]
 		switch {
-		case cluster == nil:
-			zap.L().Warn("reload_needs_restart", zap.String("cluster", entry.Name),
-				zap.String("cause", "the cluster is new"))
+		case cluster == nil: // it is new, and among the keys that need a restart
 		case entry.Discovery != "":
 			o.forgetFirstSeen(entry.Name, nil)
 			cluster.setDiscovery(o.program.loop, entry.Discovery)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -73,6 +73,14 @@
 	return apply, nil
 }
 
+// logRestartKeys logs the keys of a file whose new values are not applied before a restart.
+func logRestartKeys(file string, keys []string) {
+	if len(keys) > 0 {
+		zap.L().Warn("reload_needs_restart", zap.String("file", file), zap.Strings("keys", keys),
+			zap.String("kept", "the values of the start, until a restart"))
+	}
+}
+
 // platformReloader returns the reloader of the platform's front.
 func (p *Program) platformReloader(platform *platform, path string) reloader {
 	return func() (apply func(), err error) {
@@ -83,6 +91,7 @@
 			}
 		}
 		return func() {
+			logRestartKeys(path, next.RestartKeys)
 			platform.reload(next)
 			p.restart.setLimits(next)
 			if p.fleet != nil {
