--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -68,6 +68,10 @@
 	WatchList     func() // asks service discovery to push changes of the endpoint list
 	// SendPeerMessage sends a message to the node with the given number; nil: there are no peers.
 	SendPeerMessage func(to int, message []byte)
+	// AskOtherProcesses asks the other processes of the node whether a request with an id is open there. It reports
+	// whether there is one to ask; if so, done is called once, after AskOtherProcesses has returned. nil: requests have
+	// ids that no other process has.
+	AskOtherProcesses func(id choice.RequestID, done func(inUse bool)) (asked bool)
 	// DrainPeriod is the time over which the core migrates a draining server's clients, one by one. 0: the core
 	// migrates none; the servers themselves ask their clients to reconnect.
 	DrainPeriod time.Duration
--- a/internal/edge/reply.go
+++ b/internal/edge/reply.go
@@ -51,7 +51,7 @@
 func (r *Request) rejectNow(reply LocalReply) {
 	switch {
 	case !r.waiting():
-	case r.OpenAt != "" || !r.registered():
+	case r.OpenAt != "" || r.unconfirmed || !r.registered():
 		r.answerAndCancel(reply)
 	default:
 		r.pendingReply = &reply
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -29,6 +29,7 @@
 	open         bool // the connection is established
 	finished     bool // answered without an open connection, its client left, or its connection has ended
 	committed    bool // a server's bytes have reached the client, so no other server can take over
+	unconfirmed  bool // another process may have an open request with its id; the balancer doesn't know it yet
 	transferring bool // its sockets are detached from the event loop; another process may have the connection
 
 	stopDeadline       func()
@@ -73,11 +74,9 @@
 	c.options.Trace.Read(string(request.ID), request.class.Name, request.Deadline.Sub(request.observed.arrivedAt))
 	// The balancer enforces the deadline; this timer covers a request that the balancer has lost.
 	request.stopDeadline = c.options.Clock.At(request.Deadline, request.expired)
-	if request.OpenAt != "" {
-		c.runNext(request.attemptOpenAt)
-		return request
+	if !request.confirm() {
+		request.place()
 	}
-	c.notify(request.event())
 	return request
 }
 
@@ -126,7 +125,7 @@
 	} else {
 		r.observeAnswer(ClientLeft)
 	}
-	if !r.open && r.registered() && !r.core.withdraw(r.ID) {
+	if !r.open && !r.unconfirmed && r.registered() && !r.core.withdraw(r.ID) {
 		r.core.notify(choice.ClientGone{ID: r.ID})
 	}
 	if r.attempt != nil {
@@ -164,7 +163,9 @@
 	if !r.waiting() {
 		return
 	}
-	zap.L().Error("deadline_unanswered", zap.String("request", string(r.ID)))
+	if !r.unconfirmed {
+		zap.L().Error("deadline_unanswered", zap.String("request", string(r.ID)))
+	}
 	r.rejectNow(LocalReply{Rejected: true, Reason: trace.PastDeadline})
 	r.core.runNext(func() {
 		if r.waiting() { // the balancer doesn't know the request; an attempt that was started may have run
--- a/internal/edge/transfer.go
+++ b/internal/edge/transfer.go
@@ -144,6 +144,7 @@
 	request.guard = c.options.Monitor.Adopted(invariant.RequestFacts{ID: string(state.ID), Class: state.Class})
 	attempt.server.inFlight++
 	request.attempt = attempt
+	c.yieldID(state.ID)
 	if c.requests[state.ID] != nil { // the balancer knows only the first request of an id, so migrate this one
 		c.options.Clock.At(now, request.migrate)
 		return request, attempt
--- a/internal/node/golden_hotrestart_test.go
+++ b/internal/node/golden_hotrestart_test.go
@@ -179,7 +179,8 @@
 }
 
 // TestGoldenLearned checks the encoding of a process's learned state, which doesn't include its connections. The file
-// learned.cbor is of a release that sends only modules and sessions without a stream.
+// learned.cbor is of a release that sends only modules and sessions without a stream, learned-sessions.cbor of one that
+// doesn't answer queries.
 func TestGoldenLearned(t *testing.T) {
 	kind := choice.LearnedKind{Kind: "std-2c", ReportedLoad: 1.1, ConnectionLoad: 1.2, Reports: 1.3}
 	server := choice.LearnedServer{
@@ -201,5 +202,7 @@
 	state.Ended = []resumable.Key{{Domain: "farm.example", ID: "sm-2"}}
 	state.AcceptsSessions = true
 	state.Lists = map[string][]listedServer{"k": {{Server: goldenOpen().Server, Addr: "10.1.0.18:3000"}}}
-	checkGolden(t, "learned-sessions", state, cbor.Unmarshal)
+	checkEncoding(t, "learned-sessions", state, cbor.Unmarshal)
+	state.AnswersQueries = true
+	checkGolden(t, "learned-queries", state, cbor.Unmarshal)
 }
--- a/internal/node/hotrestart.go
+++ b/internal/node/hotrestart.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"spurwinch/choice"
 	"spurwinch/internal/loop"
 	"spurwinch/internal/operations/hotrestart"
 	"spurwinch/internal/platform/discovery"
@@ -107,6 +108,7 @@
 func (h *hotRestart) startCoordinator(path string) {
 	h.sessions.init(h)
 	h.importLearnedState(h.predecessor) // first, since the coordinator may have received newer state
+	parentAnswers := h.predecessor.AnswersQueries
 	h.predecessor = learnedState{}
 	if path != "" {
 		h.coordinator = hotrestart.NewCoordinator(hotrestart.Options{
@@ -115,12 +117,16 @@
 			Grant:   h.newGrant,
 			Changed: h.onCoordinatorChanged,
 			Drained: h.sessions.send,
+			IDInUse: h.idInUse,
 			TransferHandler: hotrestart.TransferHandler{
 				FreeDescriptors: h.freeDescriptors,
 				Prepare:         h.prepareBatch,
 				Learned:         h.importFrom,
 			},
 		}, h.grant)
+		if parentAnswers {
+			h.coordinator.ParentAnswersQueries()
+		}
 	}
 	h.sessions.followLinks()
 	if !h.sharedUntil.IsZero() {
@@ -177,3 +183,16 @@
 		h.program.loop.At(h.program.loop.Now(), h.transferAndFinish)
 	}
 }
+
+// askOtherProcesses asks the other processes whether a request of the platform's front with an id is open there. It
+// reports whether there is one to ask.
+func (h *hotRestart) askOtherProcesses(id choice.RequestID, done func(inUse bool)) (asked bool) {
+	return h.coordinator != nil && h.coordinator.AskID(string(id), done)
+}
+
+// idInUse reports whether a request of the platform's front with an id is open in this process. If both processes have
+// a new request with one id, that of the process that started first is served.
+func (h *hotRestart) idInUse(id string, asker hotrestart.Peer) bool {
+	platform := h.program.platform
+	return platform != nil && platform.core.HasRequest(choice.RequestID(id), asker == hotrestart.Successor)
+}
--- a/internal/node/learnedstate.go
+++ b/internal/node/learnedstate.go
@@ -22,6 +22,8 @@
 	// Lists has the endpoint lists of the clusters of the operator's file, by cluster name. Only a grant has them.
 	Lists map[string][]listedServer `cbor:"6,keyasint,omitempty"`
 
+	// AnswersQueries is set by a process that its successor may ask whether a request is open there.
+	AnswersQueries bool `cbor:"7,keyasint,omitempty"`
 	// AcceptsSessions is set by a process that its successor may send Sessions, Connected and Ended.
 	AcceptsSessions bool `cbor:"5,keyasint,omitempty"`
 }
@@ -56,7 +58,10 @@
 
 // learnedState returns what this process's balancers have learned.
 func (h *hotRestart) learnedState() learnedState {
-	state := learnedState{Modules: map[string]choice.LearnedState{}, AcceptsSessions: h.program.xmpp != nil}
+	state := learnedState{
+		Modules: map[string]choice.LearnedState{}, AcceptsSessions: h.program.xmpp != nil,
+		AnswersQueries: h.program.platform != nil,
+	}
 	for cluster, core := range h.program.coreByCluster {
 		state.Modules[cluster] = core.LearnedState()
 	}
@@ -110,6 +115,9 @@
 			core.ImportLearnedState(learned)
 		}
 	}
+	if state.AnswersQueries && h.coordinator != nil {
+		h.coordinator.ParentAnswersQueries()
+	}
 	h.sessions.merge(resumable.Predecessor, state)
 	if state.AcceptsSessions {
 		h.sessions.parentAccepts = true
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -123,6 +123,7 @@
 	options := p.coreOptions(settings, node.Seed, observer)
 	options.HealthChecker = platform.upstream
 	options.WatchList = func() { platform.listWatch.Follow() }
+	options.AskOtherProcesses = p.restart.askOtherProcesses
 	options.SendPeerMessage = func(to int, message []byte) { platform.peers.send(to, message) }
 	core, err := edge.New(options)
 	if err != nil {
--- a/internal/operations/hotrestart/coordinator.go
+++ b/internal/operations/hotrestart/coordinator.go
@@ -25,6 +25,7 @@
 	socketFile      os.FileInfo // the socket file at the path, if this process created it
 	closed          bool
 	lastLinkNumber  int
+	lastQuery       uint64 // number of the last query
 }
 
 // Options are the dependencies of a Coordinator.
@@ -37,6 +38,10 @@
 	// answered a batch. It is also called when the process at the other end of a link has ended, and when the parent
 	// has raised the quota.
 	Changed func()
+	// IDInUse reports whether a request with an id is open in this process, for another process that has a new request
+	// with the same id. If both processes ask each other at the same time, the parent's request counts as open and the
+	// successor's doesn't. nil: this process has no requests whose clients choose the id.
+	IDInUse func(id string, asker Peer) bool
 	// Drained is called when a link has written its pending data, so that it takes learned state again. It may be nil.
 	Drained func()
 	TransferHandler
@@ -108,7 +113,7 @@
 // newLink returns a link without its connection.
 func (c *Coordinator) newLink() *link {
 	c.lastLinkNumber++
-	return &link{coordinator: c, number: c.lastLinkNumber}
+	return &link{coordinator: c, number: c.lastLinkNumber, queries: map[uint64]*idQuery{}}
 }
 
 // HasPredecessor reports whether the parent, which sent the grant, still runs.
--- a/internal/operations/hotrestart/golden_test.go
+++ b/internal/operations/hotrestart/golden_test.go
@@ -56,7 +56,7 @@
 	})
 }
 
-// goldenMessages returns a message of each kind with its fields, and one message with every field.
+// goldenMessages returns a message of each kind with its fields, and one message with every field but those of queries.
 func goldenMessages() map[string]message {
 	list := goldenList()
 	return map[string]message{
@@ -66,15 +66,17 @@
 			Discovery: "127.0.0.1:4000", List: &list, Descriptors: 100, TransferVersion: 1,
 			Learned: []byte("learned\x00\xff"),
 		},
-		"ready":   {Kind: "ready"},
-		"room":    {Kind: "room", Descriptors: 150},
-		"free":    {Kind: "free", Descriptors: 9},
-		"batch":   {Kind: "batch", Size: 20},
-		"learned": {Kind: "learned", Size: 5},
-		"held":    {Kind: "held", Descriptors: 3},
-		"refused": {Kind: "refused"},
-		"given":   {Kind: "given"},
-		"back":    {Kind: "back"},
+		"ready":     {Kind: "ready"},
+		"room":      {Kind: "room", Descriptors: 150},
+		"free":      {Kind: "free", Descriptors: 9},
+		"batch":     {Kind: "batch", Size: 20},
+		"learned":   {Kind: "learned", Size: 5},
+		"held":      {Kind: "held", Descriptors: 3},
+		"refused":   {Kind: "refused"},
+		"given":     {Kind: "given"},
+		"back":      {Kind: "back"},
+		"id_query":  {Kind: "id_query", ID: "9b1f03aa5c7e2d41", Query: 7},
+		"id_answer": {Kind: "id_answer", Query: 7, InUse: true},
 		"every-field": {
 			Kind: "every", Version: 2, Sockets: []string{"127.0.0.1:3000", "[::1]:5222"}, HasDatagrams: true,
 			Discovery: "d:1", List: &list, Descriptors: 3, TransferVersion: 4,
@@ -100,10 +102,15 @@
 			}
 		})
 	}
-	every := reflect.ValueOf(goldenMessages()["every-field"])
-	for i := range every.NumField() {
-		if every.Field(i).IsZero() {
-			t.Errorf("message with every field: got no value in %s, want one", every.Type().Field(i).Name)
+	messages := goldenMessages()
+	fields := reflect.TypeFor[message]()
+	for i := range fields.NumField() {
+		isSet := false
+		for _, name := range []string{"every-field", "id_query", "id_answer"} {
+			isSet = isSet || !reflect.ValueOf(messages[name]).Field(i).IsZero()
+		}
+		if !isSet {
+			t.Errorf("messages with every field: got no value in %s, want one", fields.Field(i).Name)
 		}
 	}
 }
--- a/internal/operations/hotrestart/link.go
+++ b/internal/operations/hotrestart/link.go
@@ -14,18 +14,23 @@
 // the hello and the grant, quotas, and transfers of connections. A link ends when either process ends or violates the
 // protocol.
 type link struct {
-	coordinator  *Coordinator
-	conn         *loop.Conn
-	toSuccessor  bool   // the other process was started after this one; false: it is the parent
-	unread       []byte // received, but not a complete message or payload yet
-	grantedQuota int    // descriptors that the successor may have open; above 0 once the grant is sent
-	ready        bool   // the successor accepts clients
-	closed       bool
-	number       int  // above 0, unique in this process
-	compatible   bool // both processes support the same transferVersion
-	canTransfer  bool // compatible, and no batch has timed out
-	outgoing     outgoingTransfer
-	incoming     incomingTransfer
+	coordinator    *Coordinator
+	conn           *loop.Conn
+	toSuccessor    bool   // the other process was started after this one; false: it is the parent
+	unread         []byte // received, but not a complete message or payload yet
+	grantedQuota   int    // descriptors that the successor may have open; above 0 once the grant is sent
+	ready          bool   // the successor accepts clients
+	closed         bool
+	number         int  // above 0, unique in this process
+	compatible     bool // both processes support the same transferVersion
+	canTransfer    bool // compatible, and no batch has timed out
+	answersQueries bool // the other process answers queries
+
+	queries        map[uint64]*idQuery // whose answers are outstanding, by number
+	expiredQueries int                 // whose answers are outstanding after their time
+
+	outgoing outgoingTransfer
+	incoming incomingTransfer
 }
 
 func (l *link) send(m message) { l.conn.Write(m.encode()) }
@@ -109,6 +114,8 @@
 func (l *link) handleFromSuccessor(received message) bool {
 	granted := l.grantedQuota > 0
 	switch {
+	case granted && l.handleQuery(received):
+		return true
 	case received.Kind == kindHello && !granted:
 		l.answerHello(received)
 		return true
@@ -140,7 +147,7 @@
 		l.sendFreeDescriptors(kindFreeDescriptors)
 		return true
 	}
-	return l.canTransfer && l.handleTransfer(received)
+	return l.handleQuery(received) || l.canTransfer && l.handleTransfer(received)
 }
 
 // answerHello sends the successor its grant, or ends the link if the successor uses another version of the protocol.
@@ -186,6 +193,7 @@
 	l.closed = true
 	l.settleTransfers()
 	l.coordinator.remove(l)
+	l.settleQueries()
 	if l.grantedQuota > 0 || !l.toSuccessor {
 		zap.L().Info("hot_restart_peer_gone", zap.Bool("started_later", l.toSuccessor))
 		l.coordinator.options.Changed()
--- a/internal/operations/hotrestart/message.go
+++ b/internal/operations/hotrestart/message.go
@@ -25,6 +25,10 @@
 	kindBatchAccepted   messageKind = "held"    // the successor can serve the batch; has the number of free descriptors
 	kindBatchRejected   messageKind = "refused" // the successor has closed the descriptors of the batch
 
+	// Both send these.
+	kindIDQuery  messageKind = "id_query"  // asks whether a request with this id is open; has the query's number
+	kindIDAnswer messageKind = "id_answer" // the answer, with the number of the query
+
 	// The parent sends these.
 	kindGrant          messageKind = "lent"    // the answer to a hello, sent with the descriptors of the sockets
 	kindQuotaRaised    messageKind = "room"    // has the new descriptor quota of the successor
@@ -46,6 +50,9 @@
 	TransferVersion int             `json:"carry,omitempty"`   // the sender's transferVersion; 0: no transfers
 	Learned         []byte          `json:"learned,omitempty"` // the encoded learned state of the parent
 	Size            int             `json:"size,omitempty"`    // bytes of the payload that follows the line
+	ID              string          `json:"id,omitempty"`      // of a request
+	Query           uint64          `json:"query,omitempty"`   // the query's number, unique in the asking process
+	InUse           bool            `json:"in_use,omitempty"`  // the sender has an open request with the id
 }
 
 // encode returns the message as a line of JSON, with the newline.
