--- a/internal/node/batch.go
+++ b/internal/node/batch.go
@@ -16,6 +16,9 @@
 	connectionFDs = 2 // maximum descriptors of a connection: one of its client and one of its server
 )
 
+// A stream's open elements are one list in the state of its connection.
+const _ = uint(hotrestart.MaxListElements - xmpp.MaxDepth)
+
 // maxBatchConnections is the maximum number of connections in a batch. It is a variable so that tests can lower it.
 var maxBatchConnections = hotrestart.MaxBatchConnections
 
--- a/internal/node/transfer_test.go
+++ b/internal/node/transfer_test.go
@@ -17,6 +17,7 @@
 	"spurwinch/internal/platform/downstream"
 	"spurwinch/internal/platform/upstream"
 	resumable "spurwinch/internal/session"
+	"spurwinch/internal/xmpp"
 )
 
 // restartedNode is a node whose simulated processes all run in the test program, each on its own loop.
@@ -147,7 +148,10 @@
 
 func playTransfer(t *testing.T, text string) {
 	t.Helper()
-	player := &transcript.Player{Values: map[string]string{"ns": xmppNamespaces}}
+	const depth = xmpp.MaxDepth - 2 // within the stream and the message
+	player := &transcript.Player{Values: map[string]string{
+		"ns": xmppNamespaces, "deep": strings.Repeat("<a>", depth), "deep-end": strings.Repeat("</a>", depth),
+	}}
 	node := newRestartedNode(t, player.Listen(t, "h1"), 512)
 	player.Address = node.env["GW_LISTEN"]
 	player.Values["xmpp"] = node.env["XMPP"]
--- a/internal/operations/hotrestart/batch.go
+++ b/internal/operations/hotrestart/batch.go
@@ -19,6 +19,9 @@
 	// sessions.
 	MaxLearnedBytes = 512 << 10
 
+	// MaxListElements is the maximum number of elements of a list in a batch and in the state of a connection.
+	MaxListElements = 128
+
 	maxBatchBytes = 1 << 20
 )
 
@@ -37,7 +40,7 @@
 }
 
 var decodeMode = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: MaxBatchConnections, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	mode, err := cbor.DecOptions{MaxArrayElements: MaxListElements, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
 	if err != nil {
 		panic(err) // the options are constants
 	}
@@ -70,6 +73,9 @@
 	if err := Decode(encoded, &batch); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalidBatch, err)
 	}
+	if len(batch) > MaxBatchConnections {
+		return nil, fmt.Errorf("%w: %d connections, must have at most %d", ErrInvalidBatch, len(batch), MaxBatchConnections)
+	}
 	var items []TransferItem
 	remaining := descriptors
 	for _, item := range batch {
--- a/internal/xmpp/nesting.go
+++ b/internal/xmpp/nesting.go
@@ -50,7 +50,7 @@
 
 func (s *scanner) trackStart(token *xmlToken) condition {
 	token.depth = len(s.elements) + 1
-	if token.depth > maxDepth {
+	if token.depth > MaxDepth {
 		return policyViolation
 	}
 	if token.depth == rootDepth {
--- a/internal/xmpp/scanner.go
+++ b/internal/xmpp/scanner.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	maxDepth          = 128 // nested elements
-	maxReferenceBytes = 12  // length up to which the scanner waits for the end of an entity reference
+	// MaxDepth is the maximum number of nested elements.
+	MaxDepth          = 128
+	maxReferenceBytes = 12 // length up to which the scanner waits for the end of an entity reference
 )
 
 // scanner reads one direction of a stream incrementally. It is a parser of restricted XML (RFC 6120, section 11) that
--- a/internal/xmpp/transfer.go
+++ b/internal/xmpp/transfer.go
@@ -79,7 +79,7 @@
 func (f *Front) checkStream(state ScannerState) error {
 	maxBytes := f.limits.MaxStanzaBytes
 	isSizeValid := state.Size >= 0 && state.Size <= maxBytes+len(state.Pending)
-	if len(state.Pending) > maxBytes || len(state.Elements) > maxDepth || !isSizeValid {
+	if len(state.Pending) > maxBytes || len(state.Elements) > MaxDepth || !isSizeValid {
 		return ErrStreamOverLimits
 	}
 	return nil
