--- a/internal/node/batch.go
+++ b/internal/node/batch.go
@@ -60,6 +60,8 @@
 	items       []hotrestart.TransferItem
 	bytes       int
 	descriptors int // descriptors that the successor can accept in addition to the batch
+
+	maxConnections int
 }
 
 // add moves a connection from the loop to the batch if the connection can be transferred now.
@@ -76,7 +78,7 @@
 
 // full reports whether another connection might exceed the limits of the batch or of the successor.
 func (b *transferBatch) full() bool {
-	return len(b.connections) >= maxBatchConnections || b.bytes > maxBatchBytes || b.descriptors < connectionFDs
+	return len(b.connections) >= b.maxConnections || b.bytes > maxBatchBytes || b.descriptors < connectionFDs
 }
 
 // finish releases all connections if the successor has accepted them, otherwise it reattaches them.
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -11,6 +11,9 @@
 const (
 	transferInterval = 20 * time.Millisecond // between searches for connections that have become transferable
 	maxBatchTime     = time.Millisecond      // how long one batch may block the loop
+	// maxRejections is the number of connections that the successor may reject one after another until this process
+	// offers it no more.
+	maxRejections = 8
 )
 
 // transfer is the state of the transfer of this process's connections to its successor.
@@ -19,6 +22,9 @@
 	migrated     bool // the remaining clients were told to reconnect
 	logged       bool // the result was logged, because all connections are gone or the drain has ended
 	queue        []transferable
+	oneByOne     int                     // connections of a rejected batch that are offered alone next
+	rejected     map[detachable]struct{} // offered alone and rejected; they stay until they are migrated
+	rejections   int                     // connections rejected one after another
 	started      time.Time
 	sent         int // number of connections sent
 	sentBytes    int
@@ -75,18 +81,41 @@
 			h.transfer.sentBytes += batch.bytes
 			h.transfer.duration = loop.Now().Sub(h.transfer.started)
 			h.raiseSuccessorQuota()
+			h.transfer.rejections = 0
 		} else {
-			h.transfer.active = false
+			h.transfer.onRejection(batch.connections)
 		}
 		loop.At(loop.Now(), h.transferAndFinish)
 	})
 	h.transfer.longestBatch = max(h.transfer.longestBatch, loop.Now().Sub(began))
 }
 
+// onRejection notes that the successor has rejected connections. It rejects a batch as a whole, so the connections of a
+// batch are offered again one by one, and only those that it then rejects stay.
+func (t *transfer) onRejection(connections []detachable) {
+	if len(connections) > 1 {
+		t.oneByOne = len(connections)
+		t.queue = nil // so that these connections are found again
+		return
+	}
+	if t.rejected == nil {
+		t.rejected = map[detachable]struct{}{}
+	}
+	t.rejected[connections[0]] = struct{}{}
+	t.rejections++
+	if t.rejections >= maxRejections {
+		t.active = false
+	}
+}
+
 // nextBatch detaches connections from the loop until the batch is full, maxBatchTime is over or no transferable
 // connections are left.
 func (h *hotRestart) nextBatch(began time.Time, descriptors int) transferBatch {
-	batch := transferBatch{descriptors: descriptors}
+	batch := transferBatch{descriptors: descriptors, maxConnections: maxBatchConnections}
+	if h.transfer.oneByOne > 0 {
+		h.transfer.oneByOne--
+		batch.maxConnections = 1
+	}
 	hasSearched := false
 	for !batch.full() && h.program.loop.Now().Sub(began) <= maxBatchTime {
 		if len(h.transfer.queue) == 0 && !hasSearched {
@@ -98,7 +127,9 @@
 		}
 		next := h.transfer.queue[0]
 		h.transfer.queue = h.transfer.queue[1:]
-		batch.add(next)
+		if _, rejected := h.transfer.rejected[next.detachable]; !rejected {
+			batch.add(next)
+		}
 	}
 	return batch
 }
--- a/internal/node/upgrade_failure_test.go
+++ b/internal/node/upgrade_failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -205,3 +206,33 @@
 		}
 	})
 }
+
+// TestRejectedConnectionStaysAlone guards against a whole batch that stays with the old process, and is told to connect
+// again, because the successor rejects one of its connections: here one whose unfinished stanza is over the successor's
+// lower limit.
+func TestRejectedConnectionStaysAlone(t *testing.T) {
+	const lowestLimit, rejected = 10000, 3
+	node := newRestartedXMPPNode(t, 1)
+	devices := connectCleartext(t, node)
+	unfinished := "<message " + strings.Repeat("a", 2*lowestLimit)
+	if _, err := io.WriteString(devices[rejected].client.Conn, unfinished); err != nil {
+		t.Fatal(err)
+	}
+	node.edit(node.operatorPath, func(text string) string {
+		return strings.Replace(text, "[limits]\n", fmt.Sprintf("[limits]\nstanza_bytes = %d\n", lowestLimit), 1)
+	})
+	old := node.current
+	node.restart()
+	if sent := old.restart.transfer.sent; sent != cleartextDevices-1 {
+		t.Errorf("transferred connections: got %d, want %d", sent, cleartextDevices-1)
+	}
+	deadline := time.Now().Add(testTimeout)
+	for i, device := range devices {
+		device.client.SetDeadline(deadline)
+		if i == rejected {
+			checkEnds(t, device.user, device.client, "system-shutdown")
+		} else if _, err := device.client.Exchange("<iq type='get' id='p1'/>", "<iq"); err != nil {
+			t.Errorf("%s: got error %v, want the connection to go on", device.user, err)
+		}
+	}
+}
--- a/internal/operations/hotrestart/batch.go
+++ b/internal/operations/hotrestart/batch.go
@@ -74,7 +74,8 @@
 		return nil, fmt.Errorf("%w: %w", ErrInvalidBatch, err)
 	}
 	if len(batch) > MaxBatchConnections {
-		return nil, fmt.Errorf("%w: %d connections, must have at most %d", ErrInvalidBatch, len(batch), MaxBatchConnections)
+		return nil, fmt.Errorf("%w: got %d connections, must have at most %d",
+			ErrInvalidBatch, len(batch), MaxBatchConnections)
 	}
 	var items []TransferItem
 	remaining := descriptors
