--- a/internal/loop/close.go
+++ b/internal/loop/close.go
@@ -26,7 +26,10 @@
 
 // End sends the pending data and then the end of the connection (FIN). Bytes that the peer still sends are read and
 // discarded for a moment, since closing a socket with unread bytes would send a reset instead.
-func (c *Conn) End() {
+func (c *Conn) End() { c.EndWithin(flushTimeout) }
+
+// EndWithin is End with another bound for the time in which the pending data is sent.
+func (c *Conn) EndWithin(timeout time.Duration) {
 	if c.closed || c.ending {
 		return
 	}
@@ -40,7 +43,7 @@
 	c.LeaveIdleQueue()
 	c.EnterIdleQueue()
 	if len(c.pending) > 0 {
-		c.stopTimer = c.loop.At(c.loop.Now().Add(flushTimeout), c.close)
+		c.stopTimer = c.loop.At(c.loop.Now().Add(timeout), c.close)
 		c.updateWatch()
 		return
 	}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -74,6 +74,9 @@
 // Full reports whether so much data is pending that its source should be paused until OnDrained.
 func (c *Conn) Full() bool { return len(c.pending) > c.loop.highWater }
 
+// Pending returns the number of bytes that the kernel has not taken yet.
+func (c *Conn) Pending() int { return len(c.pending) }
+
 // Sent reports whether all data was written to the kernel. It stays true after the connection has ended.
 func (c *Conn) Sent() bool { return c.connected && len(c.pending) == 0 && !c.writeFailed }
 
--- a/internal/platform/downstream/client.go
+++ b/internal/platform/downstream/client.go
@@ -24,6 +24,11 @@
 	firstLineTimeout     = 2500 * time.Millisecond
 	readyTimeout         = 30 * time.Second // wait for PONG on a node that knows no servers yet
 	connectionLimitRetry = time.Second      // retry after in the rejection of a request at the connection limit
+	// stallTimeout is how long a client may accept no byte while the node has stopped reading from its server for it.
+	// Devices on poor links vanish for several seconds and come back.
+	stallTimeout = 30 * time.Second
+	// moveFlushTimeout is how long a client that is migrated may take to read what comes before MOVE, and MOVE.
+	moveFlushTimeout = 3 * time.Second
 )
 
 // Errors in the bytes that a client sends before its connection is established.
@@ -59,6 +64,8 @@
 	closed            bool
 	migrating         bool // MOVE is sent at the end of the server's current line
 	stopTimer         func()
+	stopStallTimer    func() // nil: the server is read from
+	pendingAtCheck    int    // bytes that waited for the client at the last check of its stall
 	firstLineDeadline time.Time
 }
 
@@ -229,6 +236,7 @@
 		c.stopTimer()
 		c.stopTimer = nil
 	}
+	c.stopStallWatch()
 }
 
 // Attempt starts an upstream request for one of the core's attempts.
--- a/internal/platform/downstream/front.go
+++ b/internal/platform/downstream/front.go
@@ -33,6 +33,7 @@
 	ready          bool
 	onReady        func()
 	awaitingReady  []*client // clients that sent PING before the node was ready
+	stallTimeout   time.Duration
 }
 
 // Options are the dependencies and limits of a Front.
@@ -53,6 +54,7 @@
 		maxConnections: options.MaxConnections,
 		onReady:        options.OnReady,
 		removedClasses: map[string]time.Time{},
+		stallTimeout:   stallTimeout,
 	}
 }
 
--- a/internal/platform/downstream/relay.go
+++ b/internal/platform/downstream/relay.go
@@ -62,6 +62,7 @@
 	}
 	if c.conn.Full() {
 		c.server.Pause()
+		c.watchStall()
 	}
 	if c.server.Full() {
 		c.conn.Pause()
@@ -71,6 +72,7 @@
 // OnDrained resumes reading from the server, now that the bytes for the client have been written.
 func (c *client) OnDrained() {
 	if c.established && !c.closed {
+		c.stopStallWatch()
 		c.server.Resume()
 	}
 }
@@ -131,5 +133,5 @@
 	c.server.End(false)
 	c.close(invariant.ByNode, trace.NodeMigratedClient)
 	c.conn.Write(moveLine)
-	c.conn.End()
+	c.conn.EndWithin(moveFlushTimeout)
 }
--- a/internal/platform/downstream/transfer.go
+++ b/internal/platform/downstream/transfer.go
@@ -92,6 +92,7 @@
 		Server:                 &serverState,
 	}
 	transferred.holdBack(c.server.HeldBack())
+	c.stopStallWatch()
 	return []int{clientFD, serverFD}, transferred, true
 }
 
@@ -101,6 +102,9 @@
 	if c.server != nil {
 		c.server.Reattach()
 	}
+	if c.established && c.conn.Pending() > 0 {
+		c.watchStall()
+	}
 }
 
 // Release closes this process's descriptors of a detached connection that another process has taken over.
@@ -147,6 +151,9 @@
 	// Reading resumes on each side unless bytes still wait to be written to the other side.
 	if len(state.Conn.Out) == 0 {
 		restored.server.Resume()
+	} else {
+		restored.server.Pause()
+		restored.watchStall()
 	}
 	if len(state.Server.Conn.Out) == 0 {
 		restored.conn.Resume()
--- a/internal/platform/upstream/relay.go
+++ b/internal/platform/upstream/relay.go
@@ -70,7 +70,7 @@
 	// One client line is timed at a time, and any server line other than LOAD ends the measurement. Otherwise a client
 	// line that gets no reply would make the replies to all later lines look late.
 	if !r.awaitingReplySince.IsZero() {
-		r.attempt.ObserveDelay(r.cluster.loop.Now().Sub(r.awaitingReplySince))
+		r.attempt.ObserveDelay(r.awaitingReplyFor())
 		r.awaitingReplySince = time.Time{}
 	}
 }
@@ -106,7 +106,7 @@
 		return
 	}
 	now := r.cluster.loop.Now()
-	waited := now.Sub(r.awaitingReplySince)
+	waited := r.awaitingReplyFor()
 	if waited >= r.attempt.UnresponsiveAfter() {
 		r.attempt.Unresponsive()
 		return
@@ -127,8 +127,30 @@
 // Full reports whether so many bytes wait to be written to the server that reading from the client should pause.
 func (r *Request) Full() bool { return r.conn.Full() }
 
-// Pause stops reading from the server.
-func (r *Request) Pause() { r.conn.Pause() }
+// Pause stops reading from the server, whose replies then can't be seen: the time until Resume doesn't count as waiting
+// for one.
+func (r *Request) Pause() {
+	if r.pausedAt.IsZero() {
+		r.pausedAt = r.cluster.loop.Now()
+	}
+	r.conn.Pause()
+}
 
 // Resume continues to read from the server.
-func (r *Request) Resume() { r.conn.Resume() }
+func (r *Request) Resume() {
+	if !r.pausedAt.IsZero() && !r.awaitingReplySince.IsZero() {
+		r.awaitingReplySince = r.cluster.loop.Now().Add(-r.awaitingReplyFor())
+	}
+	r.pausedAt = time.Time{}
+	r.conn.Resume()
+}
+
+// awaitingReplyFor returns how long a client line has waited for its reply, without the time since reading from the
+// server was paused. There must be such a line.
+func (r *Request) awaitingReplyFor() time.Duration {
+	until := r.cluster.loop.Now()
+	if !r.pausedAt.IsZero() {
+		until = r.pausedAt
+	}
+	return max(0, until.Sub(r.awaitingReplySince))
+}
--- a/internal/platform/upstream/request.go
+++ b/internal/platform/upstream/request.go
@@ -54,6 +54,7 @@
 	closed             bool
 	lastClosingLine    closingLine // noClosingLine if the server's last line was another one
 	awaitingReplySince time.Time   // when the client line that is being timed was forwarded; zero: none
+	pausedAt           time.Time   // when this node stopped reading from the server; zero: it reads
 	stopReplyTimer     func()
 }
 
--- a/internal/platform/upstream/transfer.go
+++ b/internal/platform/upstream/transfer.go
@@ -60,8 +60,9 @@
 	state.PartialClientLineBytes = r.clientLines.PartialBytes()
 	state.ClosingLine = uint8(r.lastClosingLine)
 	if !r.awaitingReplySince.IsZero() {
-		state.AwaitingReplySince = r.awaitingReplySince.UnixNano()
-		state.AwaitingReplyFor = max(1, int64(r.cluster.loop.Now().Sub(r.awaitingReplySince)))
+		waited := r.awaitingReplyFor()
+		state.AwaitingReplySince = r.cluster.loop.Now().Add(-waited).UnixNano()
+		state.AwaitingReplyFor = max(1, int64(waited))
 	}
 	r.cancelReplyTimer()
 	return fd, state, ok
